--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# The commands of the project. All of them need Go only.
+
+.PHONY: build run test fuzz bench generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+# run starts the Verhaeghe example as separate processes for about 30 seconds
+# and prints one JSON line last.
+run: build
+	bin/egretload examples/verhaeghe/scenario.json
+
+# test runs everything that CI runs but the linters.
+test: build
+	go test -race ./...
+
+# fuzz runs the same suites with fresh seeds for FUZZTIME each.
+FUZZTIME ?= 30s
+fuzz: build
+	FUZZTIME=$(FUZZTIME) go test -race -count=1 ./... -rapid.checks=20000
+
+bench:
+	go test -run='^$$' -bench=. -benchmem ./...
+
+# generate writes the files that are derived from the code.
+generate: build
+	bin/egretbend schema settings > docs/settings.schema.json
+	bin/egretbend schema config > docs/configuration.schema.json
--- /dev/null
+++ b/cmd/egretbend/main.go
@@ -0,0 +1,13 @@
+// Command egretbend is the rollout service: one instance of it, and the
+// commands of its operators.
+package main
+
+import (
+	"os"
+
+	"github.com/egretbend/egretbend/internal/entry/command"
+)
+
+func main() {
+	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,154 @@
+// Command standin runs one stand-in for a system outside of egretbend. It is
+// for trying things out and for tests.
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/kernel/setting"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	platform "github.com/egretbend/egretbend/internal/platform/roster"
+	"github.com/egretbend/egretbend/internal/standin/engine"
+	"github.com/egretbend/egretbend/internal/standin/keyvalue"
+	"github.com/egretbend/egretbend/internal/standin/roster"
+	"github.com/egretbend/egretbend/internal/standin/service"
+	"github.com/egretbend/egretbend/internal/standin/weights"
+)
+
+// upstreamSettings is the file of an engine or service.
+type upstreamSettings[T any] struct {
+	Listen  string `json:"listen" need:"true"`
+	Roster  string `json:"roster" need:"true"`
+	Details T      `json:"details" need:"true"`
+}
+
+func main() {
+	root := &cobra.Command{
+		Use:          "standin",
+		Short:        "Stand-ins for the systems outside of egretbend",
+		SilenceUsage: true,
+	}
+	root.AddCommand(keyvalueCommand(), rosterCommand(), weightsCommand(), engineCommand(), serviceCommand())
+	if root.Execute() != nil {
+		os.Exit(1)
+	}
+}
+
+func keyvalueCommand() *cobra.Command {
+	return simple("keyvalue", "The platform's key-value service", func() http.Handler {
+		s := &keyvalue.Server{
+			Timer: timer.Real{},
+		}
+		return s.Handler()
+	})
+}
+
+func rosterCommand() *cobra.Command {
+	return simple("roster", "The platform's instance list", func() http.Handler {
+		s := &roster.Server{
+			Timer: timer.Real{},
+		}
+		return s.Handler()
+	})
+}
+
+func weightsCommand() *cobra.Command {
+	s := &weights.Server{
+		Timer: timer.Real{},
+	}
+	cmd := simple("weights", "The weight store", s.Handler)
+	cmd.Flags().Float64Var(&s.PerSecond, "per-second", 20, "fetches that may begin in a second")
+	cmd.Flags().DurationVar(&s.Took, "took", 200*time.Millisecond, "time of one fetch")
+	return cmd
+}
+
+func simple(name, short string, handler func() http.Handler) *cobra.Command {
+	var listen string
+	cmd := &cobra.Command{
+		Use:   name,
+		Short: short,
+		RunE:  func(*cobra.Command, []string) error { return serve(listen, handler(), nil) },
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7000", "address")
+	return cmd
+}
+
+func engineCommand() *cobra.Command {
+	return upstream("engine", "A model engine", func(file upstreamSettings[engine.Settings]) (http.Handler, func() (platform.Instance, bool)) {
+		s := &engine.Server{
+			Timer:    timer.Real{},
+			Settings: file.Details,
+			Address:  file.Listen,
+		}
+		return s.Handler(), s.Instance
+	})
+}
+
+func serviceCommand() *cobra.Command {
+	return upstream("service", "A plain service", func(file upstreamSettings[service.Settings]) (http.Handler, func() (platform.Instance, bool)) {
+		s := &service.Server{
+			Timer:    timer.Real{},
+			Settings: file.Details,
+			Address:  file.Listen,
+		}
+		return s.Handler(), s.Instance
+	})
+}
+
+func upstream[T any](name, short string, open func(upstreamSettings[T]) (http.Handler, func() (platform.Instance, bool))) *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   name,
+		Short: short,
+		RunE: func(*cobra.Command, []string) error {
+			var file upstreamSettings[T]
+			if err := setting.ReadFile(path, &file); err != nil {
+				return err
+			}
+			handler, current := open(file)
+			return serve(file.Listen, handler, &roster.Announcer{
+				Roster:  file.Roster,
+				Timer:   timer.Real{},
+				Current: current,
+			})
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "settings file")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+// serve answers at an address until a signal comes.
+func serve(listen string, handler http.Handler, announcer *roster.Announcer) error {
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		return fmt.Errorf("%w; choose another address", err)
+	}
+	var t tomb.Tomb
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: 5 * time.Second,
+	}
+	t.Go(func() error { return server.Serve(ln) })
+	if announcer != nil {
+		t.Go(func() error { return announcer.Run(&t) })
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	select {
+	case <-signals:
+	case <-t.Dying():
+		return t.Err()
+	}
+	t.Kill(nil)
+	return server.Close()
+}
--- /dev/null
+++ b/internal/entry/caller/part.go
@@ -0,0 +1,52 @@
+package caller
+
+import (
+	"goji.io/pat"
+
+	"github.com/egretbend/egretbend/internal/entry/door"
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/kernel/part"
+	"github.com/egretbend/egretbend/internal/rollout/stream"
+	"github.com/egretbend/egretbend/internal/route/relay"
+	"github.com/egretbend/egretbend/internal/route/router"
+	"github.com/egretbend/egretbend/internal/route/ticket"
+	"github.com/egretbend/egretbend/internal/route/wire"
+)
+
+func init() {
+	part.Register(part.Factory{
+		Name:  "entry.b.caller",
+		Stage: part.StageEntry,
+		Make:  makePart,
+	})
+}
+
+func makePart(h *part.Host) (part.Part, error) {
+	client := &wire.Client{}
+	members := part.Get[*member.Table](h)
+	s := &Server{
+		Mux:     part.Get[*door.Mux](h),
+		Members: members,
+		Holder:  part.Get[*configuration.Holder](h),
+		Relay: &relay.Relay{
+			Router: part.Get[*router.Router](h),
+			Client: client,
+			Timer:  h.Timer,
+		},
+		Generator: part.Get[*stream.Generator](h),
+		Tickets: &ticket.Book{
+			Address:     h.Settings.Listen,
+			Incarnation: members.Self().Incarnation,
+			Timer:       h.Timer,
+		},
+		Client:  client,
+		Timer:   h.Timer,
+		Journal: h.Journal,
+	}
+	s.Mux.HandleFunc(pat.Get("/v1/addresses"), s.addresses)
+	s.Mux.HandleFunc(pat.Post("/v1/tickets"), s.tickets)
+	s.Mux.HandleFunc(pat.New("/v1/services/:deployment/*"), s.service)
+	s.Mux.HandleFunc(pat.Post("/v1/models/:deployment/completions"), s.completions)
+	return part.Idle{}, nil
+}
--- /dev/null
+++ b/internal/entry/client/client.go
@@ -0,0 +1,126 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+)
+
+// Client calls one instance. It is a plain value.
+type Client struct {
+	Address string
+	// Scheme is http or https; empty means http.
+	Scheme string
+	// Key is the bearer token, or empty.
+	Key string
+	// Header is sent with every call.
+	Header http.Header
+	// HTTP is the client to use; nil uses the default one.
+	HTTP *http.Client
+}
+
+// maxAnswer bounds an answer.
+const maxAnswer = 256 << 20
+
+// ErrNoAnswer means that the instance did not answer.
+var ErrNoAnswer = errors.New("the instance did not answer; try another one")
+
+// Do calls method on path with in as JSON, if it is not nil, and decodes the
+// answer into out, if it is not nil.
+func (c Client) Do(ctx context.Context, method, path string, in, out any) error {
+	_, err := c.DoHeader(ctx, method, path, in, out)
+	return err
+}
+
+// DoHeader is Do, and returns the headers of the answer.
+func (c Client) DoHeader(ctx context.Context, method, path string, in, out any) (http.Header, error) {
+	req, err := c.request(ctx, method, path, in)
+	if err != nil {
+		return nil, err
+	}
+	res, err := c.http().Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
+	if res.StatusCode != http.StatusOK {
+		return res.Header, decodeError(res.StatusCode, data)
+	}
+	if out == nil {
+		return res.Header, nil
+	}
+	return res.Header, json.Unmarshal(data, out)
+}
+
+func (c Client) request(ctx context.Context, method, path string, in any) (*http.Request, error) {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(data)
+	}
+	scheme := c.Scheme
+	if scheme == "" {
+		scheme = "http"
+	}
+	req, err := http.NewRequestWithContext(ctx, method, scheme+"://"+c.Address+path, body)
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range c.Header {
+		req.Header[name] = values
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Key)
+	}
+	return req, nil
+}
+
+func (c Client) http() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return http.DefaultClient
+}
+
+func decodeError(status int, data []byte) error {
+	var body problem.Body
+	if json.Unmarshal(data, &body) != nil || body.Code == "" {
+		return problem.Internal.Withf("status %d: %s", status, data)
+	}
+	e := &problem.Error{
+		Kind: problem.Kind{
+			Code:    body.Code,
+			Status:  status,
+			Remedy:  body.Remedy,
+			Outcome: body.Outcome,
+		},
+		Cause:      errors.New(body.Message),
+		RetryAfter: time.Duration(body.RetryAfterMS) * time.Millisecond,
+	}
+	return e
+}
+
+// NotReached reports whether err shows that the instance was not reached at
+// all, so that the call can't have had an effect.
+func NotReached(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/internal/entry/command/check.go
@@ -0,0 +1,74 @@
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/kernel/setting"
+)
+
+func (a *app) checkCommand() *cobra.Command {
+	var settings, config string
+	cmd := &cobra.Command{
+		Use:     "check",
+		Short:   "Check settings and configuration files without starting anything",
+		Example: "  egretbend check --settings instance.json\n  egretbend check --config configuration.json",
+		RunE:    func(*cobra.Command, []string) error { return a.check(settings, config) },
+	}
+	cmd.Flags().StringVar(&settings, "settings", "", "settings file of an instance")
+	cmd.Flags().StringVar(&config, "config", "", "configuration file")
+	return cmd
+}
+
+func (a *app) check(settings, config string) error {
+	if settings == "" && config == "" {
+		return fmt.Errorf("%w: give --settings or --config", errInput)
+	}
+	if settings != "" {
+		if err := setting.ReadFile(settings, &setting.Instance{}); err != nil {
+			return err
+		}
+		fmt.Fprintf(a.out, "%s: good\n", settings)
+	}
+	if config != "" {
+		if _, err := readConfiguration(config); err != nil {
+			return err
+		}
+		fmt.Fprintf(a.out, "%s: good\n", config)
+	}
+	return nil
+}
+
+func readConfiguration(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w; check the path", errInput, err)
+	}
+	_, err = configuration.Parse(data)
+	return data, err
+}
+
+func (a *app) schemaCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:       "schema {settings|config}",
+		Short:     "Print the JSON schema of a file format",
+		Example:   "  egretbend schema config",
+		Args:      cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs),
+		ValidArgs: []string{"settings", "config"},
+		RunE: func(_ *cobra.Command, args []string) error {
+			title, v := "egretbend instance settings", any(setting.Instance{})
+			if args[0] == "config" {
+				title, v = "egretbend configuration", configuration.Configuration{}
+			}
+			b, err := setting.Schema(title, v)
+			if err != nil {
+				return err
+			}
+			_, err = a.out.Write(b)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/entry/command/fleet.go
@@ -0,0 +1,144 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sort"
+
+	"github.com/spf13/cobra"
+
+	"github.com/egretbend/egretbend/internal/entry/caller"
+	"github.com/egretbend/egretbend/internal/entry/operator"
+	"github.com/egretbend/egretbend/internal/kernel/journal"
+)
+
+func (a *app) addressesCommand() *cobra.Command {
+	var name string
+	cmd := &cobra.Command{
+		Use:     "addresses",
+		Short:   "Ask which addresses a caller should use",
+		Example: "  egretbend addresses --caller saddlers",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var answer caller.Addresses
+			if err := a.get(cmd.Context(), "/v1/addresses?caller="+url.QueryEscape(name), &answer); err != nil {
+				return err
+			}
+			if a.json {
+				return a.printJSON(answer)
+			}
+			for _, one := range answer.Addresses {
+				fmt.Fprintf(a.out, "%-22s %s (%s)\n", one.Address, one.Instance, one.FailureDomain)
+			}
+			fmt.Fprintf(a.out, "keep for %d ms\n", answer.KeepMS)
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&name, "caller", "", "name of the caller")
+	return cmd
+}
+
+func (a *app) get(parent context.Context, path string, out any) error {
+	ctx, cancel := context.WithTimeout(parent, callTimeout)
+	defer cancel()
+	return a.client().Do(ctx, http.MethodGet, path, nil, out)
+}
+
+func (a *app) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "status",
+		Short:   "Show the fleet as one instance sees it",
+		Example: "  egretbend status --address 127.0.0.1:7101",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var s operator.Status
+			if err := a.get(cmd.Context(), "/v1/status", &s); err != nil {
+				return err
+			}
+			if a.json {
+				return a.printJSON(s)
+			}
+			a.printStatus(s)
+			return nil
+		},
+	}
+}
+
+func (a *app) printStatus(s operator.Status) {
+	fmt.Fprintf(a.out, "instance %s, configuration revision %d (highest told: %d)\n", s.Instance, s.Revision, s.Told)
+	for _, m := range s.Members {
+		note := ""
+		if m.Leaving {
+			note = " leaving"
+		}
+		fmt.Fprintf(a.out, "member   %-20s %-14s %-22s %s%s\n", m.Instance, m.FailureDomain, m.Address, m.Status, note)
+	}
+	for _, l := range s.Limits {
+		fmt.Fprintf(a.out, "limit    %-20s in flight %d of %.1f published %s\n", l.Deployment, l.InFlight, l.Limit, l.Published)
+	}
+	for _, u := range s.Upstreams {
+		fmt.Fprintf(a.out, "upstream %-20s %-14s load %.2f version %s leaving %t out %t\n",
+			u.Upstream, u.Deployment, u.Load, u.Version, u.Leaving, u.Out)
+	}
+	for _, t := range s.Sessions {
+		for _, st := range t.Steps {
+			fmt.Fprintf(a.out, "step     %s session %d step %d %s: %d of %d taken, %d discarded, %d second attempts\n",
+				t.Trainer, t.Session, st.Step, st.State, st.Taken, st.Samples, st.Discarded, st.SecondAttempts)
+		}
+	}
+}
+
+func (a *app) drainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "drain UPSTREAM",
+		Short:   "Give an upstream no new work, in the whole fleet",
+		Long:    "Mark the present incarnation of an upstream as leaving. To drain an instance of egretbend itself, send it SIGTERM.",
+		Example: "  egretbend drain sampler-3",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), callTimeout)
+			defer cancel()
+			err := a.client().Do(ctx, http.MethodPost, "/v1/upstreams/"+url.PathEscape(args[0])+"/drain", nil, nil)
+			if err == nil {
+				fmt.Fprintf(a.out, "%s is leaving\n", args[0])
+			}
+			return err
+		},
+	}
+}
+
+func (a *app) whyCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "why REQUEST|SAMPLE",
+		Short:   "Show the decisions in the life of a request or sample",
+		Long:    "Show what the instances remember of a request id, or of a sample written step/group/index.",
+		Example: "  egretbend why 00c5a3f09d1e77aa\n  egretbend why 12/g3/0",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var list []journal.Record
+			if err := a.get(cmd.Context(), "/v1/decisions/"+url.PathEscape(args[0]), &list); err != nil {
+				return err
+			}
+			if a.json {
+				return a.printJSON(list)
+			}
+			for _, d := range list {
+				a.printDecision(d)
+			}
+			return nil
+		},
+	}
+}
+
+func (a *app) printDecision(d journal.Record) {
+	fmt.Fprintf(a.out, "%s %s %s", d.At.Format("15:04:05.000"), d.Instance, d.Decision)
+	names := make([]string, 0, len(d.Fields))
+	for name := range d.Fields {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Fprintf(a.out, " %s=%s", name, d.Fields[name])
+	}
+	fmt.Fprintln(a.out)
+}
--- /dev/null
+++ b/internal/entry/command/root.go
@@ -0,0 +1,116 @@
+package command
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/spf13/cobra"
+
+	"github.com/egretbend/egretbend/internal/entry/client"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/kernel/setting"
+)
+
+// The exit codes.
+const (
+	ExitDone    = 0
+	ExitFailed  = 1
+	ExitInput   = 2
+	ExitRefused = 3
+	ExitUnknown = 4
+)
+
+// errInput marks an error of the command's input.
+var errInput = errors.New("wrong input")
+
+// app is what all commands share.
+type app struct {
+	out     io.Writer
+	err     io.Writer
+	address string
+	key     string
+	scheme  string
+	json    bool
+}
+
+// Main runs the command line and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	a := &app{
+		out: out,
+		err: errOut,
+	}
+	root := a.root()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.Execute()
+	if err == nil {
+		return ExitDone
+	}
+	fmt.Fprintf(errOut, "egretbend: %v\n", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var faults setting.Faults
+	if errors.As(err, &faults) || errors.Is(err, errInput) {
+		return ExitInput
+	}
+	var e *problem.Error
+	if !errors.As(err, &e) {
+		return ExitFailed
+	}
+	switch {
+	case e.Kind.Status == http.StatusBadRequest:
+		return ExitInput
+	case e.Kind.Outcome == problem.Unknown:
+		return ExitUnknown
+	}
+	return ExitRefused
+}
+
+func (a *app) root() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "egretbend",
+		Short:         "Rollout service for reinforcement learning",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	flags := root.PersistentFlags()
+	flags.StringVar(&a.address, "address", "127.0.0.1:7100", "address of any instance")
+	flags.StringVar(&a.key, "key", "", "bearer token of the door")
+	flags.StringVar(&a.scheme, "scheme", "http", "http or https")
+	flags.BoolVar(&a.json, "json", false, "print JSON")
+	root.AddCommand(
+		a.serveCommand(),
+		a.checkCommand(),
+		a.schemaCommand(),
+		a.addressesCommand(),
+		a.configCommand(),
+		a.statusCommand(),
+		a.drainCommand(),
+		a.whyCommand(),
+	)
+	return root
+}
+
+func (a *app) client() client.Client {
+	return client.Client{
+		Address: a.address,
+		Scheme:  a.scheme,
+		Key:     a.key,
+	}
+}
+
+// printJSON prints v as indented JSON.
+func (a *app) printJSON(v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(a.out, string(b))
+	return err
+}
--- /dev/null
+++ b/internal/entry/door/certificates.go
@@ -0,0 +1,41 @@
+package door
+
+import (
+	"crypto/tls"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// certificates loads a certificate and loads it again when its file changes,
+// so that one can be renewed without a restart. Its zero value needs paths.
+type certificates struct {
+	Certificate string
+	PrivateKey  string
+
+	mu       sync.Mutex
+	current  *tls.Certificate
+	modified time.Time
+}
+
+// Get returns the certificate for a handshake. When the new files can't be
+// read, for example because only one of them is written yet, the old
+// certificate stays in use.
+func (c *certificates) Get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	info, err := os.Stat(c.Certificate)
+	if err == nil && c.current != nil && info.ModTime().Equal(c.modified) {
+		return c.current, nil
+	}
+	cert, loadErr := tls.LoadX509KeyPair(c.Certificate, c.PrivateKey)
+	if loadErr == nil && err == nil {
+		c.current = &cert
+		c.modified = info.ModTime()
+	}
+	if c.current == nil {
+		return nil, fmt.Errorf("load certificate %s: %w; check security.certificate and private_key", c.Certificate, loadErr)
+	}
+	return c.current, nil
+}
--- /dev/null
+++ b/internal/entry/operator/server.go
@@ -0,0 +1,297 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"time"
+
+	"goji.io/pat"
+
+	"github.com/egretbend/egretbend/internal/entry/door"
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/listing"
+	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/fleet/peer"
+	"github.com/egretbend/egretbend/internal/fleet/version"
+	"github.com/egretbend/egretbend/internal/kernel/journal"
+	"github.com/egretbend/egretbend/internal/kernel/part"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/rollout/runner"
+	"github.com/egretbend/egretbend/internal/route/limit"
+	"github.com/egretbend/egretbend/internal/route/upstream"
+)
+
+// Limits of operators' requests.
+const (
+	maxBody = 1 << 20
+	// changeTimeout bounds one change; a lost answer is settled within it or
+	// told as unknown.
+	changeTimeout = 10 * time.Second
+	readTimeout   = 2 * time.Second
+)
+
+// Server answers operators.
+type Server struct {
+	Holder   *configuration.Holder
+	Editor   *configuration.Editor
+	Members  *member.Table
+	Listing  *listing.Book
+	Board    *version.Board
+	Table    *upstream.Table
+	Limiter  *limit.Limiter
+	Runner   *runner.Runner
+	Journal  *journal.Journal
+	Client   *peer.Client
+	Timer    timer.Service
+	Instance string
+}
+
+func init() {
+	part.Register(part.Factory{
+		Name:  "entry.d.operator",
+		Stage: part.StageEntry,
+		Make:  makePart,
+	})
+}
+
+func makePart(h *part.Host) (part.Part, error) {
+	s := &Server{
+		Holder:   part.Get[*configuration.Holder](h),
+		Editor:   part.Get[*configuration.Editor](h),
+		Members:  part.Get[*member.Table](h),
+		Listing:  part.Get[*listing.Book](h),
+		Board:    part.Get[*version.Board](h),
+		Table:    part.Get[*upstream.Table](h),
+		Limiter:  part.Get[*limit.Limiter](h),
+		Runner:   part.Get[*runner.Runner](h),
+		Journal:  h.Journal,
+		Client:   part.Get[*peer.Client](h),
+		Timer:    h.Timer,
+		Instance: h.Settings.Name,
+	}
+	mux := part.Get[*door.Mux](h)
+	key := h.Settings.Security.OperatorKey
+	mux.HandleFunc(pat.Get("/v1/configuration"), door.WithKey(key, s.getConfiguration))
+	mux.HandleFunc(pat.Put("/v1/configuration"), door.WithKey(key, s.putConfiguration))
+	mux.HandleFunc(pat.Get("/v1/configuration/changes/:id"), door.WithKey(key, s.findChange))
+	mux.HandleFunc(pat.Get("/v1/configuration/history"), door.WithKey(key, s.history))
+	mux.HandleFunc(pat.Get("/v1/status"), door.WithKey(key, s.status))
+	mux.HandleFunc(pat.Post("/v1/upstreams/:upstream/drain"), door.WithKey(key, s.drainUpstream))
+	mux.HandleFunc(pat.Get("/v1/decisions/:id"), door.WithKey(key, s.decisions))
+	return part.Idle{}, part.Get[*peer.Server](h).Register("Decisions", &decisionReceiver{
+		journal: h.Journal,
+	})
+}
+
+// Configuration is the answer to GET and PUT /v1/configuration.
+type Configuration struct {
+	Revision      uint64          `json:"revision"`
+	Configuration json.RawMessage `json:"configuration"`
+}
+
+// ChangeRequest is the body of PUT /v1/configuration.
+type ChangeRequest struct {
+	// ID is the operator's own name for the change. Sending the same change
+	// again under the same id is harmless.
+	ID string `json:"id"`
+	// Revision is the one that the change was made from; 0 for the first.
+	Revision      uint64          `json:"revision"`
+	Operator      string          `json:"operator"`
+	Note          string          `json:"note,omitempty"`
+	Configuration json.RawMessage `json:"configuration"`
+}
+
+func (s *Server) getConfiguration(w http.ResponseWriter, _ *http.Request) {
+	doc := s.Holder.Current()
+	if doc == nil {
+		problem.WriteJSON(w, http.StatusOK, Configuration{
+			Configuration: json.RawMessage("null"),
+		})
+		return
+	}
+	problem.WriteJSON(w, http.StatusOK, Configuration{
+		Revision:      doc.Revision,
+		Configuration: doc.Configuration,
+	})
+}
+
+func (s *Server) putConfiguration(w http.ResponseWriter, r *http.Request) {
+	var body ChangeRequest
+	if err := problem.ReadJSON(w, r, maxBody, &body); err != nil {
+		problem.Write(w, err)
+		return
+	}
+	if body.ID == "" || body.Operator == "" {
+		problem.Write(w, problem.BadRequest.Withf("expected an id and an operator"))
+		return
+	}
+	// The change goes on when the operator's connection breaks: half a change
+	// would be one whose outcome nobody settles.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), changeTimeout)
+	defer cancel()
+	doc, err := s.Editor.Put(ctx, configuration.Change{
+		ID:       body.ID,
+		Operator: body.Operator,
+		Note:     body.Note,
+		Parent:   body.Revision,
+	}, body.Configuration)
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	problem.WriteJSON(w, http.StatusOK, Configuration{
+		Revision:      doc.Revision,
+		Configuration: doc.Configuration,
+	})
+}
+
+// findChange answers what became of a change whose answer was lost.
+func (s *Server) findChange(w http.ResponseWriter, r *http.Request) {
+	parent, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	if err != nil {
+		problem.Write(w, problem.BadRequest.Withf("revision: expected the revision that the change was made from"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
+	defer cancel()
+	rev, err := s.Editor.Find(ctx, configuration.Change{
+		ID:     pat.Param(r, "id"),
+		Parent: parent,
+	})
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	problem.WriteJSON(w, http.StatusOK, Configuration{
+		Revision: rev,
+	})
+}
+
+func (s *Server) history(w http.ResponseWriter, _ *http.Request) {
+	list := []configuration.Change{}
+	if doc := s.Holder.Current(); doc != nil {
+		list = doc.History
+	}
+	problem.WriteJSON(w, http.StatusOK, list)
+}
+
+// drainUpstream marks the present incarnation of an upstream as leaving, in
+// the whole fleet.
+func (s *Server) drainUpstream(w http.ResponseWriter, r *http.Request) {
+	id := pat.Param(r, "upstream")
+	if !s.Listing.MarkLeavingByID(id) {
+		problem.Write(w, problem.NotFound.Withf("no upstream %q in the instance list", id))
+		return
+	}
+	problem.WriteJSON(w, http.StatusOK, struct {
+		Upstream string `json:"upstream"`
+		Leaving  bool   `json:"leaving"`
+	}{
+		Upstream: id,
+		Leaving:  true,
+	})
+}
+
+// UpstreamStatus is what this instance knows of an upstream.
+type UpstreamStatus struct {
+	Deployment string  `json:"deployment"`
+	Upstream   string  `json:"upstream"`
+	Version    string  `json:"version,omitempty"`
+	Load       float64 `json:"load"`
+	InFlight   int64   `json:"in_flight"`
+	Leaving    bool    `json:"leaving"`
+	Out        bool    `json:"out"`
+}
+
+// MemberStatus is what this instance knows of another.
+type MemberStatus struct {
+	Instance      string `json:"instance"`
+	FailureDomain string `json:"failure_domain"`
+	Address       string `json:"address"`
+	Status        string `json:"status"`
+	Leaving       bool   `json:"leaving"`
+}
+
+// LimitStatus is the state of a deployment's limit.
+type LimitStatus struct {
+	Deployment string  `json:"deployment"`
+	Limit      float64 `json:"limit"`
+	InFlight   int64   `json:"in_flight"`
+	Published  string  `json:"published,omitempty"`
+}
+
+// Status is the answer to GET /v1/status.
+type Status struct {
+	Instance  string            `json:"instance"`
+	Revision  uint64            `json:"revision"`
+	Told      uint64            `json:"told_revision"`
+	Members   []MemberStatus    `json:"members"`
+	Upstreams []UpstreamStatus  `json:"upstreams"`
+	Limits    []LimitStatus     `json:"limits"`
+	Sessions  []runner.Overview `json:"sessions"`
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	status := Status{
+		Instance: s.Instance,
+		Revision: s.Holder.Revision(),
+		Told:     s.Holder.Told(),
+		Sessions: s.Runner.Sessions(),
+	}
+	for _, m := range s.Members.View().Known {
+		status.Members = append(status.Members, MemberStatus{
+			Instance:      m.ID,
+			FailureDomain: m.FailureDomain,
+			Address:       m.Address,
+			Status:        m.Status.String(),
+			Leaving:       m.Leaving,
+		})
+	}
+	sort.Slice(status.Members, func(i, j int) bool { return status.Members[i].Instance < status.Members[j].Instance })
+	s.addDeployments(&status)
+	problem.WriteJSON(w, http.StatusOK, status)
+}
+
+func (s *Server) addDeployments(status *Status) {
+	now := s.Timer.Now()
+	sets := s.Table.Sets()
+	names := make([]string, 0, len(sets))
+	for name := range sets {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		lim, inFlight := s.Limiter.Limit(name)
+		row := LimitStatus{
+			Deployment: name,
+			Limit:      lim,
+			InFlight:   inFlight,
+		}
+		if p, ok := s.Board.Newest(name); ok {
+			row.Published = p.Version.String()
+		}
+		status.Limits = append(status.Limits, row)
+		for _, u := range sets[name].Upstreams {
+			status.Upstreams = append(status.Upstreams, upstreamStatus(name, u, now))
+		}
+	}
+}
+
+func upstreamStatus(deployment string, u *upstream.Upstream, now timer.Instant) UpstreamStatus {
+	row := UpstreamStatus{
+		Deployment: deployment,
+		Upstream:   u.ID,
+		Load:       u.Load(now),
+		InFlight:   u.InFlight(),
+		Leaving:    u.Leaving(),
+		Out:        u.Out(now),
+	}
+	if r, _, ok := u.Report(now); ok && !r.Version.Zero() {
+		row.Version = r.Version.String()
+	}
+	return row
+}
--- /dev/null
+++ b/internal/fleet/configuration/configuration.go
@@ -0,0 +1,145 @@
+package configuration
+
+import (
+	"fmt"
+
+	"github.com/egretbend/egretbend/internal/kernel/setting"
+)
+
+// Format is the version of the configuration format.
+const Format = 1
+
+// Configuration is what operators decide.
+type Configuration struct {
+	Format      int          `json:"format" need:"true" min:"1" max:"1" doc:"version of this format"`
+	Team        string       `json:"team" need:"true" doc:"name of the team that runs this fleet"`
+	Deployments []Deployment `json:"deployments" need:"true" doc:"models and services that are served"`
+	Callers     []Caller     `json:"callers" doc:"callers with a priority or weight of their own"`
+	Trainers    []Trainer    `json:"trainers" doc:"trainers with a weight of their own"`
+	Addresses   Addresses    `json:"addresses" doc:"what callers are told to connect to"`
+}
+
+// Kind says what the upstreams of a deployment are.
+type Kind string
+
+// The kinds of deployments.
+const (
+	KindService Kind = "service"
+	KindModel   Kind = "model"
+)
+
+// Weighting says which measure goes first where idle time and staleness pull
+// apart.
+type Weighting string
+
+// The weightings.
+const (
+	WeightIdleTime  Weighting = "idle_time"
+	WeightStaleness Weighting = "staleness"
+)
+
+// Deployment is one model or service.
+type Deployment struct {
+	Name           string    `json:"name" need:"true" doc:"name that callers use"`
+	Kind           Kind      `json:"kind" need:"true" oneof:"service,model" doc:"whether upstreams are plain services or model engines"`
+	Group          string    `json:"group" need:"true" doc:"group of the upstreams in the instance list"`
+	Policy         string    `json:"policy" default:"two_choices" doc:"routing policy: two_choices, prefix_affinity, least_reported or random"`
+	SubsetSize     int       `json:"subset_size" default:"64" min:"1" max:"2000" doc:"most upstreams that one instance routes to"`
+	Slots          int       `json:"slots" default:"8" min:"1" max:"4096" doc:"requests that one upstream serves at once"`
+	QueueShare     float64   `json:"queue_share" default:"0.5" min:"0" max:"8" doc:"requests that may wait at an upstream, as a share of its slots"`
+	TimeoutMS      int64     `json:"timeout_ms" default:"30000" min:"1" max:"3600000" doc:"longest time of a request whose caller gives no deadline, in milliseconds"`
+	Attempts       int       `json:"attempts" default:"3" min:"1" max:"10" doc:"most attempts of an idempotent request"`
+	RetryShare     float64   `json:"retry_share" default:"0.1" min:"0" max:"1" doc:"retries allowed as a share of requests that succeed"`
+	EchoesAttempt  bool      `json:"echoes_attempt" default:"false" doc:"whether the upstream answers with the attempt's id; without it a connection carries one request"`
+	ChecksFencing  bool      `json:"checks_fencing" default:"false" doc:"whether the engines refuse an order with an old fencing number"`
+	MaxAnswerBytes int64     `json:"max_answer_bytes" default:"8388608" min:"1" max:"1073741824" doc:"largest answer of a service, in bytes"`
+	Shards         int       `json:"shards" default:"1" min:"1" max:"1024" doc:"leases that share the orders to engines"`
+	FetchesAtOnce  int       `json:"fetches_at_once" default:"4" min:"1" max:"10000" doc:"engines that fetch weights at the same time, over all shards"`
+	Staleness      Staleness `json:"staleness" doc:"how old a sample may be (models)"`
+	Rounds         Rounds    `json:"rounds" doc:"how steps are worked off (models)"`
+}
+
+// Staleness bounds the age of samples.
+type Staleness struct {
+	MaxVersions uint64 `json:"max_versions" default:"4" max:"1000000" doc:"most versions between a sample's oldest version and the newest published one"`
+	MaxAgeMS    int64  `json:"max_age_ms" default:"0" min:"0" doc:"most milliseconds from a sample's first token to its hand-over; 0 sets no bound"`
+}
+
+// Rounds says how steps are worked off.
+type Rounds struct {
+	Weighting      Weighting `json:"weighting" default:"idle_time" oneof:"idle_time,staleness" doc:"measure that goes first"`
+	DropAfterMS    int64     `json:"drop_after_ms" default:"0" min:"0" doc:"a step older than this is dropped and recorded, in milliseconds; 0 never drops"`
+	SecondAttempts float64   `json:"second_attempts" default:"0.05" min:"0" max:"1" doc:"second attempts of late samples allowed, as a share of a step's samples"`
+	AtOnce         int       `json:"at_once" default:"256" min:"1" max:"100000" doc:"most samples of one session that run at the same time"`
+}
+
+// Caller is a caller with a priority or weight of its own.
+type Caller struct {
+	Name     string  `json:"name" need:"true" doc:"name that the caller sends as Egretbend-Caller"`
+	Priority string  `json:"priority" default:"interactive" oneof:"interactive,training,background" doc:"highest priority of its requests"`
+	Weight   float64 `json:"weight" default:"1" min:"0.01" max:"1000" doc:"share relative to other callers when capacity is short"`
+}
+
+// Trainer is a trainer with a weight of its own.
+type Trainer struct {
+	Name   string  `json:"name" need:"true" doc:"name that the trainer uses in paths"`
+	Weight float64 `json:"weight" default:"1" min:"0.01" max:"1000" doc:"share relative to other trainers of the same engines"`
+}
+
+// Addresses says what callers are told.
+type Addresses struct {
+	Count  int   `json:"count" default:"3" min:"1" max:"16" doc:"addresses in one answer"`
+	KeepMS int64 `json:"keep_ms" default:"10000" min:"100" max:"600000" doc:"how long a caller may keep an answer, in milliseconds"`
+}
+
+// Check implements setting.Checker.
+func (c *Configuration) Check(string) []setting.Fault {
+	var faults []setting.Fault
+	seen := make(map[string]bool)
+	for i, d := range c.Deployments {
+		if seen[d.Name] {
+			faults = append(faults, setting.Fault{
+				Path:     fmt.Sprintf("deployments[%d].name", i),
+				Expected: "a name used once",
+				Got:      fmt.Sprintf("%q again", d.Name),
+				Remedy:   "rename or remove one of them",
+			})
+		}
+		seen[d.Name] = true
+	}
+	return faults
+}
+
+// Deployment returns the deployment called name.
+func (c *Configuration) Deployment(name string) (Deployment, bool) {
+	for _, d := range c.Deployments {
+		if d.Name == name {
+			return d, true
+		}
+	}
+	return Deployment{}, false
+}
+
+// Caller returns the entry of a caller, with defaults for one without.
+func (c *Configuration) Caller(name string) Caller {
+	for _, caller := range c.Callers {
+		if caller.Name == name {
+			return caller
+		}
+	}
+	return Caller{
+		Name:     name,
+		Priority: "interactive",
+		Weight:   1,
+	}
+}
+
+// TrainerWeight returns the weight of a trainer.
+func (c *Configuration) TrainerWeight(name string) float64 {
+	for _, t := range c.Trainers {
+		if t.Name == name {
+			return t.Weight
+		}
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/fleet/configuration/part.go
@@ -0,0 +1,68 @@
+package configuration
+
+import (
+	"math/rand/v2"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/fleet/gossip"
+	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/fleet/peer"
+	"github.com/egretbend/egretbend/internal/kernel/part"
+	"github.com/egretbend/egretbend/internal/platform/keyvalue"
+)
+
+func init() {
+	part.Register(part.Factory{
+		Name:  "fleet.b.configuration",
+		Stage: part.StageFleet,
+		Make:  makePart,
+	})
+}
+
+type configurationPart struct {
+	follower *Follower
+}
+
+func makePart(h *part.Host) (part.Part, error) {
+	holder := &Holder{
+		State: part.Get[*gossip.State](h),
+	}
+	follower := &Follower{
+		Holder:  holder,
+		Store:   part.Get[keyvalue.Store](h),
+		Table:   part.Get[*member.Table](h),
+		Client:  part.Get[*peer.Client](h),
+		Timer:   h.Timer,
+		Journal: h.Journal,
+		Rand:    rand.New(rand.NewPCG(h.Settings.Seed, 2)),
+		Seeds:   h.Settings.Peers,
+	}
+	part.Put(h, holder)
+	part.Put(h, &Editor{
+		Store:  follower.Store,
+		Holder: holder,
+		Timer:  h.Timer,
+		Push:   follower.Push,
+	})
+	h.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "egretbend_configuration_revision",
+		Help: "Revision of the configuration in force.",
+	}, func() float64 { return float64(holder.Revision()) }))
+	return &configurationPart{
+			follower: follower,
+		}, part.Get[*peer.Server](h).Register("Configuration", &Receiver{
+			Holder: holder,
+		})
+}
+
+// Start implements part.Part.
+func (p *configurationPart) Start(t *tomb.Tomb) error {
+	t.Go(func() error { return p.follower.Run(t) })
+	t.Go(func() error { return p.follower.Watch(t) })
+	return nil
+}
+
+// Stop implements part.Part.
+func (p *configurationPart) Stop() {}
--- /dev/null
+++ b/internal/fleet/gossip/entry.go
@@ -0,0 +1,91 @@
+package gossip
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind says what an entry is about.
+type Kind uint8
+
+// The kinds of entries.
+const (
+	KindMember Kind = iota + 1
+	KindLeaving
+	KindWeights
+	KindConfiguration
+	KindUpstream
+	kindCount
+)
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	switch k {
+	case KindMember:
+		return "member"
+	case KindLeaving:
+		return "leaving"
+	case KindWeights:
+		return "weights"
+	case KindConfiguration:
+		return "configuration"
+	case KindUpstream:
+		return "upstream"
+	}
+	return "unknown"
+}
+
+// Version orders the entries of one key.
+type Version struct {
+	Major uint64
+	Minor uint64
+}
+
+// Less reports whether v is before w.
+func (v Version) Less(w Version) bool {
+	if v.Major != w.Major {
+		return v.Major < w.Major
+	}
+	return v.Minor < w.Minor
+}
+
+// Entry is one fact. Its value is never changed in place.
+type Entry struct {
+	Kind    Kind
+	Key     string
+	Version Version
+	Value   []byte
+	// Expires is the Unix second after which every instance forgets the entry;
+	// zero keeps it. It is wall time, so that no instance that still has the
+	// entry can bring it back to one that forgot it.
+	Expires int64
+}
+
+type entryKey struct {
+	kind Kind
+	key  string
+}
+
+func (e Entry) id() entryKey {
+	return entryKey{
+		kind: e.Kind,
+		key:  e.Key,
+	}
+}
+
+// hash covers what Merge compares.
+func (e Entry) hash() uint64 {
+	var b [17]byte
+	b[0] = byte(e.Kind)
+	binary.LittleEndian.PutUint64(b[1:], e.Version.Major)
+	binary.LittleEndian.PutUint64(b[9:], e.Version.Minor)
+	d := xxhash.New()
+	_, _ = d.Write(b[:])
+	_, _ = d.WriteString(e.Key)
+	return d.Sum64()
+}
+
+func (e Entry) bucket() int {
+	return int(xxhash.Sum64String(e.Key) % Buckets)
+}
--- /dev/null
+++ b/internal/fleet/listing/part.go
@@ -0,0 +1,47 @@
+package listing
+
+import (
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/fleet/gossip"
+	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/kernel/part"
+	"github.com/egretbend/egretbend/internal/platform/roster"
+)
+
+func init() {
+	part.Register(part.Factory{
+		Name:  "fleet.d.listing",
+		Stage: part.StageFleet,
+		Make:  makePart,
+	})
+}
+
+type listingPart struct {
+	reader *Reader
+}
+
+func makePart(h *part.Host) (part.Part, error) {
+	book := &Book{
+		State: part.Get[*gossip.State](h),
+	}
+	part.Put(h, book)
+	return &listingPart{
+		reader: &Reader{
+			Book:    book,
+			Source:  part.Get[roster.Source](h),
+			Table:   part.Get[*member.Table](h),
+			Timer:   h.Timer,
+			Journal: h.Journal,
+		},
+	}, nil
+}
+
+// Start implements part.Part.
+func (p *listingPart) Start(t *tomb.Tomb) error {
+	t.Go(func() error { return p.reader.Run(t) })
+	return nil
+}
+
+// Stop implements part.Part.
+func (p *listingPart) Stop() {}
--- /dev/null
+++ b/internal/fleet/member/part.go
@@ -0,0 +1,95 @@
+package member
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/fleet/gossip"
+	"github.com/egretbend/egretbend/internal/fleet/peer"
+	"github.com/egretbend/egretbend/internal/kernel/part"
+)
+
+func init() {
+	part.Register(part.Factory{
+		Name:  "fleet.a.member",
+		Stage: part.StageFleet,
+		Make:  makePart,
+	})
+}
+
+// Gauge holds the load that this instance tells the others, from 0 to 1. Its
+// zero value tells none.
+type Gauge struct {
+	read atomic.Pointer[func() float64]
+}
+
+// Set gives the function that measures the load.
+func (g *Gauge) Set(read func() float64) { g.read.Store(&read) }
+
+// Load returns the current load.
+func (g *Gauge) Load() float64 {
+	read := g.read.Load()
+	if read == nil {
+		return 0
+	}
+	return (*read)()
+}
+
+type memberPart struct {
+	exchanger *Exchanger
+	table     *Table
+}
+
+func makePart(h *part.Host) (part.Part, error) {
+	state := &gossip.State{}
+	table := &Table{
+		State: state,
+		Timer: h.Timer,
+	}
+	gauge := &Gauge{}
+	table.Join(Member{
+		ID:            h.Settings.Name,
+		Incarnation:   uint64(time.Now().UnixMilli()),
+		Address:       h.Settings.Listen,
+		PeerAddress:   h.Settings.PeerListen,
+		Region:        h.Settings.Region,
+		FailureDomain: h.Settings.FailureDomain,
+	})
+	part.Put(h, state)
+	part.Put(h, table)
+	part.Put(h, gauge)
+	h.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "egretbend_members_alive",
+		Help: "Instances that this one believes to be alive.",
+	}, func() float64 { return float64(len(table.View().Alive)) }))
+	server := part.Get[*peer.Server](h)
+	err := server.Register("Gossip", &Receiver{
+		Table:    table,
+		SelfLoad: gauge.Load,
+	})
+	return &memberPart{
+		table: table,
+		exchanger: &Exchanger{
+			Table:    table,
+			Client:   part.Get[*peer.Client](h),
+			Timer:    h.Timer,
+			Journal:  h.Journal,
+			Rand:     rand.New(rand.NewPCG(h.Settings.Seed, 1)),
+			Seeds:    h.Settings.Peers,
+			SelfLoad: gauge.Load,
+		},
+	}, err
+}
+
+// Start implements part.Part.
+func (p *memberPart) Start(t *tomb.Tomb) error {
+	t.Go(func() error { return p.exchanger.Run(t) })
+	return nil
+}
+
+// Stop implements part.Part.
+func (p *memberPart) Stop() { p.table.Leave() }
--- /dev/null
+++ b/internal/fleet/member/view.go
@@ -0,0 +1,147 @@
+package member
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// View is an immutable picture of the fleet.
+type View struct {
+	Self Member
+	// Alive has all usable or suspect instances that are not leaving, self
+	// included unless it is leaving, by hash.
+	Alive []Member
+	// Known has all instances, dead and leaving ones included, by hash.
+	Known []Member
+
+	byID       map[string]Member
+	generation uint64
+}
+
+func newView(self Member, list []Member) *View {
+	v := &View{
+		Self:  self,
+		Known: list,
+		byID:  make(map[string]Member, len(list)),
+	}
+	sort.Slice(list, func(i, j int) bool { return ringLess(list[i], list[j]) })
+	for _, m := range list {
+		v.byID[m.ID] = m
+		if m.Status != Dead && !m.Leaving {
+			v.Alive = append(v.Alive, m)
+		}
+	}
+	return v
+}
+
+func ringLess(a, b Member) bool {
+	ha, hb := xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)
+	if ha != hb {
+		return ha < hb
+	}
+	return a.ID < b.ID
+}
+
+// Find returns the instance called id.
+func (v *View) Find(id string) (Member, bool) {
+	m, ok := v.byID[id]
+	return m, ok
+}
+
+// Successors returns up to n instances that follow self on the ring of hashes.
+// Each instance watches its successors, so each is watched by n others.
+func (v *View) Successors(n int) []Member {
+	var ring []Member
+	for _, m := range v.Known {
+		if m.ID != v.Self.ID && m.Status != Dead {
+			ring = append(ring, m)
+		}
+	}
+	start := sort.Search(len(ring), func(i int) bool { return !ringLess(ring[i], v.Self) })
+	var out []Member
+	for i := 0; i < len(ring) && len(out) < n; i++ {
+		out = append(out, ring[(start+i)%len(ring)])
+	}
+	return out
+}
+
+// Top returns the n instances with the highest rendezvous hash for key. All
+// instances with the same view name the same ones, and when one dies only its
+// keys move.
+func (v *View) Top(key string, n int) []Member {
+	return Top(v.Alive, key, n)
+}
+
+// TopOutside is Top without the instances of one failure domain, unless there
+// are none outside of it.
+func (v *View) TopOutside(domain, key string, n int) []Member {
+	var others []Member
+	for _, m := range v.Alive {
+		if m.FailureDomain != domain {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return Top(v.Alive, key, n)
+	}
+	return Top(others, key, n)
+}
+
+// TopInDomain reports whether self is one of the n instances of its own
+// failure domain with the highest rendezvous hash for key. Work that a fixed
+// number of instances of each domain does is so shared out without a word.
+func (v *View) TopInDomain(key string, n int) bool {
+	var domain []Member
+	for _, m := range v.Alive {
+		if m.FailureDomain == v.Self.FailureDomain {
+			domain = append(domain, m)
+		}
+	}
+	for _, m := range Top(domain, key, n) {
+		if m.ID == v.Self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// Top returns the n members of list with the highest rendezvous hash for key.
+func Top(list []Member, key string, n int) []Member {
+	type scored struct {
+		score uint64
+		m     Member
+	}
+	all := make([]scored, 0, len(list))
+	for _, m := range list {
+		all = append(all, scored{
+			score: Score(key, m.ID),
+			m:     m,
+		})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if a.score > b.score {
+			return -1
+		}
+		if a.score < b.score {
+			return 1
+		}
+		return 0
+	})
+	out := make([]Member, 0, n)
+	for i := 0; i < len(all) && i < n; i++ {
+		out = append(out, all[i].m)
+	}
+	return out
+}
+
+// Score is the rendezvous hash of a key and an instance's or upstream's id.
+func Score(key, id string) uint64 {
+	h := xxhash.Sum64String(key) ^ (xxhash.Sum64String(id) * 0x9e3779b97f4a7c15)
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
--- /dev/null
+++ b/internal/fleet/peer/part.go
@@ -0,0 +1,73 @@
+package peer
+
+import (
+	"net"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/kernel/part"
+)
+
+func init() {
+	part.Register(part.Factory{
+		Name:  "platform.peer",
+		Stage: part.StagePlatform,
+		Make:  makePart,
+	})
+	part.Register(part.Factory{
+		Name:  "entry.peer",
+		Stage: part.StageEntry,
+		Make:  makeListener,
+	})
+}
+
+func makePart(h *part.Host) (part.Part, error) {
+	bytes := &Counter{}
+	h.Metrics.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "egretbend_peer_sent_bytes_total",
+			Help: "Bytes sent to other instances.",
+		}, func() float64 { return float64(bytes.Sent.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "egretbend_peer_received_bytes_total",
+			Help: "Bytes received from other instances.",
+		}, func() float64 { return float64(bytes.Received.Load()) }),
+	)
+	part.Put(h, bytes)
+	part.Put(h, &Client{
+		Bytes: bytes,
+	})
+	part.Put(h, &Server{
+		Bytes: bytes,
+	})
+	return part.Idle{}, nil
+}
+
+// listener opens the peer address after all receivers are registered.
+type listener struct {
+	address string
+	server  *Server
+	client  *Client
+}
+
+func makeListener(h *part.Host) (part.Part, error) {
+	return &listener{
+		address: h.Settings.PeerListen,
+		server:  part.Get[*Server](h),
+		client:  part.Get[*Client](h),
+	}, nil
+}
+
+// Start implements part.Part.
+func (l *listener) Start(t *tomb.Tomb) error {
+	ln, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return err
+	}
+	t.Go(func() error { return l.server.Serve(t, ln) })
+	return nil
+}
+
+// Stop implements part.Part.
+func (l *listener) Stop() { l.client.Close() }
--- /dev/null
+++ b/internal/fleet/peer/server.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"gopkg.in/tomb.v2"
+)
+
+// Server answers calls of other instances. Its zero value works; receivers
+// are registered before Serve.
+type Server struct {
+	// Bytes counts what is sent and received; nil counts nothing.
+	Bytes *Counter
+
+	rpc   rpc.Server
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// Register makes the methods of receiver callable as name.Method.
+func (s *Server) Register(name string, receiver any) error {
+	return s.rpc.RegisterName(name, receiver)
+}
+
+// Serve accepts connections on ln until t dies.
+func (s *Server) Serve(t *tomb.Tomb, ln net.Listener) error {
+	t.Go(func() error {
+		<-t.Dying()
+		_ = ln.Close()
+		s.closeAll()
+		return nil
+	})
+	for {
+		nc, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		s.track(nc)
+		t.Go(func() error {
+			defer s.untrack(nc)
+			s.rpc.ServeConn(s.Bytes.wrap(nc))
+			return nil
+		})
+	}
+}
+
+func (s *Server) track(nc net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = make(map[net.Conn]struct{})
+	}
+	s.conns[nc] = struct{}{}
+}
+
+func (s *Server) untrack(nc net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, nc)
+	_ = nc.Close()
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for nc := range s.conns {
+		_ = nc.Close()
+	}
+}
--- /dev/null
+++ b/internal/fleet/placement/part.go
@@ -0,0 +1,52 @@
+package placement
+
+import (
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/listing"
+	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/fleet/version"
+	"github.com/egretbend/egretbend/internal/kernel/part"
+	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/platform/keyvalue"
+)
+
+func init() {
+	part.Register(part.Factory{
+		Name:  "route.b.placement",
+		Stage: part.StageRoute,
+		Make:  makePart,
+	})
+}
+
+type placementPart struct {
+	orderer *Orderer
+}
+
+func makePart(h *part.Host) (part.Part, error) {
+	o := &Orderer{
+		Store:   part.Get[keyvalue.Store](h),
+		Holder:  part.Get[*configuration.Holder](h),
+		Members: part.Get[*member.Table](h),
+		Listing: part.Get[*listing.Book](h),
+		Board:   part.Get[*version.Board](h),
+		Engine:  part.Get[engine.Adapter](h),
+		Timer:   h.Timer,
+		Journal: h.Journal,
+		Self:    h.Settings.Name,
+	}
+	part.Put(h, o)
+	return &placementPart{
+		orderer: o,
+	}, nil
+}
+
+// Start implements part.Part.
+func (p *placementPart) Start(t *tomb.Tomb) error {
+	t.Go(func() error { return p.orderer.Run(t) })
+	return nil
+}
+
+// Stop implements part.Part.
+func (p *placementPart) Stop() {}
--- /dev/null
+++ b/internal/fleet/version/part.go
@@ -0,0 +1,19 @@
+package version
+
+import (
+	"github.com/egretbend/egretbend/internal/fleet/gossip"
+	"github.com/egretbend/egretbend/internal/kernel/part"
+)
+
+func init() {
+	part.Register(part.Factory{
+		Name:  "fleet.c.version",
+		Stage: part.StageFleet,
+		Make: func(h *part.Host) (part.Part, error) {
+			part.Put(h, &Board{
+				State: part.Get[*gossip.State](h),
+			})
+			return part.Idle{}, nil
+		},
+	})
+}
--- /dev/null
+++ b/internal/fleet/version/version.go
@@ -0,0 +1,38 @@
+package version
+
+import (
+	"fmt"
+	"math"
+)
+
+// Version names one set of weights of a model.
+type Version struct {
+	Epoch  uint64 `json:"epoch"`
+	Number uint64 `json:"number"`
+}
+
+// Less reports whether v is older than w.
+func (v Version) Less(w Version) bool {
+	if v.Epoch != w.Epoch {
+		return v.Epoch < w.Epoch
+	}
+	return v.Number < w.Number
+}
+
+// Zero reports whether v names no weights.
+func (v Version) Zero() bool { return v == Version{} }
+
+// String returns the version as epoch.number.
+func (v Version) String() string { return fmt.Sprintf("%d.%d", v.Epoch, v.Number) }
+
+// Behind returns by how many versions v is older than newest. A version of an
+// earlier epoch is older by any number: the numbers don't compare.
+func (v Version) Behind(newest Version) uint64 {
+	if !v.Less(newest) {
+		return 0
+	}
+	if v.Epoch != newest.Epoch {
+		return math.MaxUint64
+	}
+	return newest.Number - v.Number
+}
--- /dev/null
+++ b/internal/kernel/problem/http.go
@@ -0,0 +1,52 @@
+package problem
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Body is the JSON form of an Error on every door.
+type Body struct {
+	Code         string  `json:"code"`
+	Message      string  `json:"message"`
+	Remedy       string  `json:"remedy"`
+	Outcome      Outcome `json:"outcome"`
+	RetryAfterMS int64   `json:"retry_after_ms,omitempty"`
+}
+
+// HeaderOutcome carries the outcome of a failed request.
+const HeaderOutcome = "Egretbend-Outcome"
+
+// Write answers a request with err as JSON.
+func Write(w http.ResponseWriter, err error) {
+	e := From(err)
+	body := Body{
+		Code:         e.Kind.Code,
+		Message:      e.Error(),
+		Remedy:       e.Kind.Remedy,
+		Outcome:      e.Kind.Outcome,
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+	}
+	if e.RetryAfter > 0 {
+		secs := int64((e.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(secs, 10))
+	}
+	w.Header().Set(HeaderOutcome, string(e.Kind.Outcome))
+	WriteJSON(w, e.Kind.Status, body)
+}
+
+// WriteJSON answers a request with v as JSON.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	b = append(b, '\n')
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(status)
+	_, _ = w.Write(b)
+}
--- /dev/null
+++ b/internal/kernel/setting/instance.go
@@ -0,0 +1,97 @@
+package setting
+
+import (
+	"fmt"
+	"net"
+	"os"
+)
+
+// Instance is the settings file of one entry instance.
+type Instance struct {
+	Name          string   `json:"name" need:"true" doc:"unique name of this instance"`
+	Region        string   `json:"region" need:"true" doc:"region this instance runs in"`
+	FailureDomain string   `json:"failure_domain" need:"true" doc:"failure domain this instance runs in"`
+	Listen        string   `json:"listen" need:"true" doc:"address of the doors for callers, trainers and operators, host:port"`
+	PeerListen    string   `json:"peer_listen" need:"true" doc:"address for other instances, host:port"`
+	Peers         []string `json:"peers" doc:"peer addresses of a few other instances to join through"`
+	KeyValue      Adapter  `json:"key_value" need:"true" doc:"the platform's key-value service"`
+	Roster        Adapter  `json:"roster" need:"true" doc:"the platform's instance list"`
+	DataFolder    string   `json:"data_folder" default:"" doc:"folder for bulk data; empty where the instance has no disk"`
+	LogLevel      string   `json:"log_level" default:"info" oneof:"debug,info,warn,error" doc:"lowest level that is written"`
+	Seed          uint64   `json:"seed" default:"0" doc:"seed of this instance's random choices; 0 takes one from the system"`
+	Security      Security `json:"security" doc:"keys and certificates"`
+}
+
+// Adapter names a platform adapter and where it connects to.
+type Adapter struct {
+	Adapter string `json:"adapter" default:"http" doc:"name of the adapter plug-in"`
+	Address string `json:"address" need:"true" doc:"host:port"`
+}
+
+// Security settings. Without a certificate an instance listens on loopback
+// only, unless PlainText says otherwise.
+type Security struct {
+	PlainText   bool   `json:"plain_text" default:"false" doc:"allow listening beyond loopback without TLS"`
+	OperatorKey string `json:"operator_key" default:"" doc:"bearer token for the operators' doors; empty leaves them open"`
+	TrainerKey  string `json:"trainer_key" default:"" doc:"bearer token for the trainers' doors; empty leaves them open"`
+	Certificate string `json:"certificate" default:"" doc:"PEM file of the doors' certificate; reloaded when it changes"`
+	PrivateKey  string `json:"private_key" default:"" doc:"PEM file of the certificate's key"`
+}
+
+// Check implements Checker.
+func (s *Instance) Check(string) []Fault {
+	var faults Faults
+	checkAddress(&faults, "listen", s.Listen)
+	checkAddress(&faults, "peer_listen", s.PeerListen)
+	for i, peer := range s.Peers {
+		checkAddress(&faults, fmt.Sprintf("peers[%d]", i), peer)
+	}
+	checkAddress(&faults, "key_value.address", s.KeyValue.Address)
+	checkAddress(&faults, "roster.address", s.Roster.Address)
+	s.checkExposure(&faults)
+	return faults
+}
+
+// checkExposure refuses to serve an open network without TLS: anyone on it
+// could read prompts and change the configuration, and nothing would show it.
+func (s *Instance) checkExposure(faults *Faults) {
+	if (s.Security.Certificate == "") != (s.Security.PrivateKey == "") {
+		faults.add("security.certificate", "certificate and private_key together", s.Security.Certificate, "set both or neither")
+	}
+	if s.Security.PlainText {
+		return
+	}
+	if s.Security.Certificate == "" && !loopback(s.Listen) {
+		faults.add("listen", "a loopback address, as no certificate is set", s.Listen,
+			"set security.certificate and private_key, or security.plain_text to true")
+	}
+	if !loopback(s.PeerListen) {
+		faults.add("peer_listen", "a loopback address, as peers talk in plain text", s.PeerListen,
+			"set security.plain_text to true on a network that only instances share")
+	}
+}
+
+func loopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
+func checkAddress(faults *Faults, path, address string) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		faults.add(path, "an IP address and port", address, "write an address such as 127.0.0.1:7100")
+	}
+}
+
+// ReadFile decodes the JSON file at path into v.
+func ReadFile(path string, v any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read %s: %w; check the path", path, err)
+	}
+	return Decode(data, v)
+}
--- /dev/null
+++ b/internal/kernel/timer/service.go
@@ -0,0 +1,45 @@
+package timer
+
+import "time"
+
+// Instant is a point on a monotonic clock that also counts time spent
+// suspended. Instants of different processes can't be compared.
+type Instant int64
+
+// Add returns the instant d later.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
+// Sub returns the time from j to i.
+func (i Instant) Sub(j Instant) time.Duration { return time.Duration(i - j) }
+
+// Service tells the time and wakes subscribers.
+type Service interface {
+	// Now returns the current instant.
+	Now() Instant
+	// Every returns a subscription that fires once each period.
+	Every(period time.Duration) *Subscription
+	// Once returns a subscription that fires a single time after d.
+	Once(d time.Duration) *Subscription
+}
+
+// Subscription delivers instants on C until it is closed. A subscriber that
+// falls behind misses ticks instead of queueing them.
+type Subscription struct {
+	C     <-chan Instant
+	close func()
+}
+
+// Close ends the subscription. It may be called more than once.
+func (s *Subscription) Close() { s.close() }
+
+// Wait blocks for d or until done is closed, and reports whether d passed.
+func Wait(svc Service, d time.Duration, done <-chan struct{}) bool {
+	sub := svc.Once(d)
+	defer sub.Close()
+	select {
+	case <-sub.C:
+		return true
+	case <-done:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/load/experiment/report.go
@@ -0,0 +1,128 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/egretbend/egretbend/internal/load/orders"
+	"github.com/egretbend/egretbend/internal/standin/keyvalue"
+	"github.com/egretbend/egretbend/internal/standin/trainer"
+)
+
+// Report is the outcome of one run.
+type Report struct {
+	Scenario string `json:"scenario"`
+	Variant  string `json:"variant,omitempty"`
+	Seconds  int    `json:"seconds"`
+
+	OrdersSent     int `json:"orders_sent"`
+	AnsweredWhole  int `json:"answered_whole"`
+	Refused        int `json:"refused"`
+	Unknown        int `json:"unknown"`
+	MixedUp        int `json:"mixed_up"`
+	OrdersRunTwice int `json:"orders_run_twice"`
+	RefusedRan     int `json:"refused_ran"`
+	AnsweredNotRun int `json:"answered_not_run"`
+
+	StepsFinished  int     `json:"steps_finished"`
+	StepsDropped   int     `json:"steps_dropped"`
+	SamplesHanded  int     `json:"samples_handed_over"`
+	SamplesDoubled int     `json:"samples_doubled"`
+	SamplesTooOld  int     `json:"samples_too_old"`
+	WrongVersion   int     `json:"samples_wrong_version"`
+	Foreign        int     `json:"samples_foreign"`
+	IdleShare      float64 `json:"trainer_idle_share"`
+	StalenessP50   uint64  `json:"staleness_p50_versions"`
+	StalenessMax   uint64  `json:"staleness_max_versions"`
+
+	TokensMade     int64   `json:"tokens_made"`
+	CacheHitShare  float64 `json:"cache_hit_share"`
+	KeyValueCalls  float64 `json:"key_value_calls_per_second"`
+	KeyValueWrites float64 `json:"key_value_writes_per_second"`
+
+	UncleanStops []string         `json:"unclean_stops,omitempty"`
+	Orders       []orders.Result  `json:"orders"`
+	Trainers     []trainer.Result `json:"trainers"`
+}
+
+// Wrong returns what breaks a promise, or nothing.
+func (r *Report) Wrong() []string {
+	var list []string
+	for _, one := range []struct {
+		n    int
+		what string
+	}{
+		{r.MixedUp, "answers mixed up"},
+		{r.OrdersRunTwice, "orders run twice"},
+		{r.RefusedRan, "orders run that were told not run"},
+		{r.AnsweredNotRun, "orders answered that were not run"},
+		{r.SamplesDoubled, "samples doubled"},
+		{r.SamplesTooOld, "samples too old"},
+		{r.WrongVersion, "samples with a wrong version"},
+		{r.Foreign, "samples that are not whole or not asked for"},
+		{len(r.UncleanStops), "instances that did not stop cleanly"},
+	} {
+		if one.n > 0 {
+			list = append(list, fmt.Sprintf("%d %s", one.n, one.what))
+		}
+	}
+	return list
+}
+
+func (r *Report) addTrainer(t trainer.Result) {
+	r.Trainers = append(r.Trainers, t)
+	r.StepsFinished += t.StepsFinished
+	r.StepsDropped += t.StepsDropped
+	r.SamplesHanded += t.Samples
+	r.SamplesDoubled += t.Doubled
+	r.SamplesTooOld += t.TooOld
+	r.WrongVersion += t.WrongVersion
+	r.Foreign += t.Foreign
+	r.IdleShare = max(r.IdleShare, t.IdleShare)
+	r.StalenessP50 = max(r.StalenessP50, t.StalenessP50)
+	r.StalenessMax = max(r.StalenessMax, t.StalenessMax)
+}
+
+func (r *Report) addOrders(o orders.Result, c orders.Compare) {
+	r.Orders = append(r.Orders, o)
+	r.OrdersSent += o.Sent
+	r.AnsweredWhole += o.Answered
+	r.Refused += o.Refused
+	r.Unknown += o.Unknown
+	r.MixedUp += o.MixedUp
+	r.OrdersRunTwice += c.RunTwice
+	r.RefusedRan += c.RefusedRan
+	r.AnsweredNotRun += c.AnsweredNotRun
+}
+
+func (r *Report) addKeyValue(before, after keyvalue.Stats) {
+	seconds := float64(r.Seconds)
+	r.KeyValueCalls = float64(after.Calls-before.Calls) / seconds
+	r.KeyValueWrites = float64(after.Writes-before.Writes) / seconds
+}
+
+// Print writes the report for people.
+func (r *Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "%s %s (%d s)\n", r.Scenario, r.Variant, r.Seconds)
+	for _, o := range r.Orders {
+		fmt.Fprintf(w, "  %-24s sent %d answered %d refused %d unknown %d  p50 %.1f ms p99 %.1f ms p99.9 %.1f ms\n",
+			o.Caller, o.Sent, o.Answered, o.Refused, o.Unknown, o.P50MS, o.P99MS, o.P999MS)
+		for _, f := range o.Faults {
+			fmt.Fprintf(w, "    %s\n", f)
+		}
+	}
+	for _, t := range r.Trainers {
+		fmt.Fprintf(w, "  trainer: %d steps, %d dropped, %d samples, idle %.1f%%, staleness p50 %d p99 %d max %d, step p50 %.2f s max %.2f s\n",
+			t.StepsFinished, t.StepsDropped, t.Samples, 100*t.IdleShare, t.StalenessP50, t.StalenessP99, t.StalenessMax, t.StepSecondsP50, t.StepSecondsMax)
+		fmt.Fprintf(w, "           sessions %d, recovered %d, discarded %d, second attempts %d\n",
+			t.Sessions, t.Recovered, t.Discarded, t.SecondAttempts)
+		for _, f := range t.Faults {
+			fmt.Fprintf(w, "    %s\n", f)
+		}
+	}
+	fmt.Fprintf(w, "  tokens made %d, cache hits %.0f%%, key-value calls %.1f/s writes %.1f/s\n",
+		r.TokensMade, 100*r.CacheHitShare, r.KeyValueCalls, r.KeyValueWrites)
+	for _, wrong := range r.Wrong() {
+		fmt.Fprintf(w, "  WRONG: %s\n", wrong)
+	}
+}
--- /dev/null
+++ b/internal/load/fleet/process.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+)
+
+// Process is one process of a fleet.
+type Process struct {
+	Name    string
+	Address string
+
+	path string
+	args []string
+	log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+func (p *Process) start() error {
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	p.cmd = exec.Command(p.path, p.args...)
+	p.cmd.Stdout = log
+	p.cmd.Stderr = log
+	if err := p.cmd.Start(); err != nil {
+		return fmt.Errorf("%s: %w; build it first", filepath.Base(p.path), err)
+	}
+	done := make(chan struct{})
+	p.done = done
+	go func() {
+		p.err = p.cmd.Wait()
+		_ = log.Close()
+		close(done)
+	}()
+	return nil
+}
+
+func (p *Process) signal(s syscall.Signal) {
+	if p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// alive reports whether the process runs.
+func (p *Process) alive() bool {
+	if p.done == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// wait waits for the end of the process and kills it after most. It reports
+// whether it ended by itself without an error.
+func (p *Process) wait(clock timer.Service, most time.Duration) error {
+	if p.done == nil {
+		return nil
+	}
+	if timer.Wait(clock, most, p.done) {
+		p.signal(syscall.SIGKILL)
+		<-p.done
+		return fmt.Errorf("%s did not stop within %v", p.Name, most)
+	}
+	return p.err
+}
--- /dev/null
+++ b/internal/load/orders/load.go
@@ -0,0 +1,282 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/entry/caller"
+	"github.com/egretbend/egretbend/internal/entry/client"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/load/addresses"
+	"github.com/egretbend/egretbend/internal/route/relay"
+	"github.com/egretbend/egretbend/internal/standin/engine"
+	"github.com/egretbend/egretbend/internal/standin/service"
+)
+
+// Bounds of the load.
+const (
+	// inFlightMost bounds the requests of one stream that wait at a time.
+	inFlightMost = 4000
+	// unreachedTries is how many instances are tried that don't answer.
+	unreachedTries = 6
+	// askAgain is how often a caller asks for the answer of a ticket whose
+	// instance broke off.
+	askAgain = 3
+)
+
+// Load is one stream of requests. It needs Settings, Addresses and a Timer.
+type Load struct {
+	Settings  Settings
+	Addresses *addresses.Book
+	Timer     timer.Service
+
+	tally   *tally
+	http    *http.Client
+	started timer.Instant
+}
+
+// Run sends requests until ctx ends and waits for all answers.
+func (l *Load) Run(ctx context.Context) Result {
+	l.tally = newTally(l.Settings.Caller)
+	l.http = &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 256,
+			IdleConnTimeout:     5 * time.Second,
+		},
+	}
+	l.started = l.Timer.Now()
+	r := rand.New(rand.NewPCG(l.Settings.Seed, 7))
+	due := l.started
+	var wg sync.WaitGroup
+	room := make(chan struct{}, inFlightMost)
+	for n := 0; ; n++ {
+		due = due.Add(l.gap(r, due))
+		if wait := due.Sub(l.Timer.Now()); wait > 0 && !timer.Wait(l.Timer, wait, ctx.Done()) {
+			break
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		room <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-room }()
+			l.one(n, due)
+		})
+		l.tally.mu.Lock()
+		l.tally.result.Sent++
+		l.tally.mu.Unlock()
+	}
+	wg.Wait()
+	return l.tally.close()
+}
+
+// gap draws the time to the next arrival.
+func (l *Load) gap(r *rand.Rand, due timer.Instant) time.Duration {
+	rate := l.Settings.PerSecond
+	at := due.Sub(l.started).Milliseconds()
+	if at >= l.Settings.BurstFromMS && at < l.Settings.BurstToMS {
+		rate *= l.Settings.BurstFactor
+	}
+	return time.Duration(-math.Log(1-r.Float64()) / rate * float64(time.Second))
+}
+
+// one sends one request and sees it to its end.
+func (l *Load) one(n int, due timer.Instant) {
+	id := fmt.Sprintf("%s-%d-%d", l.Settings.Caller, l.Settings.Seed, n)
+	var err error
+	for try := 0; ; try++ {
+		err = l.send(id, n, due)
+		wait := problem.From(err).RetryAfter
+		if err == nil || wait == 0 || try >= l.Settings.Retries || problem.From(err).Kind.Outcome != problem.NotRun {
+			break
+		}
+		timer.Wait(l.Timer, wait, nil)
+	}
+	if err == nil {
+		return
+	}
+	took := l.Timer.Now().Sub(due)
+	switch {
+	case errors.Is(err, errMixedUp):
+		l.tally.mixedUp(id, err)
+	case problem.From(err).Kind.Outcome == problem.NotRun:
+		l.tally.bad(id, refused, took, err)
+	default:
+		l.tally.bad(id, unknown, took, err)
+	}
+}
+
+var errMixedUp = errors.New("the answer is not for this request")
+
+// errUnreached means that the request left for no instance.
+var errUnreached = problem.NoUpstream.Withf("no instance was reached")
+
+func (l *Load) send(id string, n int, due timer.Instant) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(l.Settings.DeadlineMS)*time.Millisecond+2*time.Second)
+	defer cancel()
+	if l.Settings.Kind == "model" {
+		return l.complete(ctx, id, n, due)
+	}
+	ticket := ""
+	for range unreachedTries {
+		address, err := l.Addresses.Pick(ctx)
+		if err != nil {
+			return errUnreached
+		}
+		if !l.Settings.Idempotent {
+			ticket, err = l.ticket(ctx, address)
+		}
+		if err == nil {
+			err = l.order(ctx, address, ticket, id, due)
+		}
+		if client.NotReached(err) || problem.Is(err, problem.Leaving) {
+			l.Addresses.Failed(address)
+			continue
+		}
+		for range askAgain {
+			if !errors.Is(err, client.ErrNoAnswer) || ticket == "" {
+				break
+			}
+			err = l.again(ctx, address, ticket, id, due)
+		}
+		return err
+	}
+	return errUnreached
+}
+
+// again asks another instance for the answer of a ticket.
+func (l *Load) again(ctx context.Context, failed, ticket, id string, due timer.Instant) error {
+	l.Addresses.Failed(failed)
+	timer.Wait(l.Timer, 50*time.Millisecond, ctx.Done())
+	address, err := l.Addresses.Pick(ctx)
+	if err != nil {
+		return err
+	}
+	return l.order(ctx, address, ticket, id, due)
+}
+
+func (l *Load) client(address, id, ticket string) client.Client {
+	h := make(http.Header)
+	h.Set(relay.HeaderCaller, l.Settings.Caller)
+	h.Set(relay.HeaderRequestID, id)
+	h.Set(relay.HeaderPriority, l.Settings.Priority)
+	h.Set(relay.HeaderDeadline, strconv.FormatInt(l.Settings.DeadlineMS, 10))
+	if ticket != "" {
+		h.Set(relay.HeaderTicket, ticket)
+	}
+	if l.Settings.Idempotent {
+		h.Set(relay.HeaderIdempotent, "true")
+	}
+	return client.Client{
+		Address: address,
+		Header:  h,
+		HTTP:    l.http,
+	}
+}
+
+func (l *Load) ticket(ctx context.Context, address string) (string, error) {
+	var answer struct {
+		Tickets []string `json:"tickets"`
+	}
+	if err := l.client(address, "", "").Do(ctx, http.MethodPost, "/v1/tickets", nil, &answer); err != nil {
+		return "", err
+	}
+	return answer.Tickets[0], nil
+}
+
+func (l *Load) order(ctx context.Context, address, ticket, id string, due timer.Instant) error {
+	o := service.Order{
+		OrderID: id,
+		Detail:  "hide cut for " + id,
+	}
+	var answer service.Answer
+	h, err := l.client(address, id, ticket).DoHeader(ctx, http.MethodPost, "/v1/services/"+l.Settings.Deployment+"/orders", o, &answer)
+	if err != nil {
+		return err
+	}
+	if answer.OrderID != id || answer.Check != service.Check(o) {
+		return fmt.Errorf("%w: asked %s, got %s", errMixedUp, id, answer.OrderID)
+	}
+	l.good(id, h, due)
+	return nil
+}
+
+func (l *Load) good(id string, h http.Header, due timer.Instant) {
+	attempts, err := strconv.Atoi(h.Get(relay.HeaderAttempts))
+	if err != nil {
+		attempts = 1
+	}
+	now := l.Timer.Now()
+	l.tally.good(id, now.Sub(due), attempts, int(now.Sub(l.started)/time.Second))
+}
+
+func (l *Load) complete(ctx context.Context, id string, n int, due timer.Instant) error {
+	prompt := fmt.Sprintf("%s asks for label wording %d", l.Settings.Caller, n%l.Settings.Prompts)
+	body := caller.CompletionRequest{
+		Prompt:    prompt,
+		MaxTokens: l.Settings.MaxTokens,
+		Seed:      uint64(n),
+	}
+	for range unreachedTries {
+		address, err := l.Addresses.Pick(ctx)
+		if err != nil {
+			return errUnreached
+		}
+		var answer caller.Completion
+		h, err := l.client(address, id, "").DoHeader(ctx, http.MethodPost, "/v1/models/"+l.Settings.Deployment+"/completions", body, &answer)
+		if errors.Is(err, client.ErrNoAnswer) && ctx.Err() == nil {
+			l.Addresses.Failed(address)
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		truth, err := engine.Truth(prompt, uint64(n), answer.Text)
+		if err != nil || len(truth) != l.Settings.MaxTokens {
+			return fmt.Errorf("%w: %w", errMixedUp, err)
+		}
+		l.good(id, h, due)
+		return nil
+	}
+	return errUnreached
+}
+
+// Compare holds what callers were told against the runs that the services
+// recorded.
+type Compare struct {
+	// RunTwice are orders that ran more than once.
+	RunTwice int `json:"run_twice"`
+	// RefusedRan are orders that were told "not run" and ran.
+	RefusedRan int `json:"refused_ran"`
+	// AnsweredNotRun are orders that were answered and never ran.
+	AnsweredNotRun int `json:"answered_not_run"`
+}
+
+// Check compares with the runs of all services.
+func (l *Load) Check(runs map[string]int) Compare {
+	var c Compare
+	if l.Settings.Kind == "model" {
+		return c
+	}
+	for id, told := range l.tally.outcome {
+		n := runs[id]
+		if n > 1 && !l.Settings.Idempotent {
+			c.RunTwice++
+		}
+		if told == refused && n > 0 {
+			c.RefusedRan++
+		}
+		if told == answered && n == 0 {
+			c.AnsweredNotRun++
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/platform/engine/completions.go
@@ -0,0 +1,220 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/fleet/version"
+	"github.com/egretbend/egretbend/internal/route/wire"
+)
+
+// The paths and headers of the completions protocol.
+const (
+	PathCompletions = "/v1/completions"
+	PathLoad        = "/load"
+	PathOrders      = "/orders"
+	HeaderAttempt   = "Egretbend-Attempt"
+	// HeaderNotRun is set on a refusal by an upstream that vouches that it did
+	// not run the request. A bare 503 proves nothing.
+	HeaderNotRun = "X-Not-Run"
+	doneMark     = "[DONE]"
+	dataPrefix   = "data: "
+	maxEventSize = 1 << 20
+)
+
+// Body is the JSON body of a completion request.
+type Body struct {
+	Model     string   `json:"model"`
+	Prompt    string   `json:"prompt"`
+	MaxTokens int      `json:"max_tokens"`
+	Seed      uint64   `json:"seed"`
+	Stream    bool     `json:"stream"`
+	Priority  int      `json:"priority"`
+	RequestID string   `json:"request_id"`
+	Resume    []string `json:"resume,omitempty"`
+}
+
+// Event is the JSON of one server-sent event.
+type Event struct {
+	Attempt string          `json:"attempt"`
+	Choices []Choice        `json:"choices"`
+	Version version.Version `json:"weight_version"`
+	Load    *Report         `json:"load,omitempty"`
+}
+
+// Choice is the only choice of an event.
+type Choice struct {
+	Text   string `json:"text"`
+	Index  int    `json:"token_index"`
+	Finish string `json:"finish_reason,omitempty"`
+}
+
+func init() {
+	Adapters.Add("completions", &Completions{})
+}
+
+// Completions speaks the completions protocol with server-sent events.
+type Completions struct {
+	Client wire.Client
+}
+
+// Generate implements Adapter.
+func (c *Completions) Generate(ctx context.Context, address string, req Request, emit func(Token) error) (Finish, error) {
+	// Ending the context on every way out closes the connection of a stream
+	// that was given up; it is never used for another request.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	res, err := c.post(ctx, address, PathCompletions, req.Attempt, Body{
+		Model:     req.Model,
+		Prompt:    req.Prompt,
+		MaxTokens: req.MaxTokens,
+		Seed:      req.Seed,
+		Stream:    true,
+		Priority:  req.Priority,
+		RequestID: req.ID,
+		Resume:    req.Resume,
+	})
+	if err != nil {
+		return Finish{}, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return Finish{}, refusal(res)
+	}
+	return readStream(res.Body, req, emit)
+}
+
+func readStream(r io.Reader, req Request, emit func(Token) error) (Finish, error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, 4096), maxEventSize)
+	var finish Finish
+	next := len(req.Resume)
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(lines.Bytes(), []byte(dataPrefix))
+		if !ok {
+			continue
+		}
+		if string(data) == doneMark {
+			if finish.Reason == "" {
+				return finish, fmt.Errorf("%w: no finish reason before the end", ErrBroken)
+			}
+			return finish, nil
+		}
+		var e Event
+		if err := json.Unmarshal(data, &e); err != nil {
+			return finish, fmt.Errorf("%w: %w", ErrBroken, err)
+		}
+		if e.Attempt != req.Attempt {
+			return finish, fmt.Errorf("%w: wanted %s, got %s", ErrCrossed, req.Attempt, e.Attempt)
+		}
+		if e.Load != nil {
+			finish.Report = e.Load
+		}
+		for _, choice := range e.Choices {
+			if choice.Finish != "" {
+				finish.Reason = choice.Finish
+				continue
+			}
+			if choice.Index != next {
+				return finish, fmt.Errorf("%w: token %d came in place of %d", ErrBroken, choice.Index, next)
+			}
+			next++
+			if err := emit(Token{
+				Index:   choice.Index,
+				Text:    choice.Text,
+				Version: e.Version,
+			}); err != nil {
+				return finish, err
+			}
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return finish, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	return finish, ErrBroken
+}
+
+// Report implements Adapter.
+func (c *Completions) Report(ctx context.Context, address string) (Report, error) {
+	var report Report
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathLoad, nil)
+	if err != nil {
+		return report, err
+	}
+	res, _, err := c.Client.Do(req, wire.Shared)
+	if err != nil {
+		return report, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return report, fmt.Errorf("load report: status %d", res.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(res.Body, maxEventSize)).Decode(&report)
+	return report, err
+}
+
+// Order implements Adapter.
+func (c *Completions) Order(ctx context.Context, address string, o Order) error {
+	res, err := c.post(ctx, address, PathOrders, "", o)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxEventSize))
+	switch res.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return ErrFenced
+	}
+	return fmt.Errorf("order %s: status %d", o.Action, res.StatusCode)
+}
+
+func (c *Completions) post(ctx context.Context, address, path, attempt string, v any) (*http.Response, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if attempt != "" {
+		req.Header.Set(HeaderAttempt, attempt)
+	}
+	res, sent, err := c.Client.Do(req, wire.Shared)
+	if err != nil && !sent {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	return res, nil
+}
+
+func refusal(res *http.Response) error {
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxEventSize))
+	if res.Header.Get(HeaderNotRun) == "" {
+		return fmt.Errorf("%w: status %d", ErrBroken, res.StatusCode)
+	}
+	return &RefusedError{
+		RetryAfter: RetryAfter(res.Header),
+	}
+}
+
+// RetryAfter returns the Retry-After header in seconds as a duration.
+func RetryAfter(h http.Header) time.Duration {
+	secs, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || secs < 0 {
+		return 0
+	}
+	return time.Duration(secs) * time.Second
+}
--- /dev/null
+++ b/internal/platform/keyvalue/part.go
@@ -0,0 +1,20 @@
+package keyvalue
+
+import "github.com/egretbend/egretbend/internal/kernel/part"
+
+func init() {
+	part.Register(part.Factory{
+		Name:  "platform.keyvalue",
+		Stage: part.StagePlatform,
+		Make:  makePart,
+	})
+}
+
+func makePart(h *part.Host) (part.Part, error) {
+	open, err := Adapters.Find(h.Settings.KeyValue.Adapter)
+	if err != nil {
+		return nil, err
+	}
+	part.Put(h, open(h.Settings.KeyValue.Address))
+	return part.Idle{}, nil
+}
--- /dev/null
+++ b/internal/platform/roster/source.go
@@ -0,0 +1,67 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/egretbend/egretbend/internal/kernel/part"
+)
+
+// Instance is one upstream in the list.
+type Instance struct {
+	ID            string `json:"id"`
+	Group         string `json:"group"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	Incarnation   uint64 `json:"incarnation"`
+	Leaving       bool   `json:"leaving"`
+}
+
+// Source is the platform's instance list.
+type Source interface {
+	// List returns the live and leaving instances as the platform sees them.
+	List(ctx context.Context) ([]Instance, error)
+}
+
+// Adapters holds the known ways to reach an instance list.
+var Adapters part.Registry[func(address string) Source]
+
+// PathList is where the HTTP protocol serves the list as JSON.
+const PathList = "/instances"
+
+func init() {
+	Adapters.Add("http", func(address string) Source {
+		return &HTTP{
+			Address: address,
+		}
+	})
+}
+
+// HTTP is a Source over JSON and HTTP.
+type HTTP struct {
+	Address string
+	Client  http.Client
+}
+
+// List implements Source.
+func (h *HTTP) List(ctx context.Context) ([]Instance, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Address+PathList, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := h.Client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("instance list: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("instance list: status %d", res.StatusCode)
+	}
+	var list []Instance
+	if err := json.NewDecoder(res.Body).Decode(&list); err != nil {
+		return nil, fmt.Errorf("instance list: %w", err)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/internal/rollout/runner/live.go
@@ -0,0 +1,239 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/egretbend/egretbend/internal/fleet/version"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/rollout/keeper"
+	"github.com/egretbend/egretbend/internal/rollout/sample"
+	"github.com/egretbend/egretbend/internal/rollout/session"
+)
+
+// How a session looks for work.
+const (
+	workPeriod = 20 * time.Millisecond
+	// windowFirst is how many attempts a session begins with.
+	windowFirst = 16
+	windowLeast = 2
+)
+
+// live is an open session with its goroutines.
+type live struct {
+	runner  *Runner
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wake    chan struct{}
+	drained chan struct{}
+
+	mu       sync.Mutex
+	state    session.Session
+	ready    chan struct{}
+	partials map[sample.Key]*sample.Recorder
+	begun    map[sample.Key]timer.Instant
+	window   float64
+	attempts uint64
+	isFenced bool
+	drainEnd sync.Once
+}
+
+func newLive(r *Runner, trainer string, number uint64) *live {
+	ctx, cancel := context.WithCancel(r.Tomb.Context(context.Background()))
+	return &live{
+		runner:  r,
+		ctx:     ctx,
+		cancel:  cancel,
+		wake:    make(chan struct{}, 1),
+		drained: make(chan struct{}),
+		state: session.Session{
+			Trainer: trainer,
+			Number:  number,
+		},
+		ready:    make(chan struct{}),
+		partials: make(map[sample.Key]*sample.Recorder),
+		begun:    make(map[sample.Key]timer.Instant),
+		window:   windowFirst,
+	}
+}
+
+func (l *live) end() { l.cancel() }
+
+func (l *live) drain() { l.drainEnd.Do(func() { close(l.drained) }) }
+
+// fence ends the session because the trainer opened a later one elsewhere.
+func (l *live) fence() {
+	l.mu.Lock()
+	l.isFenced = true
+	l.mu.Unlock()
+	l.cancel()
+}
+
+func (l *live) fenced() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isFenced
+}
+
+// run gives out work until the session ends.
+func (l *live) run() error {
+	tick := l.runner.Timer.Every(workPeriod)
+	defer tick.Close()
+	for {
+		l.giveOut()
+		select {
+		case <-tick.C:
+		case <-l.wake:
+		case <-l.ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (l *live) giveOut() {
+	now := l.runner.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, n := range l.state.Tick(now) {
+		l.runner.Journal.Decision("drop_step", log.Fields{
+			"trainer": l.state.Trainer,
+			"step":    n,
+			"reason":  "drop_time_passed",
+		})
+		l.notify()
+	}
+	for {
+		work, ok := l.state.Next(l.limits(), now)
+		if !ok {
+			return
+		}
+		l.attempts++
+		id := l.attempts
+		l.runner.Tomb.Go(func() error {
+			l.attempt(work, id)
+			return nil
+		})
+	}
+}
+
+// limits follows the configuration of the oldest open step's deployment.
+func (l *live) limits() session.Limits {
+	limits := session.Limits{
+		AtOnce: int(l.window),
+	}
+	d, err := l.runner.deployment(l.state.Deployment())
+	if err != nil {
+		return limits
+	}
+	limits.AtOnce = min(int(l.window), d.Rounds.AtOnce)
+	limits.SecondAttempts = d.Rounds.SecondAttempts
+	limits.RunAhead = d.Staleness.MaxVersions
+	return limits
+}
+
+// notify wakes waiting reads. The caller holds the lock.
+func (l *live) notify() {
+	close(l.ready)
+	l.ready = make(chan struct{})
+}
+
+func (l *live) poke() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// submit adds a step and what was recovered of it.
+func (l *live) submit(spec session.Spec, dropAfter time.Duration, copies []keeper.Copy) (session.Status, error) {
+	now := l.runner.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.state.Submit(spec, dropAfter, now); err != nil {
+		return session.Status{}, err
+	}
+	for _, c := range copies {
+		taken := l.state.Recover(c.Key, session.Kept{
+			Raw:    c.Raw,
+			Oldest: c.Oldest,
+			Begun:  now.Add(-c.Age),
+		})
+		if taken {
+			l.runner.Metrics.count(fateRecovered)
+		}
+	}
+	l.notify()
+	l.poke()
+	status, _ := l.state.Find(spec.Step)
+	return status, nil
+}
+
+// read waits until there is something to tell, at most for the time that the
+// trainer gave.
+func (l *live) read(ctx context.Context, args ReadArgs) (session.Batch, error) {
+	wait := min(time.Duration(args.WaitMS)*time.Millisecond, maxReadWait)
+	end := l.runner.Timer.Once(wait)
+	defer end.Close()
+	for {
+		batch, ready, err := l.tryRead(args)
+		if err != nil || len(batch.Entries) > 0 || wait <= 0 {
+			return batch, err
+		}
+		select {
+		case <-ready:
+		case <-end.C:
+			return batch, nil
+		case <-l.drained:
+			return batch, nil
+		case <-ctx.Done():
+			return batch, nil
+		case <-l.ctx.Done():
+			if l.fenced() {
+				return batch, problem.SessionFenced.Withf("a session above %d was opened", args.Session)
+			}
+			return batch, nil
+		}
+	}
+}
+
+func (l *live) tryRead(args ReadArgs) (session.Batch, <-chan struct{}, error) {
+	now := l.runner.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ready := l.ready
+	if l.isFenced {
+		return session.Batch{}, ready, problem.SessionFenced.Withf("a session above %d was opened", args.Session)
+	}
+	before := l.state.Discarded()
+	batch, err := l.state.Read(args.Cursor, args.Max, func(deployment string) session.Bound {
+		return l.runner.bound(deployment, args.Newest)
+	}, now)
+	if n := l.state.Discarded() - before; n > 0 {
+		l.poke()
+		for range n {
+			l.runner.Metrics.count(fateDiscarded)
+		}
+	}
+	return batch, ready, err
+}
+
+func (l *live) overview() Overview {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Overview{
+		Trainer: l.state.Trainer,
+		Session: l.state.Number,
+		Fenced:  l.isFenced,
+		Steps:   l.state.Steps(),
+	}
+}
+
+// newest returns the newest version that is known here.
+func (l *live) newest(deployment string) version.Version {
+	p, _ := l.runner.Board.Newest(deployment)
+	return p.Version
+}
--- /dev/null
+++ b/internal/rollout/runner/part.go
@@ -0,0 +1,63 @@
+package runner
+
+import (
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/fleet/peer"
+	"github.com/egretbend/egretbend/internal/fleet/version"
+	"github.com/egretbend/egretbend/internal/kernel/part"
+	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/rollout/keeper"
+	"github.com/egretbend/egretbend/internal/rollout/stream"
+	"github.com/egretbend/egretbend/internal/route/router"
+)
+
+func init() {
+	part.Register(part.Factory{
+		Name:  "rollout.runner",
+		Stage: part.StageRollout,
+		Make:  makePart,
+	})
+}
+
+type runnerPart struct {
+	runner *Runner
+}
+
+func makePart(h *part.Host) (part.Part, error) {
+	generator := &stream.Generator{
+		Router: part.Get[*router.Router](h),
+		Engine: part.Get[engine.Adapter](h),
+		Timer:  h.Timer,
+	}
+	keep := &keeper.Keeper{
+		Timer: h.Timer,
+	}
+	r := &Runner{
+		Generator: generator,
+		Keeper:    keep,
+		Client:    part.Get[*peer.Client](h),
+		Holder:    part.Get[*configuration.Holder](h),
+		Board:     part.Get[*version.Board](h),
+		Members:   part.Get[*member.Table](h),
+		Timer:     h.Timer,
+		Journal:   h.Journal,
+		Metrics:   NewMetrics(h.Metrics),
+	}
+	part.Put(h, generator)
+	part.Put(h, r)
+	return &runnerPart{
+		runner: r,
+	}, part.Get[*peer.Server](h).Register("Keeper", keep)
+}
+
+// Start implements part.Part.
+func (p *runnerPart) Start(t *tomb.Tomb) error {
+	p.runner.Tomb = t
+	return nil
+}
+
+// Stop implements part.Part.
+func (p *runnerPart) Stop() {}
--- /dev/null
+++ b/internal/rollout/runner/runner.go
@@ -0,0 +1,235 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/fleet/peer"
+	"github.com/egretbend/egretbend/internal/fleet/version"
+	"github.com/egretbend/egretbend/internal/kernel/journal"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/rollout/keeper"
+	"github.com/egretbend/egretbend/internal/rollout/session"
+	"github.com/egretbend/egretbend/internal/rollout/stream"
+)
+
+// Runner holds the sessions of this instance.
+type Runner struct {
+	Generator *stream.Generator
+	Keeper    *keeper.Keeper
+	Client    *peer.Client
+	Holder    *configuration.Holder
+	Board     *version.Board
+	Members   *member.Table
+	Timer     timer.Service
+	Journal   *journal.Journal
+	Metrics   *Metrics
+	// Tomb carries the goroutines of all sessions.
+	Tomb *tomb.Tomb
+
+	mu   sync.Mutex
+	live map[string]*live
+}
+
+// Metrics counts samples.
+type Metrics struct {
+	Samples   *prometheus.CounterVec
+	Staleness prometheus.Histogram
+}
+
+// The fates of a finished attempt, as metric labels.
+const (
+	fateFinished  = "finished"
+	fateBeaten    = "beaten"
+	fateDiscarded = "discarded"
+	fateFailed    = "failed"
+	fateRecovered = "recovered"
+	fateUncopied  = "uncopied"
+)
+
+// NewMetrics registers the runner's metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		Samples: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretbend_samples_total",
+			Help: "Attempts at samples by what became of them.",
+		}, []string{"fate"}),
+		Staleness: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "egretbend_staleness_versions",
+			Help:    "Versions between a sample's oldest and the newest published one at hand-over.",
+			Buckets: []float64{0, 1, 2, 3, 4, 6, 8, 16},
+		}),
+	}
+	reg.MustRegister(m.Samples, m.Staleness)
+	return m
+}
+
+func (m *Metrics) count(fate string) {
+	if m != nil {
+		m.Samples.WithLabelValues(fate).Inc()
+	}
+}
+
+// Open begins a session. A number at or below one that this instance knows is
+// refused with problem.SessionFenced; opening the same session again is not.
+func (r *Runner) Open(trainer string, number uint64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if number == 0 {
+		return problem.BadRequest.Withf("session: expected a number of at least 1")
+	}
+	old, ok := r.live[trainer]
+	if ok && number < old.state.Number {
+		return problem.SessionFenced.Withf("session %d of trainer %q is open", old.state.Number, trainer)
+	}
+	if ok && number == old.state.Number {
+		return nil
+	}
+	if ok {
+		old.end()
+	}
+	if r.live == nil {
+		r.live = make(map[string]*live)
+	}
+	l := newLive(r, trainer, number)
+	r.live[trainer] = l
+	r.Tomb.Go(l.run)
+	r.Journal.Event("session_open", log.Fields{
+		"trainer": trainer,
+		"session": number,
+	})
+	return nil
+}
+
+// find returns an open session.
+func (r *Runner) find(trainer string, number uint64) (*live, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l, ok := r.live[trainer]
+	switch {
+	case !ok:
+		return nil, problem.SessionUnknown.Withf("no session of trainer %q is open here", trainer)
+	case number < l.state.Number, number == l.state.Number && l.fenced():
+		return nil, problem.SessionFenced.Withf("a session above %d of trainer %q was opened", number, trainer)
+	case number > l.state.Number:
+		return nil, problem.SessionUnknown.Withf("session %d of trainer %q is not open here", number, trainer)
+	}
+	return l, nil
+}
+
+// Submit adds a step to a session, with what other instances kept of it.
+func (r *Runner) Submit(ctx context.Context, trainer string, number uint64, spec session.Spec) (session.Status, error) {
+	l, err := r.find(trainer, number)
+	if err != nil {
+		return session.Status{}, err
+	}
+	d, err := r.deployment(spec.Deployment)
+	if err != nil {
+		return session.Status{}, err
+	}
+	if d.Kind != configuration.KindModel {
+		return session.Status{}, problem.UnknownDeployment.Withf("deployment %q is not a model", spec.Deployment)
+	}
+	if err := spec.Check(); err != nil {
+		return session.Status{}, err
+	}
+	copies, fenced := r.gather(ctx, trainer, number, spec.Step)
+	if fenced {
+		l.fence()
+		return session.Status{}, problem.SessionFenced.Withf("a session above %d of trainer %q was opened elsewhere", number, trainer)
+	}
+	return l.submit(spec, time.Duration(d.Rounds.DropAfterMS)*time.Millisecond, copies)
+}
+
+// ReadArgs is a trainer's read.
+type ReadArgs struct {
+	Session uint64 `json:"session"`
+	Cursor  uint64 `json:"cursor"`
+	Max     int    `json:"max"`
+	// WaitMS is how long to wait for a sample, in milliseconds.
+	WaitMS int64 `json:"wait_ms"`
+	// Newest is the newest version that the trainer has published. Its word
+	// may be ahead of what gossip has brought here.
+	Newest map[string]version.Version `json:"newest,omitempty"`
+}
+
+// Bounds of a read.
+const (
+	maxRead     = 4096
+	maxReadWait = 30 * time.Second
+)
+
+// Read answers a trainer's read.
+func (r *Runner) Read(ctx context.Context, trainer string, args ReadArgs) (session.Batch, error) {
+	if args.Max < 1 || args.Max > maxRead {
+		return session.Batch{}, problem.BadRequest.Withf("max: expected 1 to %d, got %d", maxRead, args.Max)
+	}
+	l, err := r.find(trainer, args.Session)
+	if err != nil {
+		return session.Batch{}, err
+	}
+	return l.read(ctx, args)
+}
+
+func (r *Runner) deployment(name string) (configuration.Deployment, error) {
+	doc := r.Holder.Current()
+	if doc == nil {
+		return configuration.Deployment{}, problem.NotReady.Withf("no configuration yet").WithRetryAfter(time.Second)
+	}
+	d, ok := doc.Parsed().Deployment(name)
+	if !ok {
+		return configuration.Deployment{}, problem.UnknownDeployment.Withf("no deployment %q", name)
+	}
+	return d, nil
+}
+
+// bound returns the age bound of a deployment's samples now.
+func (r *Runner) bound(name string, told map[string]version.Version) session.Bound {
+	d, _ := r.deployment(name)
+	p, _ := r.Board.Newest(name)
+	newest := p.Version
+	if v, ok := told[name]; ok && newest.Less(v) {
+		newest = v
+	}
+	return session.Bound{
+		Newest:      newest,
+		MaxVersions: d.Staleness.MaxVersions,
+		MaxAge:      time.Duration(d.Staleness.MaxAgeMS) * time.Millisecond,
+	}
+}
+
+// Overview is what operators see of a session.
+type Overview struct {
+	Trainer string           `json:"trainer"`
+	Session uint64           `json:"session"`
+	Fenced  bool             `json:"fenced"`
+	Steps   []session.Status `json:"steps"`
+}
+
+// Sessions returns an overview of all sessions here.
+func (r *Runner) Sessions() []Overview {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]Overview, 0, len(r.live))
+	for _, l := range r.live {
+		list = append(list, l.overview())
+	}
+	return list
+}
+
+// Drain ends waiting reads at once, so that trainers can move on.
+func (r *Runner) Drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.live {
+		l.drain()
+	}
+}
--- /dev/null
+++ b/internal/rollout/session/work.go
@@ -0,0 +1,209 @@
+package session
+
+import (
+	"slices"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/rollout/sample"
+)
+
+// Work is an attempt that the runner is to make.
+type Work struct {
+	Key        sample.Key
+	Deployment string
+	Prompt     string
+	MaxTokens  int
+	// Attempt counts the attempts of this sample from one.
+	Attempt int
+	// Second is set when another attempt of the sample is still running.
+	Second bool
+}
+
+// Limits bound what Next gives out.
+type Limits struct {
+	// AtOnce is the most attempts that run at the same time.
+	AtOnce int
+	// SecondAttempts is the share of a step's samples that may have a second
+	// attempt.
+	SecondAttempts float64
+	// RunAhead is by how many steps a step may be begun before the oldest
+	// open one is finished.
+	RunAhead uint64
+}
+
+// lateFactor is how much longer than the median an attempt must run before a
+// second one is made beside it.
+const lateFactor = 1.5
+
+// retryPause is how long a failed sample waits for its next attempt.
+const retryPause = 200 * time.Millisecond
+
+// Next returns the next attempt to make, if there is one: first what was not
+// begun, the oldest step first; then, while there is room, second attempts of
+// the last samples of a group.
+func (s *Session) Next(l Limits, now timer.Instant) (Work, bool) {
+	if s.running >= l.AtOnce {
+		return Work{}, false
+	}
+	oldest, found := uint64(0), false
+	for _, st := range s.order {
+		if !st.open() || st.overdue(now) {
+			continue
+		}
+		if !found {
+			oldest, found = st.spec.Step, true
+		}
+		if st.spec.Step > oldest+l.RunAhead {
+			break
+		}
+		if it := st.nextPending(now); it != nil {
+			return s.begin(it, now), true
+		}
+	}
+	for _, st := range s.order {
+		if !st.open() || st.overdue(now) {
+			continue
+		}
+		if it := st.late(l, now); it != nil {
+			st.status.SecondAttempts++
+			return s.begin(it, now), true
+		}
+	}
+	return Work{}, false
+}
+
+// nextPending returns the pending item to begin. Within one length, groups
+// with the fewest samples left come first, so that groups become whole early.
+func (st *step) nextPending(now timer.Instant) *item {
+	var best *item
+	for _, it := range st.order {
+		if it.state != pending || now < it.waits {
+			continue
+		}
+		if best == nil {
+			best = it
+			continue
+		}
+		if it.group.MaxTokens < best.group.MaxTokens {
+			break
+		}
+		if st.remaining[it.key.Group] < st.remaining[best.key.Group] {
+			best = it
+		}
+	}
+	return best
+}
+
+// late returns a running item that holds up its group and is overdue by the
+// step's median, while the budget lasts.
+func (st *step) late(l Limits, now timer.Instant) *item {
+	budget := int(l.SecondAttempts*float64(st.status.Samples) + 0.999)
+	if st.status.SecondAttempts >= budget {
+		return nil
+	}
+	median, ok := st.median()
+	if !ok {
+		return nil
+	}
+	var best *item
+	for _, it := range st.order {
+		if it.state != running || it.attempts != 1 {
+			continue
+		}
+		if float64(now.Sub(it.started)) < lateFactor*float64(median) {
+			continue
+		}
+		if best == nil || st.remaining[it.key.Group] < st.remaining[best.key.Group] {
+			best = it
+		}
+	}
+	return best
+}
+
+func (s *Session) begin(it *item, now timer.Instant) Work {
+	second := it.state == running
+	if !second {
+		it.started = now
+		it.attempts = 0
+	}
+	it.state = running
+	it.attempts++
+	s.running++
+	return Work{
+		Key:        it.key,
+		Deployment: it.step.spec.Deployment,
+		Prompt:     it.group.Prompt,
+		MaxTokens:  it.group.MaxTokens,
+		Attempt:    it.attempts,
+		Second:     second,
+	}
+}
+
+// Wanted reports whether a result for key would still be taken. Attempts poll
+// it, so that work for a dropped step or a beaten attempt ends soon.
+func (s *Session) Wanted(key sample.Key) bool {
+	it, ok := s.find(key)
+	return ok && it.state == running
+}
+
+// Finish takes the result of an attempt. It reports whether it is the first
+// one; a later one is thrown away.
+func (s *Session) Finish(key sample.Key, k Kept, now timer.Instant) bool {
+	s.running--
+	it, ok := s.find(key)
+	if !ok || it.state != running {
+		return false
+	}
+	it.step.took = append(it.step.took, now.Sub(it.started))
+	s.makeReady(it, k)
+	return true
+}
+
+// Fail takes that an attempt brought no result. The sample is tried again
+// unless another attempt still runs.
+func (s *Session) Fail(key sample.Key, now timer.Instant) {
+	s.running--
+	it, ok := s.find(key)
+	if !ok || it.state != running {
+		return
+	}
+	it.attempts--
+	if it.attempts == 0 {
+		it.state = pending
+		it.waits = now.Add(retryPause)
+	}
+}
+
+// Recover takes a finished sample that another instance kept. It reports
+// whether it was missing.
+func (s *Session) Recover(key sample.Key, k Kept) bool {
+	it, ok := s.find(key)
+	if !ok || it.state != pending {
+		return false
+	}
+	it.step.status.Recovered++
+	s.makeReady(it, k)
+	return true
+}
+
+func (s *Session) makeReady(it *item, k Kept) {
+	it.state = ready
+	it.finished = k
+	s.ready = append(s.ready, it)
+}
+
+func (s *Session) find(key sample.Key) (*item, bool) {
+	st, ok := s.steps[key.Step]
+	if !ok {
+		return nil, false
+	}
+	it, ok := st.items[key]
+	return it, ok
+}
+
+func quickMedian(list []time.Duration) time.Duration {
+	sorted := slices.Clone(list)
+	slices.Sort(sorted)
+	return sorted[len(sorted)/2]
+}
--- /dev/null
+++ b/internal/rollout/stream/generator.go
@@ -0,0 +1,217 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/route/limit"
+	"github.com/egretbend/egretbend/internal/route/router"
+	"github.com/egretbend/egretbend/internal/route/upstream"
+)
+
+// prefixLength is how much of a prompt decides where its cache lies.
+const prefixLength = 256
+
+// Generator runs generations.
+type Generator struct {
+	Router *router.Router
+	Engine engine.Adapter
+	Timer  timer.Service
+}
+
+// Task is one generation.
+type Task struct {
+	RequestID  string
+	Caller     string
+	Class      limit.Class
+	Weight     float64
+	Deployment string
+	Prompt     string
+	MaxTokens  int
+	Seed       uint64
+	// Resume holds tokens of an earlier attempt, which are not emitted again.
+	Resume []string
+	// Staleness applies the deployment's bound on weight versions.
+	Staleness bool
+	// Avoid is the upstream of an attempt that runs beside this one, or empty.
+	Avoid string
+}
+
+// Finish says how a generation ended and where it ran.
+type Finish struct {
+	Reason    string
+	Upstreams []string
+}
+
+// Run generates until the end of the stream. ctx carries the deadline.
+func (g *Generator) Run(ctx context.Context, task Task, emit func(engine.Token) error) (Finish, error) {
+	trip, err := g.Router.Enter(router.Job{
+		RequestID:  task.RequestID,
+		Caller:     task.Caller,
+		Class:      task.Class,
+		Weight:     task.Weight,
+		Deployment: task.Deployment,
+		Key:        prefixKey(task.Prompt),
+		Staleness:  task.Staleness,
+	})
+	if err != nil {
+		return Finish{}, err
+	}
+	if trip.Set.Deployment.Kind != configuration.KindModel {
+		trip.Close(limit.Neutral)
+		return Finish{}, problem.UnknownDeployment.Withf("deployment %q is not a model", task.Deployment)
+	}
+	r := &run{
+		g:     g,
+		trip:  trip,
+		task:  task,
+		texts: append([]string(nil), task.Resume...),
+		emit:  emit,
+	}
+	finish, err := r.attempts(ctx)
+	trip.Close(r.result(err))
+	return finish, err
+}
+
+func prefixKey(prompt string) uint64 {
+	if len(prompt) > prefixLength {
+		prompt = prompt[:prefixLength]
+	}
+	return xxhash.Sum64String(prompt) | 1
+}
+
+// run is one generation over its attempts.
+type run struct {
+	g      *Generator
+	trip   *router.Trip
+	task   Task
+	texts  []string
+	emit   func(engine.Token) error
+	pushed bool
+	began  bool
+	where  []string
+}
+
+func (r *run) attempts(ctx context.Context) (Finish, error) {
+	var last error
+	for {
+		u, err := r.trip.Next()
+		if err != nil {
+			return Finish{}, r.final(err, last)
+		}
+		if u.ID == r.task.Avoid && len(r.trip.Set.Upstreams) > 1 {
+			u.Ended()
+			continue
+		}
+		reason, err := r.once(ctx, u)
+		if err == nil {
+			return Finish{
+				Reason:    reason,
+				Upstreams: r.where,
+			}, nil
+		}
+		last = err
+		if ctx.Err() != nil || errors.Is(err, errConsumer) || !r.trip.MayRetry() {
+			return Finish{}, r.final(nil, last)
+		}
+	}
+}
+
+// errConsumer wraps an error of the consumer of the tokens. It is no fault of
+// the engine and no reason to try another.
+var errConsumer = errors.New("the consumer of the stream failed")
+
+// once makes one attempt from the last token on.
+func (r *run) once(ctx context.Context, u *upstream.Upstream) (string, error) {
+	started := r.g.Timer.Now()
+	before := len(r.texts)
+	r.where = append(r.where, u.ID)
+	finish, err := r.g.Engine.Generate(ctx, u.Address, engine.Request{
+		ID:        r.task.RequestID,
+		Attempt:   r.task.RequestID + "." + strconv.Itoa(r.trip.Attempts()),
+		Model:     r.task.Deployment,
+		Prompt:    r.task.Prompt,
+		MaxTokens: r.task.MaxTokens,
+		Seed:      r.task.Seed,
+		Priority:  r.task.Class.EnginePriority(),
+		Resume:    r.texts,
+	}, r.take)
+	now := r.g.Timer.Now()
+	tokens := len(r.texts) - before
+	if finish.Report != nil {
+		u.Heard(*finish.Report, now)
+	}
+	r.note(ctx, u, err, now.Sub(started), tokens, now)
+	return finish.Reason, err
+}
+
+func (r *run) take(t engine.Token) error {
+	if err := r.emit(t); err != nil {
+		return errors.Join(errConsumer, err)
+	}
+	r.began = true
+	r.texts = append(r.texts, t.Text)
+	return nil
+}
+
+// note tells the upstream's state how the attempt went.
+func (r *run) note(ctx context.Context, u *upstream.Upstream, err error, took time.Duration, tokens int, now timer.Instant) {
+	var refused *engine.RefusedError
+	switch {
+	case err == nil:
+		u.Succeeded(took / time.Duration(max(1, tokens)))
+	case errors.As(err, &refused):
+		r.pushed = true
+		u.Ended()
+	case ctx.Err() != nil, errors.Is(err, errConsumer):
+		u.Ended()
+	default:
+		if !errors.Is(err, engine.ErrNotSent) {
+			r.began = true
+		}
+		u.Failed(now)
+	}
+}
+
+func (r *run) result(err error) limit.Result {
+	switch {
+	case err == nil:
+		return limit.Good
+	case r.pushed:
+		return limit.Pushed
+	}
+	return limit.Neutral
+}
+
+// final is the error for the caller. A generation may always be repeated, so
+// what matters is only whether it can be said that none of it ran.
+func (r *run) final(choice, last error) error {
+	if last == nil {
+		return choice
+	}
+	var refused *engine.RefusedError
+	kind := problem.UpstreamFailed
+	switch {
+	case errors.As(last, &refused), errors.Is(last, engine.ErrNotSent):
+		kind = problem.UpstreamRefused
+	case errors.Is(last, context.DeadlineExceeded):
+		kind = problem.UpstreamTimeout
+	}
+	e := kind.With(last)
+	if r.began {
+		e = e.WithOutcome(problem.Unknown)
+	}
+	if e.Kind.Status >= http.StatusInternalServerError {
+		e = e.WithRetryAfter(time.Second)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/route/router/part.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/listing"
+	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/fleet/version"
+	"github.com/egretbend/egretbend/internal/kernel/part"
+	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/route/limit"
+	"github.com/egretbend/egretbend/internal/route/upstream"
+)
+
+func init() {
+	part.Register(part.Factory{
+		Name:  "route.a.router",
+		Stage: part.StageRoute,
+		Make:  makePart,
+	})
+}
+
+// engineProtocol is the adapter for engines and load reports.
+const engineProtocol = "completions"
+
+type routerPart struct {
+	refresher *upstream.Refresher
+}
+
+func makePart(h *part.Host) (part.Part, error) {
+	adapter, err := engine.Adapters.Find(engineProtocol)
+	if err != nil {
+		return nil, err
+	}
+	table := &upstream.Table{}
+	limiter := &limit.Limiter{
+		Timer: h.Timer,
+	}
+	part.Get[*member.Gauge](h).Set(limiter.Load)
+	part.Put(h, table)
+	part.Put(h, limiter)
+	part.Put(h, adapter)
+	part.Put(h, &Router{
+		Table:   table,
+		Holder:  part.Get[*configuration.Holder](h),
+		Limiter: limiter,
+		Members: part.Get[*member.Table](h),
+		Board:   part.Get[*version.Board](h),
+		Timer:   h.Timer,
+		Journal: h.Journal,
+		Metrics: NewMetrics(h.Metrics),
+	})
+	h.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "egretbend_load_ratio",
+		Help: "Use of the fullest limit, from 0 to 1.",
+	}, limiter.Load))
+	return &routerPart{
+		refresher: &upstream.Refresher{
+			Table:   table,
+			Holder:  part.Get[*configuration.Holder](h),
+			Listing: part.Get[*listing.Book](h),
+			Members: part.Get[*member.Table](h),
+			Timer:   h.Timer,
+			Engine:  adapter,
+		},
+	}, nil
+}
+
+// Start implements part.Part.
+func (p *routerPart) Start(t *tomb.Tomb) error {
+	t.Go(func() error { return p.refresher.Run(t) })
+	return nil
+}
+
+// Stop implements part.Part.
+func (p *routerPart) Stop() {}
--- /dev/null
+++ b/internal/route/upstream/set.go
@@ -0,0 +1,207 @@
+package upstream
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/platform/roster"
+)
+
+// ringPoints is how often each upstream stands on the ring of prefix hashes.
+const ringPoints = 16
+
+// Set is the immutable list of upstreams of one deployment that this instance
+// routes to.
+type Set struct {
+	Deployment configuration.Deployment
+	Upstreams  []*Upstream
+	// Total is the number of upstreams in the whole fleet.
+	Total int
+	ring  []point
+}
+
+type point struct {
+	hash uint64
+	u    *Upstream
+}
+
+// newSet chooses this instance's subset of list and reuses the state of
+// upstreams that were known before.
+func newSet(d configuration.Deployment, self member.Member, list []roster.Instance, old *Set, now timer.Instant) *Set {
+	s := &Set{
+		Deployment: d,
+		Total:      len(list),
+	}
+	known := make(map[string]*Upstream)
+	if old != nil {
+		for _, u := range old.Upstreams {
+			known[u.ID] = u
+		}
+	}
+	for _, in := range subset(self, list, d.SubsetSize) {
+		s.Upstreams = append(s.Upstreams, adopt(known[in.ID], in, d, old == nil, now))
+	}
+	s.buildRing()
+	return s
+}
+
+// adopt returns the state for an instance in the list. A new incarnation is a
+// new upstream: neither its counts nor its leaving mark carry over.
+func adopt(u *Upstream, in roster.Instance, d configuration.Deployment, first bool, now timer.Instant) *Upstream {
+	if u == nil || u.Incarnation != in.Incarnation || u.Address != in.Address {
+		u = &Upstream{
+			ID:            in.ID,
+			Address:       in.Address,
+			FailureDomain: in.FailureDomain,
+			Incarnation:   in.Incarnation,
+			Slots:         d.Slots,
+		}
+		// Those that were there when this instance began are not new to the
+		// fleet; only later ones start slowly.
+		u.since.Store(int64(now))
+		if first {
+			u.since.Store(int64(now.Add(-SlowStart)))
+		}
+	}
+	if in.Leaving {
+		u.MarkLeaving()
+	}
+	return u
+}
+
+// subset picks at most n upstreams: half of the places go to the own failure
+// domain first, the others to all by rendezvous hash. Different instances so
+// share the upstreams evenly, and a change of the list moves few of them.
+func subset(self member.Member, list []roster.Instance, n int) []roster.Instance {
+	if len(list) <= n {
+		return list
+	}
+	ranked := slices.Clone(list)
+	sort.Slice(ranked, func(i, j int) bool {
+		return member.Score(self.ID, ranked[i].ID) > member.Score(self.ID, ranked[j].ID)
+	})
+	var near, far []roster.Instance
+	for _, in := range ranked {
+		if in.FailureDomain == self.FailureDomain && len(near) < n/2 {
+			near = append(near, in)
+			continue
+		}
+		far = append(far, in)
+	}
+	return append(near, far[:n-len(near)]...)
+}
+
+func (s *Set) buildRing() {
+	s.ring = make([]point, 0, len(s.Upstreams)*ringPoints)
+	for _, u := range s.Upstreams {
+		h := xxhash.Sum64String(u.ID)
+		for i := range ringPoints {
+			s.ring = append(s.ring, point{
+				hash: mix(h + uint64(i)*0x9e3779b97f4a7c15),
+				u:    u,
+			})
+		}
+	}
+	slices.SortFunc(s.ring, func(a, b point) int {
+		if a.hash < b.hash {
+			return -1
+		}
+		if a.hash > b.hash {
+			return 1
+		}
+		return 0
+	})
+}
+
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return h
+}
+
+// Walk calls visit with the upstreams that follow key on the ring, until it
+// returns false or steps points were passed.
+func (s *Set) Walk(key uint64, steps int, visit func(*Upstream) bool) {
+	if len(s.ring) == 0 {
+		return
+	}
+	start, _ := slices.BinarySearchFunc(s.ring, mix(key), func(p point, k uint64) int {
+		if p.hash < k {
+			return -1
+		}
+		return 1
+	})
+	for i := range min(steps, len(s.ring)) {
+		if !visit(s.ring[(start+i)%len(s.ring)].u) {
+			return
+		}
+	}
+}
+
+// Capacity returns the requests that the usable upstreams serve at once, and
+// the share of it that is in use as far as this instance knows.
+func (s *Set) Capacity(now timer.Instant) (slots, used float64) {
+	for _, u := range s.Upstreams {
+		if !u.Usable(now) {
+			continue
+		}
+		n := float64(max(1, u.Slots))
+		if r, _, ok := u.Report(now); ok && r.Slots > 0 {
+			n = float64(r.Slots)
+		}
+		slots += n
+		others := 0.0
+		if h := u.report.Load(); h != nil {
+			others = max(0, float64(h.Running+h.Waiting)-float64(h.own))
+		}
+		used += float64(u.InFlight()) + others
+	}
+	if slots == 0 {
+		return 0, 1
+	}
+	return slots, used / slots
+}
+
+// comparePaces rates each upstream's pace against the median.
+func (s *Set) comparePaces() {
+	var paces []float64
+	for _, u := range s.Upstreams {
+		if p := u.Pace(); p > 0 {
+			paces = append(paces, p)
+		}
+	}
+	if len(paces) < 3 {
+		return
+	}
+	sort.Float64s(paces)
+	median := paces[len(paces)/2]
+	for _, u := range s.Upstreams {
+		u.compare(median)
+	}
+}
+
+// maxOutShare is the largest share of a set that may be out for failures.
+const maxOutShare = 0.34
+
+// limitOut brings upstreams back when too many are out: the rest would fall
+// over under the whole load, and the cause is then hardly in each of them.
+func (s *Set) limitOut(now timer.Instant) {
+	var out []*Upstream
+	for _, u := range s.Upstreams {
+		if u.Out(now) {
+			out = append(out, u)
+		}
+	}
+	allowed := int(maxOutShare * float64(len(s.Upstreams)))
+	sort.Slice(out, func(i, j int) bool { return out[i].outUntil.Load() < out[j].outUntil.Load() })
+	for i := 0; i < len(out)-allowed; i++ {
+		out[i].outUntil.Store(int64(now))
+		out[i].since.Store(int64(now))
+	}
+}
--- /dev/null
+++ b/internal/route/upstream/table.go
@@ -0,0 +1,63 @@
+package upstream
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/platform/roster"
+)
+
+// Table holds the Sets of all deployments. Its zero value is empty.
+type Table struct {
+	mu   sync.Mutex
+	sets atomic.Pointer[map[string]*Set]
+}
+
+// Set returns the set of a deployment, or nil.
+func (t *Table) Set(deployment string) *Set {
+	sets := t.sets.Load()
+	if sets == nil {
+		return nil
+	}
+	return (*sets)[deployment]
+}
+
+// Sets returns all sets by deployment. The map must not be changed.
+func (t *Table) Sets() map[string]*Set {
+	sets := t.sets.Load()
+	if sets == nil {
+		return nil
+	}
+	return *sets
+}
+
+// Build replaces all sets after a change of the configuration or of the
+// instance list.
+func (t *Table) Build(cfg *configuration.Configuration, self member.Member, list []roster.Instance, now timer.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	groups := make(map[string][]roster.Instance)
+	for _, in := range list {
+		groups[in.Group] = append(groups[in.Group], in)
+	}
+	next := make(map[string]*Set, len(cfg.Deployments))
+	for _, d := range cfg.Deployments {
+		group := groups[d.Group]
+		sort.Slice(group, func(i, j int) bool { return group[i].ID < group[j].ID })
+		next[d.Name] = newSet(d, self, group, t.Set(d.Name), now)
+	}
+	t.sets.Store(&next)
+}
+
+// Judge compares the upstreams of each set and bounds how many are out. It is
+// called once a second or so.
+func (t *Table) Judge(now timer.Instant) {
+	for _, s := range t.Sets() {
+		s.comparePaces()
+		s.limitOut(now)
+	}
+}
--- /dev/null
+++ b/internal/route/upstream/upstream.go
@@ -0,0 +1,187 @@
+package upstream
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/platform/engine"
+)
+
+// How an upstream is judged.
+const (
+	// ejectAfter is how many failures in a row take an upstream out.
+	ejectAfter = 5
+	// ejectFirst is for how long it is out the first time; it doubles after.
+	ejectFirst = 2 * time.Second
+	ejectMost  = 30 * time.Second
+	// SlowStart is how long an upstream that is new or comes back takes to
+	// get its full share.
+	SlowStart = 8 * time.Second
+	// slowStartFloor is the share it begins with.
+	slowStartFloor = 0.1
+	// reportHalfLife is the age at which a report counts for half.
+	reportHalfLife = 2 * time.Second
+	// paceWeight is the weight of one new measurement of pace.
+	paceWeight = 0.1
+	// slowestFactor bounds how much worse a slow upstream is rated.
+	slowestFactor = 8
+)
+
+// Upstream is one engine or service instance.
+type Upstream struct {
+	ID            string
+	Address       string
+	FailureDomain string
+	Incarnation   uint64
+	Slots         int
+
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+	report   atomic.Pointer[heard]
+	strikes  atomic.Int32
+	ejects   atomic.Int32
+	outUntil atomic.Int64
+	since    atomic.Int64
+	pace     atomic.Uint64
+	slowness atomic.Uint64
+}
+
+// heard is a report with what was known when it came.
+type heard struct {
+	engine.Report
+	at  timer.Instant
+	own int64
+}
+
+// Begin counts a request that is sent now.
+func (u *Upstream) Begin() { u.inFlight.Add(1) }
+
+// InFlight returns the requests of this instance at the upstream.
+func (u *Upstream) InFlight() int64 { return u.inFlight.Load() }
+
+// Succeeded ends a request that was answered. pace is its time per unit of
+// work: a token or a request.
+func (u *Upstream) Succeeded(pace time.Duration) {
+	u.inFlight.Add(-1)
+	u.strikes.Store(0)
+	u.ejects.Store(0)
+	if pace <= 0 {
+		return
+	}
+	old := math.Float64frombits(u.pace.Load())
+	if old == 0 {
+		old = pace.Seconds()
+	}
+	u.pace.Store(math.Float64bits(old + paceWeight*(pace.Seconds()-old)))
+}
+
+// Ended ends a request that tells nothing about the upstream, such as one
+// that the caller gave up or that the upstream refused when full.
+func (u *Upstream) Ended() { u.inFlight.Add(-1) }
+
+// Failed ends a request that the upstream failed. It reports whether the
+// upstream is taken out now.
+func (u *Upstream) Failed(now timer.Instant) bool {
+	u.inFlight.Add(-1)
+	if u.strikes.Add(1) < ejectAfter {
+		return false
+	}
+	u.strikes.Store(0)
+	out := ejectFirst << min(u.ejects.Add(1)-1, 10)
+	until := now.Add(min(out, ejectMost))
+	u.outUntil.Store(int64(until))
+	u.since.Store(int64(until))
+	return true
+}
+
+// Out reports whether the upstream is taken out for its failures.
+func (u *Upstream) Out(now timer.Instant) bool { return int64(now) < u.outUntil.Load() }
+
+// MarkLeaving says that the upstream is leaving. It can't be unsaid.
+func (u *Upstream) MarkLeaving() { u.leaving.Store(true) }
+
+// Leaving reports whether the upstream is leaving.
+func (u *Upstream) Leaving() bool { return u.leaving.Load() }
+
+// Usable reports whether the upstream may get new work.
+func (u *Upstream) Usable(now timer.Instant) bool { return !u.leaving.Load() && !u.Out(now) }
+
+// Heard takes a report that came now.
+func (u *Upstream) Heard(r engine.Report, now timer.Instant) {
+	u.report.Store(&heard{
+		Report: r,
+		at:     now,
+		own:    u.inFlight.Load(),
+	})
+	if r.Leaving {
+		u.MarkLeaving()
+	}
+}
+
+// Report returns the last report and its age.
+func (u *Upstream) Report(now timer.Instant) (engine.Report, time.Duration, bool) {
+	h := u.report.Load()
+	if h == nil {
+		return engine.Report{}, 0, false
+	}
+	return h.Report, now.Sub(h.at), true
+}
+
+// ReportedLoad returns the load by the last report alone.
+func (u *Upstream) ReportedLoad() float64 {
+	h := u.report.Load()
+	if h == nil {
+		return 0
+	}
+	return float64(h.Running+h.Waiting) / float64(u.slots(h))
+}
+
+// Load estimates the use of the upstream's slots; 1 means that all are taken.
+// This instance's own requests are counted exactly. Those of others are what
+// the last report said beyond them, and count for less as the report ages: a
+// late report that says "idle" would otherwise draw every instance there.
+func (u *Upstream) Load(now timer.Instant) float64 {
+	own := float64(u.inFlight.Load())
+	h := u.report.Load()
+	if h == nil {
+		return (own + 1) / float64(max(1, u.Slots)) * u.handicap(now)
+	}
+	others := max(0, float64(h.Running+h.Waiting)-float64(h.own))
+	age := float64(now.Sub(h.at)) / float64(reportHalfLife)
+	others /= 1 + max(0, age)
+	return (own + others + 1) / float64(u.slots(h)) * u.handicap(now)
+}
+
+func (u *Upstream) slots(h *heard) int {
+	if h.Slots > 0 {
+		return h.Slots
+	}
+	return max(1, u.Slots)
+}
+
+// handicap makes an upstream look fuller while it is new or slow.
+func (u *Upstream) handicap(now timer.Instant) float64 {
+	factor := 1.0
+	if s := math.Float64frombits(u.slowness.Load()); s > 1 {
+		factor = min(s, slowestFactor)
+	}
+	age := now.Sub(timer.Instant(u.since.Load()))
+	if age >= SlowStart {
+		return factor
+	}
+	share := max(slowStartFloor, float64(age)/float64(SlowStart))
+	return factor / share
+}
+
+// Pace returns the smoothed time per unit of work in seconds, or zero.
+func (u *Upstream) Pace() float64 { return math.Float64frombits(u.pace.Load()) }
+
+// compare rates the upstream's pace against the median of its set.
+func (u *Upstream) compare(median float64) {
+	if median <= 0 || u.Pace() == 0 {
+		return
+	}
+	u.slowness.Store(math.Float64bits(u.Pace() / median))
+}
