--- a/internal/fleet/configuration/proof_test.go
+++ b/internal/fleet/configuration/proof_test.go
@@ -297,7 +297,7 @@
 // revision, applies a write late or loses its answer. An operator would notice
 // a change that was told accepted and is not in force, or told refused and is.
 func TestToldIsTrueAndNeverReverts(t *testing.T) {
-	proof.Check(t, history(mechanisms{}))
+	proof.CheckN(t, 400, history(mechanisms{}))
 }
 
 // An editor that takes a lost answer for a refusal tells an operator that a
--- /dev/null
+++ b/internal/fleet/gossip/bench_test.go
@@ -0,0 +1,35 @@
+package gossip
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkAnswerQuiet measures an exchange between two instances that know
+// the same, with as many entries as the target fleet has.
+func BenchmarkAnswerQuiet(b *testing.B) {
+	for _, n := range []int{20, 1100, 12000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var s, other State
+			for i := range n {
+				e := Entry{
+					Kind:  KindUpstream,
+					Key:   fmt.Sprintf("u%d", i),
+					Value: make([]byte, 150),
+					Version: Version{
+						Major: 1,
+					},
+				}
+				s.Merge(e)
+				other.Merge(e)
+			}
+			for range Transmissions * n / MaxEntries * 2 {
+				s.Ask("a")
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				other.Answer(s.Ask("a"), 0)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/placement/plan_test.go
@@ -0,0 +1,118 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/egretbend/egretbend/internal/fleet/placement"
+	"github.com/egretbend/egretbend/internal/fleet/version"
+	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/standin/proof"
+)
+
+// world is a few engines that carry out orders late, partway, or not at all.
+type world struct {
+	engines  []placement.Engine
+	underWay map[string]engine.Action
+	wanted   version.Version
+}
+
+func (w *world) plan() []placement.Order {
+	return placement.Plan(w.engines, w.wanted, w.underWay, placement.Limits{
+		Fetches:  2,
+		Switches: 2,
+	})
+}
+
+func (w *world) carryOut(o placement.Order, fate string) {
+	delete(w.underWay, o.Engine.ID)
+	for i := range w.engines {
+		if w.engines[i].ID != o.Engine.ID || fate == "lost" {
+			continue
+		}
+		switch o.Action {
+		case engine.ActionFetch:
+			w.engines[i].Fetched = w.wanted
+		case engine.ActionSwitch:
+			w.engines[i].Version = w.wanted
+		}
+	}
+}
+
+// Swaps fail partway, engines restart with old weights, and versions are
+// published faster than they are ordered. An operator would notice an engine
+// that is sent back to older weights, or more fetches at once than the weight
+// store allows.
+func TestPlanOnlyGoesUpWithinLimits(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		w := &world{
+			underWay: make(map[string]engine.Action),
+			wanted: version.Version{
+				Epoch:  1,
+				Number: 1,
+			},
+		}
+		for i := range rapid.IntRange(1, 6).Draw(t, "engines") {
+			w.engines = append(w.engines, placement.Engine{
+				ID: fmt.Sprint(i),
+			})
+		}
+		var open []placement.Order
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(*rapid.T) { w.wanted.Number++ },
+			"plan": func(t *rapid.T) {
+				for _, o := range w.plan() {
+					if !o.Engine.Version.Less(w.wanted) {
+						t.Fatalf("engine %v is ordered from %v to %v", o.Engine.ID, o.Engine.Version, w.wanted)
+					}
+					if o.Action == engine.ActionSwitch && o.Engine.Fetched.Less(w.wanted) {
+						t.Fatalf("engine %s is to switch to weights that it lacks", o.Engine.ID)
+					}
+					if _, ok := w.underWay[o.Engine.ID]; ok {
+						t.Fatalf("engine %s has two orders", o.Engine.ID)
+					}
+					w.underWay[o.Engine.ID] = o.Action
+					open = append(open, o)
+				}
+				fetches, switches := 0, 0
+				for _, a := range w.underWay {
+					if a == engine.ActionFetch {
+						fetches++
+					} else {
+						switches++
+					}
+				}
+				if fetches > 2 || switches > 2 {
+					t.Fatalf("%d fetches and %d switches at once", fetches, switches)
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(open) == 0 {
+					return
+				}
+				w.carryOut(open[0], rapid.SampledFrom([]string{"done", "lost"}).Draw(t, "fate"))
+				open = open[1:]
+			},
+			"restart": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(w.engines)-1).Draw(t, "engine")
+				w.engines[i].Version = version.Version{}
+				w.engines[i].Fetched = version.Version{}
+			},
+		})
+		for _, o := range open {
+			w.carryOut(o, "lost")
+		}
+		for range 4 * len(w.engines) {
+			for _, o := range w.plan() {
+				w.carryOut(o, "done")
+			}
+		}
+		for _, e := range w.engines {
+			if e.Version != w.wanted {
+				t.Fatalf("engine %s stays at %v, wanted %v", e.ID, e.Version, w.wanted)
+			}
+		}
+	})
+}
--- a/internal/route/limit/gate.go
+++ b/internal/route/limit/gate.go
@@ -78,13 +78,17 @@
 
 // caller returns the share of a caller and notes that it is active.
 func (g *gate) caller(name string, weight float64, now timer.Instant) *share {
-	v, ok := g.callers.Load(name)
-	if !ok {
+	v, known := g.callers.Load(name)
+	if !known {
 		v, _ = g.callers.LoadOrStore(name, &share{})
 	}
 	s := v.(*share)
 	s.seen.Store(int64(now))
 	s.weight.Store(math.Float64bits(weight))
+	if !known {
+		// Until it is counted, a new caller would have no bound.
+		g.swept.Store(0)
+	}
 	g.sweep(now)
 	return s
 }
