experiment: prove the promises on real processes under failure

Faults found on the way, each with its test: - relay: a service that refuses before it looks at a request names no attempt, and the refusal was told as "unknown". Cause: the check of the echo came before the connection was looked at. On a connection of its own an answer without an echo is for this request.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -99,6 +99,7 @@
 			Timer:    timer.Real{},
 			Settings: file.Details,
 			Address:  file.Listen,
+			Record:   os.Stdout,
 		}
 		return s.Handler(), s.Instance
 	})
--- a/internal/load/experiment/experiment.go
+++ b/internal/load/experiment/experiment.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +19,7 @@
 	"github.com/egretbend/egretbend/internal/load/scenario"
 	"github.com/egretbend/egretbend/internal/standin/engine"
 	"github.com/egretbend/egretbend/internal/standin/keyvalue"
+	"github.com/egretbend/egretbend/internal/standin/service"
 	"github.com/egretbend/egretbend/internal/standin/trainer"
 )
 
@@ -115,16 +118,18 @@
 	}
 }
 
-// runs sums the runs that the services recorded.
+// runs sums the runs that the services recorded, also those that are dead now.
 func (x *Experiment) runs(f *fleet.Fleet) map[string]int {
 	sum := make(map[string]int)
 	for _, p := range f.Upstreams {
-		var runs map[string]int
-		if get(p.Address, "/runs", &runs) != nil {
+		data, err := os.ReadFile(p.Log())
+		if err != nil {
 			continue
 		}
-		for id, n := range runs {
-			sum[id] += n
+		for line := range strings.Lines(string(data)) {
+			if id, ok := strings.CutPrefix(strings.TrimSpace(line), service.RecordPrefix); ok {
+				sum[id]++
+			}
 		}
 	}
 	return sum
--- a/internal/load/experiment/report.go
+++ b/internal/load/experiment/report.go
@@ -20,6 +20,7 @@
 	Refused        int `json:"refused"`
 	Unknown        int `json:"unknown"`
 	MixedUp        int `json:"mixed_up"`
+	NoAnswer       int `json:"no_answer"`
 	OrdersRunTwice int `json:"orders_run_twice"`
 	RefusedRan     int `json:"refused_ran"`
 	AnsweredNotRun int `json:"answered_not_run"`
@@ -90,6 +91,7 @@
 	r.Refused += o.Refused
 	r.Unknown += o.Unknown
 	r.MixedUp += o.MixedUp
+	r.NoAnswer += o.NoAnswer
 	r.OrdersRunTwice += c.RunTwice
 	r.RefusedRan += c.RefusedRan
 	r.AnsweredNotRun += c.AnsweredNotRun
--- a/internal/load/fleet/fleet.go
+++ b/internal/load/fleet/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -42,11 +41,16 @@
 	peers     map[string]string
 	turns     map[string]int
 	crashed   map[string]bool
+	ports     ports
 }
 
 // Start starts all processes, puts the configuration in force and waits until
 // every instance is ready.
 func (f *Fleet) Start(ctx context.Context) error {
+	// Logs of an earlier run would be read as this one's.
+	if err := os.RemoveAll(f.Folder); err != nil {
+		return err
+	}
 	if err := os.MkdirAll(f.Folder, 0o755); err != nil {
 		return err
 	}
@@ -64,16 +68,6 @@
 	return f.waitReady(ctx)
 }
 
-// freeAddress returns a loopback address that is free now.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 func (f *Fleet) launch(name, program, address string, args ...string) (*Process, error) {
 	p := &Process{
 		Name:    name,
@@ -106,7 +100,7 @@
 			},
 		},
 	} {
-		address, err := freeAddress()
+		address, err := f.ports.free()
 		if err != nil {
 			return err
 		}
@@ -157,7 +151,7 @@
 }
 
 func (f *Fleet) startUpstream(kind, name string, details any) error {
-	address, err := freeAddress()
+	address, err := f.ports.free()
 	if err != nil {
 		return err
 	}
@@ -183,10 +177,10 @@
 	peers := make([]string, n)
 	for i := range n {
 		var err error
-		if listen[i], err = freeAddress(); err != nil {
+		if listen[i], err = f.ports.free(); err != nil {
 			return err
 		}
-		if peers[i], err = freeAddress(); err != nil {
+		if peers[i], err = f.ports.free(); err != nil {
 			return err
 		}
 	}
--- a/internal/load/fleet/process.go
+++ b/internal/load/fleet/process.go
@@ -24,6 +24,9 @@
 	err  error
 }
 
+// Log returns the path of what the process printed.
+func (p *Process) Log() string { return p.log }
+
 func (p *Process) start() error {
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
--- a/internal/load/orders/result.go
+++ b/internal/load/orders/result.go
@@ -19,7 +19,7 @@
 	Unknown int `json:"unknown"`
 	// MixedUp got an answer that is not theirs or not whole.
 	MixedUp int `json:"mixed_up"`
-	// NoAnswer never heard from any instance.
+	// NoAnswer found no instance that answered, at any address it was told.
 	NoAnswer  int     `json:"no_answer"`
 	Attempts  float64 `json:"attempts_per_answer"`
 	P50MS     float64 `json:"p50_ms"`
@@ -84,6 +84,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.outcome[id] = o
+	if err == errUnreached {
+		t.result.NoAnswer++
+	}
 	if o == refused {
 		t.result.Refused++
 		_ = t.refused.RecordValue(took.Microseconds())
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return nil, r.failed(ctx, u, sent, err)
 	}
-	answer, err := receive(res, d, attempt)
+	answer, err := receive(res, d, attempt, reuse)
 	if err != nil {
 		return nil, r.failed(ctx, u, true, err)
 	}
@@ -182,12 +182,21 @@
 	return req, nil
 }
 
+// belongs reports whether an answer is for an attempt. Without the upstream's
+// word that is sure only on a connection that carried no other request.
+func belongs(echo, attempt string, echoes bool, reuse wire.Reuse) bool {
+	if echo == "" {
+		return !echoes || reuse == wire.Fresh
+	}
+	return echo == attempt
+}
+
 // receive reads the whole answer. A body without a declared end may have been
 // cut short by a dying upstream without any sign of it, so it is refused.
-func receive(res *http.Response, d configuration.Deployment, attempt string) (*Answer, error) {
+func receive(res *http.Response, d configuration.Deployment, attempt string, reuse wire.Reuse) (*Answer, error) {
 	defer res.Body.Close()
-	if d.EchoesAttempt && res.Header.Get(HeaderAttempt) != attempt {
-		return nil, problem.AnswerRejected.Withf("the answer is for attempt %q, not %q", res.Header.Get(HeaderAttempt), attempt)
+	if echo := res.Header.Get(HeaderAttempt); !belongs(echo, attempt, d.EchoesAttempt, reuse) {
+		return nil, problem.AnswerRejected.Withf("the answer is for attempt %q, not %q", echo, attempt)
 	}
 	chunked := len(res.TransferEncoding) > 0 && res.TransferEncoding[0] == "chunked"
 	if res.ContentLength < 0 && !chunked {
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -61,6 +61,9 @@
 	Check string `json:"check"`
 }
 
+// RecordPrefix begins the line of a run in the record.
+const RecordPrefix = "run="
+
 // Check returns the check of an order's answer.
 func Check(o Order) string {
 	return fmt.Sprintf("%016x", xxhash.Sum64String(o.OrderID+"|"+o.Detail))
@@ -72,6 +75,9 @@
 	Settings Settings
 	Address  string
 	Faults   fault.Door[Faults]
+	// Record gets a line for each run, so that the runs of a process that is
+	// killed are known as well; nil records nothing.
+	Record io.Writer
 
 	mu          sync.Mutex
 	running     int
@@ -147,9 +153,11 @@
 		http.Error(w, "not an order", http.StatusBadRequest)
 		return
 	}
-	draw := s.dice(r.Header.Get(relay.HeaderAttempt))
+	attempt := r.Header.Get(relay.HeaderAttempt)
+	draw := s.dice(attempt)
 	f := s.Faults.Get()
 	if draw() < f.RefuseShare || !s.enter(r) {
+		w.Header().Set(relay.HeaderAttempt, attempt)
 		w.Header().Set(engine.HeaderNotRun, "1")
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -234,6 +242,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs[o.OrderID]++
+	if s.Record != nil {
+		fmt.Fprintln(s.Record, RecordPrefix+o.OrderID)
+	}
 	return answer
 }
 
--- a/internal/standin/trainer/result.go
+++ b/internal/standin/trainer/result.go
@@ -28,17 +28,20 @@
 	SecondAttempts int `json:"second_attempts"`
 	Recovered      int `json:"recovered"`
 	Sessions       int `json:"sessions"`
+	// Versions is how many different versions made the samples.
+	Versions int `json:"versions"`
 	// IdleShare is the share of time in which the trainer waited for samples,
 	// from its second step on.
-	IdleShare      float64   `json:"idle_share"`
-	StalenessP50   uint64    `json:"staleness_p50"`
-	StalenessP99   uint64    `json:"staleness_p99"`
-	StalenessMax   uint64    `json:"staleness_max"`
-	StepSecondsP50 float64   `json:"step_seconds_p50"`
-	StepSecondsMax float64   `json:"step_seconds_max"`
-	Faults         []string  `json:"faults,omitempty"`
-	ages           []uint64  `json:"-"`
-	steps          []float64 `json:"-"`
+	IdleShare      float64  `json:"idle_share"`
+	StalenessP50   uint64   `json:"staleness_p50"`
+	StalenessP99   uint64   `json:"staleness_p99"`
+	StalenessMax   uint64   `json:"staleness_max"`
+	StepSecondsP50 float64  `json:"step_seconds_p50"`
+	StepSecondsMax float64  `json:"step_seconds_max"`
+	Faults         []string `json:"faults,omitempty"`
+	ages           []uint64
+	steps          []float64
+	seen           map[version.Version]bool
 	idle, busy     time.Duration
 }
 
@@ -69,6 +72,7 @@
 		r.fault("sample %v is %d versions old", s.Key, age)
 	}
 	r.ages = append(r.ages, age)
+	r.noteVersions(s.Versions)
 	return s.Key, true
 }
 
@@ -108,6 +112,16 @@
 	return next == len(truth)
 }
 
+func (r *Result) noteVersions(spans []sample.Span) {
+	if r.seen == nil {
+		r.seen = make(map[version.Version]bool)
+	}
+	for _, span := range spans {
+		r.seen[span.Version] = true
+	}
+	r.Versions = len(r.seen)
+}
+
 // close works out the shares and percentiles.
 func (r *Result) close() {
 	if total := r.idle + r.busy; total > 0 {
