rollout, route: keep slow streams from stalling a step

Causes found in the decision log of the session's instance, in turn: - later steps' samples went before second attempts of the step that the trainer waits for; - 51 of 91 second attempts were for streams that still waited for a slot, and others for streams that were merely long; - a session asked for room in crowds of attempts, each refusal of which shrank its window; and the load of its own that had just ended counted as others'; - the first limit let one session use a quarter of the engines; - samples of one prompt piled up at one engine (load 1.75 beside 0.6).

Changes: the oldest open step first, with its second attempts; an attempt is late by its time per token; room is asked for before an attempt begins, and this instance's own part of the load is exact; the first limit is the whole capacity; a prefix keeps its engine only while a slot is free or the others are as full; five engines are compared for a sample.

--- a/internal/entry/caller/completions.go
+++ b/internal/entry/caller/completions.go
@@ -60,7 +60,7 @@
 		w:      w,
 		stream: body.Stream,
 	}
-	finish, err := s.Generator.Run(ctx, stream.Task{
+	task := stream.Task{
 		RequestID:  e.requestID,
 		Caller:     e.caller,
 		Class:      e.class,
@@ -69,7 +69,13 @@
 		Prompt:     body.Prompt,
 		MaxTokens:  body.MaxTokens,
 		Seed:       body.Seed,
-	}, out.token)
+	}
+	trip, err := s.Generator.Enter(task)
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	finish, err := s.Generator.Run(ctx, trip, task, out.token)
 	if err != nil {
 		out.fail(err)
 		return
--- a/internal/rollout/runner/attempt.go
+++ b/internal/rollout/runner/attempt.go
@@ -10,12 +10,12 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/platform/engine"
 	"github.com/egretbend/egretbend/internal/rollout/sample"
 	"github.com/egretbend/egretbend/internal/rollout/session"
 	"github.com/egretbend/egretbend/internal/rollout/stream"
 	"github.com/egretbend/egretbend/internal/route/limit"
+	"github.com/egretbend/egretbend/internal/route/router"
 )
 
 // errUnwanted ends an attempt whose result nobody would take.
@@ -24,28 +24,18 @@
 // wantedEvery is after how many tokens an attempt asks whether it is wanted.
 const wantedEvery = 16
 
-// attempt makes one attempt at a sample.
-func (l *live) attempt(work session.Work, id uint64) {
-	requestID := fmt.Sprintf("%s.%d.%s.%d", l.state.Trainer, l.state.Number, work.Key, id)
-	d, err := l.runner.deployment(work.Deployment)
-	if err != nil {
-		l.failed(work.Key, err)
-		return
-	}
-	ctx, cancel := context.WithTimeout(l.ctx, time.Duration(d.TimeoutMS)*time.Millisecond)
-	defer cancel()
-	rec := l.resume(work)
-	resumed := len(rec.Texts)
-	if work.Second {
-		l.runner.Journal.Decision("second_attempt", log.Fields{
-			"request_id": requestID,
-			"sample":     work.Key.String(),
-			"resumed":    resumed,
-			"reason":     "holds_up_group",
-		})
-	}
-	finish, err := l.runner.Generator.Run(ctx, stream.Task{
-		RequestID:  requestID,
+// attempt is one attempt at a sample.
+type attempt struct {
+	live *live
+	work session.Work
+	task stream.Task
+	rec  *sample.Recorder
+}
+
+// task returns the generation of an attempt. The caller holds the lock.
+func (l *live) task(work session.Work, rec *sample.Recorder) stream.Task {
+	return stream.Task{
+		RequestID:  fmt.Sprintf("%s.%d.%s.%d", l.state.Trainer, l.state.Number, work.Key, l.attempts),
 		Caller:     l.state.Trainer,
 		Class:      limit.Training,
 		Weight:     l.weight(),
@@ -55,12 +45,31 @@
 		Seed:       xxhash.Sum64String(work.Key.String()),
 		Resume:     rec.Texts,
 		Staleness:  true,
-	}, func(t engine.Token) error { return l.token(work.Key, rec, t) })
+	}
+}
+
+// run makes the attempt.
+func (a *attempt) run(trip *router.Trip) {
+	l := a.live
+	timeout := time.Duration(trip.Set.Deployment.TimeoutMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(l.ctx, timeout)
+	defer cancel()
+	if a.work.Second {
+		l.runner.Journal.Decision("second_attempt", log.Fields{
+			"request_id": a.task.RequestID,
+			"sample":     a.work.Key.String(),
+			"resumed":    len(a.task.Resume),
+			"reason":     "slower_than_median",
+		})
+	}
+	finish, err := l.runner.Generator.Run(ctx, trip, a.task, func(t engine.Token) error {
+		return l.token(a.work.Key, a.rec, t)
+	})
 	if err != nil {
-		l.failed(work.Key, err)
+		l.failed(a.work.Key, err)
 		return
 	}
-	l.finished(work, rec, finish, requestID)
+	l.finished(a.work, a.rec, finish, a.task.RequestID)
 }
 
 func (l *live) weight() float64 {
@@ -71,10 +80,8 @@
 }
 
 // resume returns what earlier attempts made of a sample, unless it is by now
-// too old to begin with.
+// too old to begin with. The caller holds the lock.
 func (l *live) resume(work session.Work) *sample.Recorder {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	old, ok := l.partials[work.Key]
 	if !ok {
 		return &sample.Recorder{}
@@ -105,6 +112,7 @@
 	if !l.state.Wanted(key) {
 		return errUnwanted
 	}
+	l.state.Progress(key, len(rec.Texts), l.runner.Timer.Now())
 	if best, ok := l.partials[key]; !ok || len(best.Texts) < len(rec.Texts) {
 		l.partials[key] = rec.Clone()
 	}
@@ -118,9 +126,6 @@
 	now := l.runner.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if problem.Is(err, problem.Overloaded) || problem.Is(err, problem.UpstreamRefused) {
-		l.window = max(windowLeast, l.window*0.9)
-	}
 	l.state.Fail(key, now)
 	if errors.Is(err, errUnwanted) {
 		l.runner.Metrics.count(fateBeaten)
@@ -168,6 +173,7 @@
 	l.settle(work.Key, session.Kept{
 		Raw:    raw,
 		Oldest: s.Oldest(),
+		Tokens: s.Tokens,
 		Begun:  begun,
 	})
 }
@@ -177,7 +183,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	first := l.state.Finish(key, k, now)
-	l.window++
 	l.poke()
 	if !first {
 		l.runner.Metrics.count(fateBeaten)
--- a/internal/rollout/runner/live.go
+++ b/internal/rollout/runner/live.go
@@ -18,9 +18,8 @@
 // How a session looks for work.
 const (
 	workPeriod = 20 * time.Millisecond
-	// windowFirst is how many attempts a session begins with.
-	windowFirst = 16
-	windowLeast = 2
+	// holdTime is how long a session waits after there was no room.
+	holdTime = 40 * time.Millisecond
 )
 
 // live is an open session with its goroutines.
@@ -36,7 +35,7 @@
 	ready    chan struct{}
 	partials map[sample.Key]*sample.Recorder
 	begun    map[sample.Key]timer.Instant
-	window   float64
+	hold     timer.Instant
 	attempts uint64
 	isFenced bool
 	drainEnd sync.Once
@@ -57,7 +56,6 @@
 		ready:    make(chan struct{}),
 		partials: make(map[sample.Key]*sample.Recorder),
 		begun:    make(map[sample.Key]timer.Instant),
-		window:   windowFirst,
 	}
 }
 
@@ -106,33 +104,55 @@
 		})
 		l.notify()
 	}
+	if now < l.hold {
+		return
+	}
 	for {
 		work, ok := l.state.Next(l.limits(), now)
 		if !ok {
 			return
 		}
-		l.attempts++
-		id := l.attempts
-		l.runner.Tomb.Go(func() error {
-			l.attempt(work, id)
-			return nil
-		})
+		if !l.launch(work) {
+			l.state.Return(work)
+			l.hold = now.Add(holdTime)
+			return
+		}
+	}
+}
+
+// launch begins an attempt if there is room for it. The caller holds the lock.
+// Asking for room here, and not in the attempt, keeps what has no room in the
+// session's order instead of in a crowd of attempts that wait.
+func (l *live) launch(work session.Work) bool {
+	l.attempts++
+	a := &attempt{
+		live: l,
+		work: work,
+		rec:  l.resume(work),
+	}
+	a.task = l.task(work, a.rec)
+	trip, err := l.runner.Generator.Enter(a.task)
+	if err != nil {
+		return false
 	}
+	l.runner.Tomb.Go(func() error {
+		a.run(trip)
+		return nil
+	})
+	return true
 }
 
 // limits follows the configuration of the oldest open step's deployment.
 func (l *live) limits() session.Limits {
-	limits := session.Limits{
-		AtOnce: int(l.window),
-	}
 	d, err := l.runner.deployment(l.state.Deployment())
 	if err != nil {
-		return limits
+		return session.Limits{}
+	}
+	return session.Limits{
+		AtOnce:         d.Rounds.AtOnce,
+		SecondAttempts: d.Rounds.SecondAttempts,
+		RunAhead:       d.Staleness.MaxVersions,
 	}
-	limits.AtOnce = min(int(l.window), d.Rounds.AtOnce)
-	limits.SecondAttempts = d.Rounds.SecondAttempts
-	limits.RunAhead = d.Staleness.MaxVersions
-	return limits
 }
 
 // notify wakes waiting reads. The caller holds the lock.
--- a/internal/rollout/session/step.go
+++ b/internal/rollout/session/step.go
@@ -53,6 +53,9 @@
 	state    itemState
 	attempts int
 	started  timer.Instant
+	// tokens and first are the furthest attempt's count and its first moment.
+	tokens int
+	first  timer.Instant
 	// waits is when a failed item may be tried again.
 	waits    timer.Instant
 	finished Kept
@@ -62,6 +65,7 @@
 type Kept struct {
 	Raw    json.RawMessage
 	Oldest version.Version
+	Tokens int
 	// Begun is when its first token came, on this instance's clock.
 	Begun timer.Instant
 }
@@ -75,7 +79,7 @@
 	remaining map[string]int
 	submitted timer.Instant
 	dropAt    timer.Instant
-	took      []time.Duration
+	paces     []time.Duration
 }
 
 func (st *step) open() bool { return st.status.State == Running }
@@ -101,10 +105,10 @@
 	}
 }
 
-// median returns the median time of the step's finished samples.
+// median returns the median time per token of the step's finished samples.
 func (st *step) median() (time.Duration, bool) {
-	if len(st.took) < 3 {
+	if len(st.paces) < 3 {
 		return 0, false
 	}
-	return quickMedian(st.took), true
+	return quickMedian(st.paces), true
 }
--- a/internal/rollout/session/work.go
+++ b/internal/rollout/session/work.go
@@ -32,16 +32,21 @@
 	RunAhead uint64
 }
 
-// lateFactor is how much longer than the median an attempt must run before a
-// second one is made beside it.
-const lateFactor = 1.5
+// An attempt is late when it takes lateFactor times as long for its tokens as
+// the step's median, and lateTokens more. Comparing the time per token keeps
+// the budget for streams that are slow, not for those that are merely long.
+const (
+	lateFactor = 1.5
+	lateTokens = 16
+)
 
 // retryPause is how long a failed sample waits for its next attempt.
 const retryPause = 200 * time.Millisecond
 
-// Next returns the next attempt to make, if there is one: first what was not
-// begun, the oldest step first; then, while there is room, second attempts of
-// the last samples of a group.
+// Next returns the next attempt to make, if there is one. The oldest open step
+// goes first: what was not begun, then second attempts of the last samples of
+// a group. Only then is a later step worked ahead; a slow stream of the step
+// that the trainer waits for would otherwise stand back behind it.
 func (s *Session) Next(l Limits, now timer.Instant) (Work, bool) {
 	if s.running >= l.AtOnce {
 		return Work{}, false
@@ -60,11 +65,6 @@
 		if it := st.nextPending(now); it != nil {
 			return s.begin(it, now), true
 		}
-	}
-	for _, st := range s.order {
-		if !st.open() || st.overdue(now) {
-			continue
-		}
 		if it := st.late(l, now); it != nil {
 			st.status.SecondAttempts++
 			return s.begin(it, now), true
@@ -73,6 +73,18 @@
 	return Work{}, false
 }
 
+// Progress notes how many tokens the furthest attempt at a sample has.
+func (s *Session) Progress(key sample.Key, tokens int, now timer.Instant) {
+	it, ok := s.find(key)
+	if !ok || tokens <= it.tokens {
+		return
+	}
+	if it.tokens == 0 {
+		it.first = now
+	}
+	it.tokens = tokens
+}
+
 // nextPending returns the pending item to begin. Within one length, groups
 // with the fewest samples left come first, so that groups become whole early.
 func (st *step) nextPending(now timer.Instant) *item {
@@ -95,8 +107,8 @@
 	return best
 }
 
-// late returns a running item that holds up its group and is overdue by the
-// step's median, while the budget lasts.
+// late returns the running item that is slowest against the step's median,
+// while the budget lasts.
 func (st *step) late(l Limits, now timer.Instant) *item {
 	budget := int(l.SecondAttempts*float64(st.status.Samples) + 0.999)
 	if st.status.SecondAttempts >= budget {
@@ -107,25 +119,36 @@
 		return nil
 	}
 	var best *item
+	worst := lateFactor
 	for _, it := range st.order {
 		if it.state != running || it.attempts != 1 {
 			continue
 		}
-		if float64(now.Sub(it.started)) < lateFactor*float64(median) {
-			continue
-		}
-		if best == nil || st.remaining[it.key.Group] < st.remaining[best.key.Group] {
-			best = it
+		if by := it.lateness(median, now); by > worst {
+			best, worst = it, by
 		}
 	}
 	return best
 }
 
+// lateness is the time that an item took against what the median would have
+// taken. One without a token may still wait for a slot, which a second attempt
+// would only do again; it is late when it could have been finished by now.
+func (it *item) lateness(median time.Duration, now timer.Instant) float64 {
+	from, tokens := it.first, it.tokens+lateTokens
+	if it.tokens == 0 {
+		from, tokens = it.started, it.group.MaxTokens+lateTokens
+	}
+	due := median * time.Duration(tokens)
+	return float64(now.Sub(from)) / float64(max(1, due))
+}
+
 func (s *Session) begin(it *item, now timer.Instant) Work {
 	second := it.state == running
 	if !second {
 		it.started = now
 		it.attempts = 0
+		it.tokens = 0
 	}
 	it.state = running
 	it.attempts++
@@ -155,7 +178,7 @@
 	if !ok || it.state != running {
 		return false
 	}
-	it.step.took = append(it.step.took, now.Sub(it.started))
+	it.step.paces = append(it.step.paces, now.Sub(it.started)/time.Duration(max(1, k.Tokens)))
 	s.makeReady(it, k)
 	return true
 }
@@ -175,6 +198,21 @@
 	}
 }
 
+// Return takes back work that could not be begun, because there was no room.
+func (s *Session) Return(w Work) {
+	s.running--
+	it, ok := s.find(w.Key)
+	if !ok || it.state != running {
+		return
+	}
+	it.attempts--
+	if w.Second {
+		it.step.status.SecondAttempts--
+		return
+	}
+	it.state = pending
+}
+
 // Recover takes a finished sample that another instance kept. It reports
 // whether it was missing.
 func (s *Session) Recover(key sample.Key, k Kept) bool {
--- a/internal/rollout/stream/generator.go
+++ b/internal/rollout/stream/generator.go
@@ -52,8 +52,9 @@
 	Upstreams []string
 }
 
-// Run generates until the end of the stream. ctx carries the deadline.
-func (g *Generator) Run(ctx context.Context, task Task, emit func(engine.Token) error) (Finish, error) {
+// Enter lets a generation in, or refuses it at once. The trip is given to Run,
+// or closed.
+func (g *Generator) Enter(task Task) (*router.Trip, error) {
 	trip, err := g.Router.Enter(router.Job{
 		RequestID:  task.RequestID,
 		Caller:     task.Caller,
@@ -64,12 +65,17 @@
 		Staleness:  task.Staleness,
 	})
 	if err != nil {
-		return Finish{}, err
+		return nil, err
 	}
 	if trip.Set.Deployment.Kind != configuration.KindModel {
 		trip.Close(limit.Neutral)
-		return Finish{}, problem.UnknownDeployment.Withf("deployment %q is not a model", task.Deployment)
+		return nil, problem.UnknownDeployment.Withf("deployment %q is not a model", task.Deployment)
 	}
+	return trip, nil
+}
+
+// Run generates until the end of the stream. ctx carries the deadline.
+func (g *Generator) Run(ctx context.Context, trip *router.Trip, task Task, emit func(engine.Token) error) (Finish, error) {
 	r := &run{
 		g:     g,
 		trip:  trip,
--- a/internal/route/limit/gate.go
+++ b/internal/route/limit/gate.go
@@ -45,10 +45,12 @@
 func (g *gate) load() float64       { return math.Float64frombits(g.limit.Load()) }
 func (g *gate) store(limit float64) { g.limit.Store(math.Float64bits(limit)) }
 
-// begin sets the first limit: the instance's part of the capacity.
-func (g *gate) begin(capacity float64, instances int) {
+// begin sets the first limit. It is the whole capacity: one trainer's session
+// may rightly need all of it from its first moment, and where many instances
+// begin at once, the first refusals bring their limits down within a second.
+func (g *gate) begin(capacity float64) {
 	if g.load() == 0 {
-		g.store(max(floor, 2*capacity/float64(max(1, instances))))
+		g.store(max(floor, capacity))
 	}
 }
 
--- a/internal/route/limit/limit_test.go
+++ b/internal/route/limit/limit_test.go
@@ -20,7 +20,6 @@
 		Class:      class,
 		Weight:     1,
 		Capacity:   40,
-		Instances:  4,
 	}
 }
 
--- a/internal/route/limit/limiter.go
+++ b/internal/route/limit/limiter.go
@@ -28,8 +28,6 @@
 	Capacity float64
 	// Used is the share of the slots that is in use, as far as known.
 	Used float64
-	// Instances is by how many the capacity is shared at first.
-	Instances int
 }
 
 // Result says how an admitted request went.
@@ -57,7 +55,7 @@
 func (l *Limiter) Admit(a Ask) (*Pass, error) {
 	now := l.Timer.Now()
 	g := l.gate(a.Deployment)
-	g.begin(a.Capacity, a.Instances)
+	g.begin(a.Capacity)
 	s := g.caller(a.Caller, a.Weight, now)
 	limit := g.load()
 	n := float64(g.inFlight.Add(1))
--- a/internal/route/policy/policy.go
+++ b/internal/route/policy/policy.go
@@ -20,6 +20,8 @@
 	// if PreferNewest is set.
 	Newest       version.Version
 	PreferNewest bool
+	// Draws is how many upstreams are compared; less than two means two.
+	Draws int
 	// Tried are upstreams that this request was already sent to.
 	Tried [MaxTried]*upstream.Upstream
 }
--- a/internal/route/policy/prefix_affinity.go
+++ b/internal/route/policy/prefix_affinity.go
@@ -12,9 +12,13 @@
 const (
 	// affinitySteps is how many points of the ring are looked at.
 	affinitySteps = 4
-	// affinityBound is how much more load than a random other one an upstream
-	// may have and still keep its prefixes.
-	affinityBound = 0.25
+	// affinityBound is how much more load than the alternative an upstream may
+	// have and still keep its prefixes, unless it has a free slot. Reading a
+	// prompt again costs some tokens' time; waiting for a slot costs a whole
+	// generation's.
+	affinityBound = 0.13
+	// freeSlot is the score up to which a slot is free for the request.
+	freeSlot = 1
 )
 
 // Choose implements Policy.
@@ -23,7 +27,7 @@
 	if q.Key == 0 || other.Upstream == nil || other.Reason == ReasonLastHope {
 		return other
 	}
-	bound := max(1, q.score(other.Upstream)+affinityBound)
+	bound := max(freeSlot, q.score(other.Upstream)+affinityBound)
 	choice := other
 	choice.Reason = ReasonSpill
 	s.Walk(q.Key, affinitySteps, func(u *upstream.Upstream) bool {
--- a/internal/route/policy/two_choices.go
+++ b/internal/route/policy/two_choices.go
@@ -4,8 +4,9 @@
 
 func init() { registry.Add("two_choices", TwoChoices{}) }
 
-// TwoChoices draws two upstreams and takes the one with less estimated load. A
-// late report then misleads only those who happened to draw that upstream.
+// TwoChoices draws two upstreams, or a few more where the query says so, and
+// takes the one with the least estimated load. A late report then misleads
+// only those who happened to draw that upstream.
 type TwoChoices struct{}
 
 // Choose implements Policy.
@@ -14,8 +15,12 @@
 	if a == nil {
 		return lastHope(s, &q)
 	}
-	if b := draw(s, &q, next(q.Random^1), a); b != nil && q.score(b) < q.score(a) {
-		a = b
+	random := q.Random
+	for range max(2, q.Draws) - 1 {
+		random = next(random ^ 1)
+		if b := draw(s, &q, random, a); b != nil && q.score(b) < q.score(a) {
+			a = b
+		}
 	}
 	return Choice{
 		Upstream:   a,
--- a/internal/route/router/router.go
+++ b/internal/route/router/router.go
@@ -75,11 +75,11 @@
 
 // usage caches the capacity of a set, which takes a pass over all upstreams.
 type usage struct {
-	mu    sync.Mutex
-	at    timer.Instant
-	set   *upstream.Set
-	slots float64
-	used  float64
+	mu     sync.Mutex
+	at     timer.Instant
+	set    *upstream.Set
+	slots  float64
+	others float64
 }
 
 // usageAge is how old a cached capacity may be.
@@ -95,19 +95,22 @@
 	if set == nil {
 		return nil, problem.UnknownDeployment.Withf("no deployment %q", job.Deployment)
 	}
-	slots, used := r.capacity(job.Deployment, set)
+	slots, others := r.capacity(job.Deployment, set)
 	if slots == 0 {
 		return nil, r.refused(job, problem.NoUpstream.Withf("deployment %q has no usable upstream", job.Deployment).
 			WithRetryAfter(2*time.Second))
 	}
+	// Others' part is a moment old, but this instance's own is exact: a burst
+	// of work that is given out at once would otherwise see the same free
+	// slots again and again.
+	_, own := r.Limiter.Limit(job.Deployment)
 	pass, err := r.Limiter.Admit(limit.Ask{
 		Deployment: job.Deployment,
 		Caller:     job.Caller,
 		Class:      job.Class,
 		Weight:     max(job.Weight, 0.01),
 		Capacity:   slots * (1 + set.Deployment.QueueShare),
-		Used:       used,
-		Instances:  r.Members.ShareBase(),
+		Used:       (others + float64(own)) / slots,
 	})
 	if err != nil {
 		return nil, r.refused(job, err)
@@ -139,7 +142,7 @@
 	return err
 }
 
-func (r *Router) capacity(deployment string, set *upstream.Set) (slots, used float64) {
+func (r *Router) capacity(deployment string, set *upstream.Set) (slots, others float64) {
 	v, ok := r.usage.Load(deployment)
 	if !ok {
 		v, _ = r.usage.LoadOrStore(deployment, &usage{})
@@ -151,9 +154,9 @@
 	if c.set != set || now.Sub(c.at) > usageAge {
 		c.set = set
 		c.at = now
-		c.slots, c.used = set.Capacity(now)
+		c.slots, c.others = set.Capacity(now)
 	}
-	return c.slots, c.used
+	return c.slots, c.others
 }
 
 func (r *Router) budget(deployment string) *retry.Budget {
@@ -205,6 +208,7 @@
 		Key:    t.Job.Key,
 		Now:    t.router.Timer.Now(),
 		Tried:  t.tried,
+		Draws:  drawsOf(t.Job.Class),
 	}
 	if !t.Job.Staleness {
 		return q
@@ -223,6 +227,20 @@
 	return q
 }
 
+// drawsOf returns how many upstreams are compared for a request. A trainer's
+// samples all come from one instance, whose own counts are exact; comparing
+// more of them keeps long streams from piling up. Callers' requests come from
+// all instances, where more than two would draw a herd to a late report.
+func drawsOf(c limit.Class) int {
+	if c == limit.Training {
+		return trainingDraws
+	}
+	return 2
+}
+
+// trainingDraws is how many upstreams are compared for a sample.
+const trainingDraws = 5
+
 // MayRetry reports whether the retry budget allows another attempt, and takes
 // it from there.
 func (t *Trip) MayRetry() bool {
--- a/internal/route/upstream/set.go
+++ b/internal/route/upstream/set.go
@@ -145,27 +145,21 @@
 }
 
 // Capacity returns the requests that the usable upstreams serve at once, and
-// the share of it that is in use as far as this instance knows.
-func (s *Set) Capacity(now timer.Instant) (slots, used float64) {
+// how many of other instances they have as far as this one knows.
+func (s *Set) Capacity(now timer.Instant) (slots, others float64) {
 	for _, u := range s.Upstreams {
 		if !u.Usable(now) {
 			continue
 		}
-		n := float64(max(1, u.Slots))
-		if r, _, ok := u.Report(now); ok && r.Slots > 0 {
-			n = float64(r.Slots)
-		}
-		slots += n
-		others := 0.0
-		if h := u.report.Load(); h != nil {
-			others = max(0, float64(h.Running+h.Waiting)-float64(h.own))
+		slots += float64(max(1, u.Slots))
+		h := u.report.Load()
+		if h == nil {
+			continue
 		}
-		used += float64(u.InFlight()) + others
-	}
-	if slots == 0 {
-		return 0, 1
+		slots += float64(u.slots(h) - max(1, u.Slots))
+		others += u.others(h, now)
 	}
-	return slots, used / slots
+	return slots, others
 }
 
 // comparePaces rates each upstream's pace against the median.
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -38,6 +38,8 @@
 	Slots         int
 
 	inFlight atomic.Int64
+	peak     atomic.Int64
+	peakOld  atomic.Int64
 	leaving  atomic.Bool
 	report   atomic.Pointer[heard]
 	strikes  atomic.Int32
@@ -51,12 +53,21 @@
 // heard is a report with what was known when it came.
 type heard struct {
 	engine.Report
-	at  timer.Instant
+	at timer.Instant
+	// own is the most requests of this instance since the report before.
 	own int64
 }
 
 // Begin counts a request that is sent now.
-func (u *Upstream) Begin() { u.inFlight.Add(1) }
+func (u *Upstream) Begin() {
+	n := u.inFlight.Add(1)
+	for {
+		old := u.peak.Load()
+		if n <= old || u.peak.CompareAndSwap(old, n) {
+			return
+		}
+	}
+}
 
 // InFlight returns the requests of this instance at the upstream.
 func (u *Upstream) InFlight() int64 { return u.inFlight.Load() }
@@ -110,10 +121,12 @@
 
 // Heard takes a report that came now.
 func (u *Upstream) Heard(r engine.Report, now timer.Instant) {
+	// The peak is kept over two reports: a lag may reach back before the last.
+	recent := u.peak.Swap(u.inFlight.Load())
 	u.report.Store(&heard{
 		Report: r,
 		at:     now,
-		own:    u.inFlight.Load(),
+		own:    max(recent, u.peakOld.Swap(recent)),
 	})
 	if r.Leaving {
 		u.MarkLeaving()
@@ -148,10 +161,17 @@
 	if h == nil {
 		return (own + 1) / float64(max(1, u.Slots)) * u.handicap(now)
 	}
-	others := max(0, float64(h.Running+h.Waiting)-float64(h.own))
+	return (own + u.others(h, now) + 1) / float64(u.slots(h)) * u.handicap(now)
+}
+
+// others is the load of other instances that a report shows. The report is
+// behind by an unknown lag, so what this instance had there at any moment of
+// the last reports may be part of it. Without that, an instance that just
+// finished its requests takes them for somebody else's and holds back.
+func (u *Upstream) others(h *heard, now timer.Instant) float64 {
+	n := max(0, float64(h.Running+h.Waiting)-float64(h.own))
 	age := float64(now.Sub(h.at)) / float64(reportHalfLife)
-	others /= 1 + max(0, age)
-	return (own + others + 1) / float64(u.slots(h)) * u.handicap(now)
+	return n / (1 + max(0, age))
 }
 
 func (u *Upstream) slots(h *heard) int {
