rollout: end a stream at its first token when its weights are too old

Cause, from the ends of all attempts: a crashed engine comes back with old weights, and until its next report samples went there, were made to the end, found too old at the hand-over and made again when the rest of the step was done; the long ones then ended last (66 discarded).

Change: what a stream says of its version counts at once for all requests; a stream whose version is too old ends at its first token and goes to another engine; samples of later steps prefer engines whose version will still be young enough when they are read.

--- a/internal/fleet/version/board.go
+++ b/internal/fleet/version/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"sync/atomic"
 
 	"github.com/egretbend/egretbend/internal/fleet/gossip"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
@@ -18,6 +19,14 @@
 // one instance and spreads by gossip.
 type Board struct {
 	State *gossip.State
+
+	current atomic.Pointer[board]
+}
+
+// board is an immutable copy of what gossip tells, by deployment.
+type board struct {
+	changes uint64
+	newest  map[string]Published
 }
 
 // Publish makes v the newest version of a deployment. Publishing the newest
@@ -43,15 +52,29 @@
 	return problem.VersionBehind.Withf("version %v is behind the published %v", p.Version, newest.Version)
 }
 
-// Newest returns the newest published version of a deployment.
+// Newest returns the newest published version of a deployment. It is asked on
+// the path of each sample and takes no lock unless something was published.
 func (b *Board) Newest(deployment string) (Published, bool) {
-	e, ok := b.State.Find(gossip.KindWeights, deployment)
-	if !ok {
-		return Published{}, false
+	changes := b.State.Changes(gossip.KindWeights)
+	c := b.current.Load()
+	if c == nil || c.changes != changes {
+		c = b.read(changes)
+		b.current.Store(c)
+	}
+	p, ok := c.newest[deployment]
+	return p, ok
+}
+
+func (b *Board) read(changes uint64) *board {
+	c := &board{
+		changes: changes,
+		newest:  make(map[string]Published),
 	}
-	var p Published
-	if json.Unmarshal(e.Value, &p) != nil {
-		return Published{}, false
+	for _, e := range b.State.List(gossip.KindWeights) {
+		var p Published
+		if json.Unmarshal(e.Value, &p) == nil {
+			c.newest[e.Key] = p
+		}
 	}
-	return p, true
+	return c
 }
--- a/internal/kernel/journal/journal.go
+++ b/internal/kernel/journal/journal.go
@@ -108,6 +108,14 @@
 	j.log.WithFields(fields).Info(what)
 }
 
+// Detail writes one event at level debug.
+func (j *Journal) Detail(what string, fields log.Fields) {
+	if j == nil || j.log == nil || j.log.Logger.Level > log.DebugLevel {
+		return
+	}
+	j.log.WithFields(fields).Debug(what)
+}
+
 // Trouble writes one event that an operator may want to read the next day.
 func (j *Journal) Trouble(what string, err error, fields log.Fields) {
 	if j == nil || j.log == nil {
--- a/internal/rollout/runner/attempt.go
+++ b/internal/rollout/runner/attempt.go
@@ -45,6 +45,7 @@
 		Seed:       xxhash.Sum64String(work.Key.String()),
 		Resume:     rec.Texts,
 		Staleness:  true,
+		Lead:       work.Lead,
 	}
 }
 
@@ -62,9 +63,18 @@
 			"reason":     "slower_than_median",
 		})
 	}
+	started := l.runner.Timer.Now()
 	finish, err := l.runner.Generator.Run(ctx, trip, a.task, func(t engine.Token) error {
 		return l.token(a.work.Key, a.rec, t)
 	})
+	l.runner.Journal.Detail("attempt_end", log.Fields{
+		"request_id": a.task.RequestID,
+		"tokens":     len(a.rec.Texts),
+		"resumed":    len(a.task.Resume),
+		"attempts":   trip.Attempts(),
+		"took":       l.runner.Timer.Now().Sub(started).String(),
+		"error":      fmt.Sprint(err),
+	})
 	if err != nil {
 		l.failed(a.work.Key, err)
 		return
--- a/internal/rollout/session/work.go
+++ b/internal/rollout/session/work.go
@@ -18,6 +18,8 @@
 	Attempt int
 	// Second is set when another attempt of the sample is still running.
 	Second bool
+	// Lead is how many steps are open before this one.
+	Lead uint64
 }
 
 // Limits bound what Next gives out.
@@ -62,12 +64,13 @@
 		if st.spec.Step > oldest+l.RunAhead {
 			break
 		}
+		lead := st.spec.Step - oldest
 		if it := st.nextPending(now); it != nil {
-			return s.begin(it, now), true
+			return s.begin(it, lead, now), true
 		}
 		if it := st.late(l, now); it != nil {
 			st.status.SecondAttempts++
-			return s.begin(it, now), true
+			return s.begin(it, lead, now), true
 		}
 	}
 	return Work{}, false
@@ -143,7 +146,7 @@
 	return float64(now.Sub(from)) / float64(max(1, due))
 }
 
-func (s *Session) begin(it *item, now timer.Instant) Work {
+func (s *Session) begin(it *item, lead uint64, now timer.Instant) Work {
 	second := it.state == running
 	if !second {
 		it.started = now
@@ -160,6 +163,7 @@
 		MaxTokens:  it.group.MaxTokens,
 		Attempt:    it.attempts,
 		Second:     second,
+		Lead:       lead,
 	}
 }
 
--- a/internal/rollout/stream/generator.go
+++ b/internal/rollout/stream/generator.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/platform/engine"
@@ -42,6 +43,9 @@
 	Resume []string
 	// Staleness applies the deployment's bound on weight versions.
 	Staleness bool
+	// Lead is how many versions are expected to be published until the result
+	// is handed over.
+	Lead uint64
 	// Avoid is the upstream of an attempt that runs beside this one, or empty.
 	Avoid string
 }
@@ -63,6 +67,7 @@
 		Deployment: task.Deployment,
 		Key:        prefixKey(task.Prompt),
 		Staleness:  task.Staleness,
+		Lead:       task.Lead,
 	})
 	if err != nil {
 		return nil, err
@@ -105,6 +110,8 @@
 	pushed bool
 	began  bool
 	where  []string
+	// version is that of the last token.
+	version version.Version
 }
 
 func (r *run) attempts(ctx context.Context) (Finish, error) {
@@ -126,12 +133,22 @@
 			}, nil
 		}
 		last = err
+		if errors.Is(err, errStale) {
+			continue
+		}
 		if ctx.Err() != nil || errors.Is(err, errConsumer) || !r.trip.MayRetry() {
 			return Finish{}, r.final(nil, last)
 		}
 	}
 }
 
+// errStale ends an attempt at the first token of a version that is too old to
+// be handed over. It comes from an engine that restarted with old weights; to
+// learn of that only from its next report, or at the hand-over, would waste
+// the whole stream and have the sample made again when its step is nearly
+// whole. It costs no retry: nothing was done yet.
+var errStale = errors.New("the engine's weights are too old")
+
 // errConsumer wraps an error of the consumer of the tokens. It is no fault of
 // the engine and no reason to try another.
 var errConsumer = errors.New("the consumer of the stream failed")
@@ -140,6 +157,7 @@
 func (r *run) once(ctx context.Context, u *upstream.Upstream) (string, error) {
 	started := r.g.Timer.Now()
 	before := len(r.texts)
+	r.version = version.Version{}
 	r.where = append(r.where, u.ID)
 	finish, err := r.g.Engine.Generate(ctx, u.Address, engine.Request{
 		ID:        r.task.RequestID,
@@ -150,7 +168,7 @@
 		Seed:      r.task.Seed,
 		Priority:  r.task.Class.EnginePriority(),
 		Resume:    r.texts,
-	}, r.take)
+	}, func(t engine.Token) error { return r.take(u, t) })
 	now := r.g.Timer.Now()
 	tokens := len(r.texts) - before
 	if finish.Report != nil {
@@ -160,7 +178,14 @@
 	return finish.Reason, err
 }
 
-func (r *run) take(t engine.Token) error {
+func (r *run) take(u *upstream.Upstream, t engine.Token) error {
+	if t.Version != r.version || t.Index == 0 {
+		r.version = t.Version
+		u.SawVersion(t.Version)
+		if _, oldest, ok := r.trip.Bound(0); ok && t.Version.Less(oldest) {
+			return errStale
+		}
+	}
 	if err := r.emit(t); err != nil {
 		return errors.Join(errConsumer, err)
 	}
@@ -178,7 +203,7 @@
 	case errors.As(err, &refused):
 		r.pushed = true
 		u.Ended()
-	case ctx.Err() != nil, errors.Is(err, errConsumer):
+	case ctx.Err() != nil, errors.Is(err, errConsumer), errors.Is(err, errStale):
 		u.Ended()
 	default:
 		if !errors.Is(err, engine.ErrNotSent) {
--- a/internal/route/policy/policy.go
+++ b/internal/route/policy/policy.go
@@ -84,8 +84,8 @@
 	if q.Oldest.Zero() {
 		return true
 	}
-	r, _, ok := u.Report(q.Now)
-	return !ok || !r.Version.Less(q.Oldest)
+	v, ok := u.Version()
+	return !ok || !v.Less(q.Oldest)
 }
 
 // score is the load that the query sees; lower is better.
@@ -94,7 +94,7 @@
 	if !q.PreferNewest || q.Newest.Zero() {
 		return load
 	}
-	if r, _, ok := u.Report(q.Now); ok && r.Version.Less(q.Newest) {
+	if v, ok := u.Version(); ok && v.Less(q.Newest) {
 		return load + 0.5
 	}
 	return load
--- a/internal/route/router/router.go
+++ b/internal/route/router/router.go
@@ -71,6 +71,9 @@
 	Key uint64
 	// Staleness applies the deployment's bound on weight versions.
 	Staleness bool
+	// Lead is how many versions are expected to be published until the result
+	// is handed over.
+	Lead uint64
 }
 
 // usage caches the capacity of a set, which takes a pass over all upstreams.
@@ -189,8 +192,13 @@
 		return nil, problem.NoUpstream.Withf("all %d attempts of request %s are used", t.n, t.Job.RequestID).
 			WithRetryAfter(time.Second)
 	}
-	q := t.query()
-	choice := t.policy.Choose(t.Set, q)
+	choice := t.policy.Choose(t.Set, t.query(t.Job.Lead))
+	if choice.Upstream == nil && t.Job.Lead > 0 {
+		// While versions move on, no engine may have one that will still be
+		// young enough at the hand-over. One that is young enough now is
+		// better than none.
+		choice = t.policy.Choose(t.Set, t.query(0))
+	}
 	t.router.logChoice(t, choice)
 	if choice.Upstream == nil {
 		return nil, problem.NoUpstream.Withf("none of %d upstreams of %q can be used", choice.Candidates, t.Job.Deployment).
@@ -202,7 +210,7 @@
 	return choice.Upstream, nil
 }
 
-func (t *Trip) query() policy.Query {
+func (t *Trip) query(lead uint64) policy.Query {
 	q := policy.Query{
 		Random: rand.Uint64(),
 		Key:    t.Job.Key,
@@ -213,20 +221,29 @@
 	if !t.Job.Staleness {
 		return q
 	}
-	newest, ok := t.router.Board.Newest(t.Job.Deployment)
+	newest, oldest, ok := t.Bound(lead)
 	if !ok {
 		return q
 	}
-	bound := t.Set.Deployment.Staleness.MaxVersions
-	q.Newest = newest.Version
+	q.Newest = newest
+	q.Oldest = oldest
 	q.PreferNewest = t.Set.Deployment.Rounds.Weighting == configuration.WeightStaleness
-	q.Oldest = version.Version{
-		Epoch:  newest.Version.Epoch,
-		Number: newest.Version.Number - min(bound, newest.Version.Number),
-	}
 	return q
 }
 
+// Bound returns the newest published version, and the oldest one whose results
+// are young enough after lead more versions.
+func (t *Trip) Bound(lead uint64) (newest, oldest version.Version, ok bool) {
+	p, ok := t.router.Board.Newest(t.Job.Deployment)
+	if !ok || !t.Job.Staleness {
+		return version.Version{}, version.Version{}, false
+	}
+	bound := t.Set.Deployment.Staleness.MaxVersions
+	oldest = p.Version
+	oldest.Number -= min(bound-min(lead, bound), oldest.Number)
+	return p.Version, oldest, true
+}
+
 // drawsOf returns how many upstreams are compared for a request. A trainer's
 // samples all come from one instance, whose own counts are exact; comparing
 // more of them keeps long streams from piling up. Callers' requests come from
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/platform/engine"
 )
@@ -18,9 +19,9 @@
 	ejectMost  = 30 * time.Second
 	// SlowStart is how long an upstream that is new or comes back takes to
 	// get its full share.
-	SlowStart = 8 * time.Second
+	SlowStart = 3 * time.Second
 	// slowStartFloor is the share it begins with.
-	slowStartFloor = 0.1
+	slowStartFloor = 0.25
 	// reportHalfLife is the age at which a report counts for half.
 	reportHalfLife = 2 * time.Second
 	// paceWeight is the weight of one new measurement of pace.
@@ -42,6 +43,7 @@
 	peakOld  atomic.Int64
 	leaving  atomic.Bool
 	report   atomic.Pointer[heard]
+	version  atomic.Pointer[version.Version]
 	strikes  atomic.Int32
 	ejects   atomic.Int32
 	outUntil atomic.Int64
@@ -128,11 +130,30 @@
 		at:     now,
 		own:    max(recent, u.peakOld.Swap(recent)),
 	})
+	u.SawVersion(r.Version)
 	if r.Leaving {
 		u.MarkLeaving()
 	}
 }
 
+// SawVersion notes the weight version that the upstream named just now, in a
+// report or in a stream. A stream tells first when an engine has restarted
+// with old weights.
+func (u *Upstream) SawVersion(v version.Version) {
+	if old := u.version.Load(); old == nil || *old != v {
+		u.version.Store(&v)
+	}
+}
+
+// Version returns the weight version that the upstream named last, if any.
+func (u *Upstream) Version() (version.Version, bool) {
+	v := u.version.Load()
+	if v == nil {
+		return version.Version{}, false
+	}
+	return *v, true
+}
+
 // Report returns the last report and its age.
 func (u *Upstream) Report(now timer.Instant) (engine.Report, time.Duration, bool) {
 	h := u.report.Load()
