placement: order a published version at once

Question: how long from the publishing of a version until the last of 10 engines has it (examples/experiments/weights.json, run ahead 1, 20 s)?

Cause: orders were planned four times a second, so that a fetch of 60 ms and two waves of switches took three such rounds. Change: a round follows at once after a version was published or an order ended; engines that have what is wanted are asked again only now and then, under a bound for each holder.

--- a/internal/fleet/placement/orderer.go
+++ b/internal/fleet/placement/orderer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -24,7 +25,13 @@
 
 // How orders are given.
 const (
+	// orderPeriod is the time between two looks for something to do, and
+	// wakePeriod the one between two looks whether something changed.
 	orderPeriod = 250 * time.Millisecond
+	wakePeriod  = 25 * time.Millisecond
+	// looksPerSecond bounds the reports that a holder asks for while its
+	// engines have what is wanted; it looks only for those that restarted.
+	looksPerSecond = 16
 	// candidates is how many instances try for the lease of a shard, which
 	// bounds the calls to the key-value service.
 	candidates = 3
@@ -32,6 +39,8 @@
 	fetchTimeout  = 60 * time.Second
 	switchTimeout = 10 * time.Second
 	reportTimeout = time.Second
+	// failPause is how long an engine is left alone after a failed order.
+	failPause = 500 * time.Millisecond
 	// switchShare is the share of a shard's engines that switch at once.
 	switchShare = 0.5
 	// outageGrace is how long a shard must be without a holder that this
@@ -58,6 +67,8 @@
 	answered timer.Instant
 	asked    timer.Instant
 	down     bool
+	// ended counts orders that ended.
+	ended atomic.Uint64
 }
 
 // shard is one shard of a deployment's engines.
@@ -70,18 +81,33 @@
 	mu       sync.Mutex
 	underWay map[string]engine.Action
 	fence    uint64
+	// looked is what engines said last, and when.
+	looked map[string]look
+}
+
+// look is an engine's word of a moment.
+type look struct {
+	engine Engine
+	at     timer.Instant
 }
 
 func shardKey(deployment string, index int) string {
 	return fmt.Sprintf("egretbend/lease/%s/%d", deployment, index)
 }
 
-// Run gives orders until t dies.
+// Run gives orders until t dies: at once after a version was published or an
+// order ended, and from time to time for engines that restarted.
 func (o *Orderer) Run(t *tomb.Tomb) error {
-	tick := o.Timer.Every(orderPeriod)
+	tick := o.Timer.Every(wakePeriod)
 	defer tick.Close()
+	var last timer.Instant
+	var seen uint64
 	for {
-		if doc := o.Holder.Current(); doc != nil {
+		now := o.Timer.Now()
+		news := o.Board.Changes() + o.ended.Load()
+		if doc := o.Holder.Current(); doc != nil && (news != seen || now.Sub(last) >= orderPeriod) {
+			seen = news
+			last = now
 			o.round(t, doc.Parsed())
 		}
 		select {
@@ -123,6 +149,7 @@
 		index:      index,
 		of:         d.Shards,
 		underWay:   make(map[string]engine.Action),
+		looked:     make(map[string]look),
 		lease: &lease.Holder{
 			Store:     o.Store,
 			Timer:     o.Timer,
@@ -158,7 +185,7 @@
 		return
 	}
 	s.fence = number
-	engines := o.look(t, d, s)
+	engines := o.look(t, d, s, newest.Version)
 	limits := Limits{
 		Fetches:  max(1, d.FetchesAtOnce/d.Shards),
 		Switches: max(1, int(switchShare*float64(len(engines)))),
@@ -214,36 +241,60 @@
 }
 
 // look asks the shard's engines what they have. An order is given only on the
-// engine's own word of this moment.
-func (o *Orderer) look(t *tomb.Tomb, d configuration.Deployment, s *shard) []Engine {
+// engine's own word of this moment; one that had the wanted version a moment
+// ago is not asked again at once.
+func (o *Orderer) look(t *tomb.Tomb, d configuration.Deployment, s *shard, wanted version.Version) []Engine {
+	now := o.Timer.Now()
+	var mine []roster.Instance
+	for _, in := range o.Listing.List() {
+		if in.Group == d.Group && !in.Leaving && s.owns(in) {
+			mine = append(mine, in)
+		}
+	}
+	rest := time.Duration(len(mine)) * time.Second / looksPerSecond
 	var mu sync.Mutex
-	var engines []Engine
 	var wg sync.WaitGroup
-	for _, in := range o.Listing.List() {
-		if in.Group != d.Group || in.Leaving || s.underWay[in.ID] != "" || !s.owns(in) {
+	for _, in := range mine {
+		old, known := s.looked[in.ID]
+		quiet := known && !old.engine.Version.Less(wanted) && now.Sub(old.at) < rest
+		if s.underWay[in.ID] != "" || quiet {
 			continue
 		}
 		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(t.Context(context.Background()), reportTimeout)
-			defer cancel()
-			report, err := o.Engine.Report(ctx, in.Address)
-			if err != nil {
-				return
-			}
+			e, ok := o.ask(t, in)
 			mu.Lock()
 			defer mu.Unlock()
-			engines = append(engines, Engine{
-				ID:      in.ID,
-				Address: in.Address,
-				Version: report.Version,
-				Fetched: report.Fetched,
-			})
+			delete(s.looked, in.ID)
+			if ok {
+				s.looked[in.ID] = look{
+					engine: e,
+					at:     now,
+				}
+			}
 		})
 	}
 	wg.Wait()
+	engines := make([]Engine, 0, len(mine))
+	for _, in := range mine {
+		if l, ok := s.looked[in.ID]; ok {
+			engines = append(engines, l.engine)
+		}
+	}
 	return engines
 }
 
+func (o *Orderer) ask(t *tomb.Tomb, in roster.Instance) (Engine, bool) {
+	ctx, cancel := context.WithTimeout(t.Context(context.Background()), reportTimeout)
+	defer cancel()
+	report, err := o.Engine.Report(ctx, in.Address)
+	return Engine{
+		ID:      in.ID,
+		Address: in.Address,
+		Version: report.Version,
+		Fetched: report.Fetched,
+	}, err == nil
+}
+
 func (s *shard) owns(in roster.Instance) bool {
 	return member.Score("shard", in.ID)%uint64(s.of) == uint64(s.index)
 }
@@ -257,6 +308,7 @@
 		s.mu.Lock()
 		delete(s.underWay, order.Engine.ID)
 		s.mu.Unlock()
+		o.ended.Add(1)
 	}()
 	timeout := switchTimeout
 	if order.Action == engine.ActionFetch {
@@ -280,7 +332,7 @@
 	}
 	if err != nil {
 		o.Journal.Trouble("order_failed", err, fields)
-		timer.Wait(o.Timer, time.Second, t.Dying())
+		timer.Wait(o.Timer, failPause, t.Dying())
 		return
 	}
 	o.Journal.Decision("order", fields)
--- a/internal/fleet/version/board.go
+++ b/internal/fleet/version/board.go
@@ -52,10 +52,13 @@
 	return problem.VersionBehind.Withf("version %v is behind the published %v", p.Version, newest.Version)
 }
 
+// Changes counts what was published, in the whole fleet.
+func (b *Board) Changes() uint64 { return b.State.Changes(gossip.KindWeights) }
+
 // Newest returns the newest published version of a deployment. It is asked on
 // the path of each sample and takes no lock unless something was published.
 func (b *Board) Newest(deployment string) (Published, bool) {
-	changes := b.State.Changes(gossip.KindWeights)
+	changes := b.Changes()
 	c := b.current.Load()
 	if c == nil || c.changes != changes {
 		c = b.read(changes)
--- a/internal/load/experiment/experiment.go
+++ b/internal/load/experiment/experiment.go
@@ -66,6 +66,12 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { f.RunEvents(ctx) })
+	w := &swaps{
+		timer: x.Timer,
+	}
+	if len(x.Scenario.Trainers) > 0 {
+		wg.Go(func() { w.watch(ctx, f) })
+	}
 	var mu sync.Mutex
 	loads := make([]*orders.Load, len(x.Scenario.Orders))
 	results := make([]orders.Result, len(x.Scenario.Orders))
@@ -79,6 +85,7 @@
 	}
 	for _, s := range x.Scenario.Trainers {
 		t := x.trainer(f, s, v)
+		t.Published = w.published
 		wg.Go(func() {
 			r := t.Run(ctx)
 			mu.Lock()
@@ -87,6 +94,7 @@
 		})
 	}
 	wg.Wait()
+	report.SwapP50, report.SwapMax = w.report()
 	runs := x.runs(f)
 	for i, l := range loads {
 		report.addOrders(results[i], l.Check(runs))
--- a/internal/load/experiment/report.go
+++ b/internal/load/experiment/report.go
@@ -36,6 +36,10 @@
 	StalenessP50   uint64  `json:"staleness_p50_versions"`
 	StalenessMax   uint64  `json:"staleness_max_versions"`
 
+	// SwapP50 and SwapMax are the seconds from the publishing of a version
+	// until the last engine has it or a later one.
+	SwapP50        float64 `json:"swap_seconds_p50"`
+	SwapMax        float64 `json:"swap_seconds_max"`
 	TokensMade     int64   `json:"tokens_made"`
 	CacheHitShare  float64 `json:"cache_hit_share"`
 	KeyValueCalls  float64 `json:"key_value_calls_per_second"`
@@ -122,6 +126,7 @@
 			fmt.Fprintf(w, "    %s\n", f)
 		}
 	}
+	fmt.Fprintf(w, "  weights on the last engine after p50 %.2f s max %.2f s\n", r.SwapP50, r.SwapMax)
 	fmt.Fprintf(w, "  tokens made %d, cache hits %.0f%%, key-value calls %.1f/s writes %.1f/s\n",
 		r.TokensMade, 100*r.CacheHitShare, r.KeyValueCalls, r.KeyValueWrites)
 	for _, wrong := range r.Wrong() {
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -33,6 +33,8 @@
 	Timer     timer.Service
 	// MaxVersions is the bound that samples are checked against.
 	MaxVersions uint64
+	// Published is told of each version that was published; nil tells nobody.
+	Published func(v version.Version)
 	// Key is the bearer token of the trainers' doors, or empty.
 	Key string
 
@@ -281,6 +283,9 @@
 		}
 		// Several trainers may share a model in a test; the newest one counts.
 		if err == nil || problem.Is(err, problem.VersionBehind) {
+			if t.Published != nil {
+				t.Published(t.version)
+			}
 			return
 		}
 		t.Addresses.Failed(address)
