--- a/internal/load/experiment/experiment.go
+++ b/internal/load/experiment/experiment.go
@@ -51,7 +51,9 @@
 		Seconds:  x.Scenario.Seconds,
 	}
 	before := readStats[keyvalue.Stats](f.Find("keyvalue"))
+	metrics, started := readAll(f), x.Timer.Now()
 	x.load(ctx, f, v, report)
+	report.Cost = costs(metrics, readAll(f), x.Timer.Now().Sub(started).Seconds())
 	report.addKeyValue(before, readStats[keyvalue.Stats](f.Find("keyvalue")))
 	x.addEngines(f, report)
 	for _, err := range f.Drain() {
@@ -66,6 +68,8 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { f.RunEvents(ctx) })
+	// A run without load still lasts its time, to measure a quiet fleet.
+	wg.Go(func() { <-ctx.Done() })
 	w := &swaps{
 		timer: x.Timer,
 	}
--- a/internal/load/experiment/report.go
+++ b/internal/load/experiment/report.go
@@ -45,6 +45,7 @@
 	KeyValueCalls  float64 `json:"key_value_calls_per_second"`
 	KeyValueWrites float64 `json:"key_value_writes_per_second"`
 
+	Cost         Cost             `json:"cost"`
 	UncleanStops []string         `json:"unclean_stops,omitempty"`
 	Orders       []orders.Result  `json:"orders"`
 	Trainers     []trainer.Result `json:"trainers"`
@@ -129,6 +130,9 @@
 	fmt.Fprintf(w, "  weights on the last engine after p50 %.2f s max %.2f s\n", r.SwapP50, r.SwapMax)
 	fmt.Fprintf(w, "  tokens made %d, cache hits %.0f%%, key-value calls %.1f/s writes %.1f/s\n",
 		r.TokensMade, 100*r.CacheHitShare, r.KeyValueCalls, r.KeyValueWrites)
+	fmt.Fprintf(w, "  an instance: cpu %.2f%% (most %.2f%%) resident %.1f MB (most %.1f) heap %.1f MB peers %.1f kB/s (most %.1f)\n",
+		100*r.Cost.CPUShare, 100*r.Cost.CPUShareMax, r.Cost.ResidentMB, r.Cost.ResidentMax, r.Cost.HeapMB,
+		r.Cost.BytesPerSecond/1000, r.Cost.BytesPerSecondMax/1000)
 	for _, wrong := range r.Wrong() {
 		fmt.Fprintf(w, "  WRONG: %s\n", wrong)
 	}
--- a/internal/load/fleet/fleet.go
+++ b/internal/load/fleet/fleet.go
@@ -20,7 +20,7 @@
 
 // Times of starting and stopping.
 const (
-	readyTime   = 30 * time.Second
+	readyTime   = 60 * time.Second
 	readyPeriod = 100 * time.Millisecond
 	stopTime    = 90 * time.Second
 )
