--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,11 @@
 bench:
 	go test -run='^$$' -bench=. -benchmem ./...
 
-# generate writes the files that are derived from the code.
+# generate writes the files that are derived from the code and from answers.
+# The tests check that they are up to date.
 generate: build
 	bin/egretbend schema settings > docs/settings.schema.json
 	bin/egretbend schema config > docs/configuration.schema.json
+	bin/egretbend schema answers > docs/answers.schema.json
+	bin/egretbend generate --answers examples/verhaeghe/answers.json --out examples/verhaeghe/configuration.json
+	bin/egretbend generate --answers examples/labelpoint/answers.json --out examples/labelpoint/configuration.json
--- a/internal/entry/command/check.go
+++ b/internal/entry/command/check.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/questionnaire"
 	"github.com/egretbend/egretbend/internal/kernel/setting"
 )
 
@@ -51,19 +52,35 @@
 	return data, err
 }
 
+// schemas are the file formats by name.
+var schemas = map[string]struct {
+	title string
+	value any
+}{
+	"settings": {
+		title: "egretbend instance settings",
+		value: setting.Instance{},
+	},
+	"config": {
+		title: "egretbend configuration",
+		value: configuration.Configuration{},
+	},
+	"answers": {
+		title: "egretbend questionnaire answers",
+		value: questionnaire.Answers{},
+	},
+}
+
 func (a *app) schemaCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:       "schema {settings|config}",
+		Use:       "schema {settings|config|answers}",
 		Short:     "Print the JSON schema of a file format",
 		Example:   "  egretbend schema config",
 		Args:      cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs),
-		ValidArgs: []string{"settings", "config"},
+		ValidArgs: []string{"settings", "config", "answers"},
 		RunE: func(_ *cobra.Command, args []string) error {
-			title, v := "egretbend instance settings", any(setting.Instance{})
-			if args[0] == "config" {
-				title, v = "egretbend configuration", configuration.Configuration{}
-			}
-			b, err := setting.Schema(title, v)
+			format := schemas[args[0]]
+			b, err := setting.Schema(format.title, format.value)
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/internal/entry/command/command_test.go
@@ -0,0 +1,93 @@
+package command
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// run runs the command line and returns its exit code and what it printed.
+func run(args ...string) (int, string, string) {
+	var out, errOut bytes.Buffer
+	code := Main(args, &out, &errOut)
+	return code, out.String(), errOut.String()
+}
+
+// A field was added to a format and the published schema was not made again.
+// An operator's editor would mark a right file as wrong.
+func TestPublishedSchemasAreUpToDate(t *testing.T) {
+	for name, file := range map[string]string{
+		"settings": "settings.schema.json",
+		"config":   "configuration.schema.json",
+		"answers":  "answers.schema.json",
+	} {
+		is := is.New(t)
+		want, err := os.ReadFile(filepath.Join("../../../docs", file))
+		is.NoErr(err)
+		code, out, _ := run("schema", name)
+		is.Equal(code, ExitDone)
+		is.Equal(out, string(want)) // run `make generate`
+	}
+}
+
+// A settings file has several mistakes at once. An operator would have to start
+// an instance again and again to find them one by one.
+func TestAllMistakesOfAFileAreNamedAtOnce(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	is.NoErr(os.WriteFile(path, []byte(`{"name": 7, "listn": "x", "region": "r", "failure_domain": "f",
+		"listen": "127.0.0.1:1", "peer_listen": "127.0.0.1:2", "key_value": {"address": "127.0.0.1:3", "adaptor": "http"},
+		"log_level": "loud"}`), 0o600))
+	for _, args := range [][]string{{"check", "--settings", path}, {"serve", "--settings", path}} {
+		code, _, errOut := run(args...)
+		is.Equal(code, ExitInput)
+		for _, want := range []string{"name: expected a string", "listn: expected no such field", "key_value.adaptor", "log_level", "roster: expected an object, got nothing; add the field"} {
+			if !strings.Contains(errOut, want) {
+				t.Errorf("%q is not named in:\n%s", want, errOut)
+			}
+		}
+	}
+}
+
+// An instance is told to listen on an open network without a certificate.
+// Anyone there could read prompts and change the configuration.
+func TestOpenNetworkNeedsCertificateOrPlainWord(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	file := func(security string) {
+		is.NoErr(os.WriteFile(path, []byte(`{"name": "a", "region": "r", "failure_domain": "f", "listen": "10.0.0.1:1",
+			"peer_listen": "127.0.0.1:2", "key_value": {"address": "127.0.0.1:3"}, "roster": {"address": "127.0.0.1:4"},
+			"security": {`+security+`}}`), 0o600))
+	}
+	file("")
+	code, _, errOut := run("check", "--settings", path)
+	is.Equal(code, ExitInput)
+	is.True(strings.Contains(errOut, "plain_text"))
+	file(`"plain_text": true`)
+	code, _, _ = run("check", "--settings", path)
+	is.Equal(code, ExitDone)
+}
+
+// The examples' configurations are what a new team starts from.
+func TestExamplesAreValid(t *testing.T) {
+	is := is.New(t)
+	for _, team := range []string{"verhaeghe", "labelpoint"} {
+		code, _, errOut := run("check", "--config", filepath.Join("../../../examples", team, "configuration.json"))
+		is.Equal(errOut, "")
+		is.Equal(code, ExitDone)
+	}
+}
+
+// No instance runs. A change that was sent to nobody is no change of unknown
+// outcome.
+func TestPutWithoutInstanceFailsAtOnce(t *testing.T) {
+	is := is.New(t)
+	code, _, errOut := run("config", "put", "--address", "127.0.0.1:1", "--revision", "0", "--operator", "an",
+		"--file", "../../../examples/verhaeghe/configuration.json")
+	is.Equal(code, ExitFailed)
+	is.True(strings.Contains(errOut, "try another one"))
+}
--- /dev/null
+++ b/internal/entry/command/generate.go
@@ -0,0 +1,95 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/egretbend/egretbend/internal/fleet/questionnaire"
+)
+
+const fileMode = 0o644
+
+func (a *app) generateCommand() *cobra.Command {
+	var answers, out, save string
+	cmd := &cobra.Command{
+		Use:   "generate",
+		Short: "Generate a configuration from a team's answers",
+		Long: "Ask about workloads, priorities and tolerances in the terminal, or take a saved answers\n" +
+			"file, and print the configuration that follows. The same answers always give the same\n" +
+			"configuration; `egretbend explain` says which value follows from which answer.",
+		Example: "  egretbend generate --save answers.json --out configuration.json\n" +
+			"  egretbend generate --answers examples/verhaeghe/answers.json",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			given, err := a.answers(cmd, answers, save)
+			if err != nil {
+				return err
+			}
+			data, _, err := questionnaire.Generate(given)
+			if err != nil {
+				return err
+			}
+			if out != "" {
+				return os.WriteFile(out, data, fileMode)
+			}
+			_, err = a.out.Write(data)
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&answers, "answers", "", "saved answers; nothing is asked then")
+	cmd.Flags().StringVar(&out, "out", "", "file for the configuration; empty prints it")
+	cmd.Flags().StringVar(&save, "save", "", "file for the answers that were asked for")
+	return cmd
+}
+
+// answers reads saved answers or asks for them.
+func (a *app) answers(cmd *cobra.Command, path, save string) (*questionnaire.Answers, error) {
+	if path != "" {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w; check the path", errInput, err)
+		}
+		return questionnaire.Parse(data)
+	}
+	v := &questionnaire.Interview{
+		In:  cmd.InOrStdin(),
+		Out: a.err,
+	}
+	given, err := v.Run()
+	if save != "" {
+		data, jsonErr := v.Given()
+		err = errors.Join(err, jsonErr, os.WriteFile(save, append(data, '\n'), fileMode))
+	}
+	return given, err
+}
+
+func (a *app) explainCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:     "explain",
+		Short:   "Say which generated value follows from which answer",
+		Example: "  egretbend explain --answers examples/labelpoint/answers.json",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			given, err := a.answers(cmd, path, "")
+			if err != nil {
+				return err
+			}
+			_, reasons, err := questionnaire.Generate(given)
+			if err != nil {
+				return err
+			}
+			if a.json {
+				return a.printJSON(reasons)
+			}
+			for _, r := range reasons {
+				fmt.Fprintf(a.out, "%-40s = %-16s from %s: %s\n", r.Path, r.Value, r.Answer, r.Why)
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&path, "answers", "", "saved answers")
+	_ = cmd.MarkFlagRequired("answers")
+	return cmd
+}
--- a/internal/entry/command/root.go
+++ b/internal/entry/command/root.go
@@ -88,6 +88,8 @@
 		a.serveCommand(),
 		a.checkCommand(),
 		a.schemaCommand(),
+		a.generateCommand(),
+		a.explainCommand(),
 		a.addressesCommand(),
 		a.configCommand(),
 		a.statusCommand(),
--- /dev/null
+++ b/internal/fleet/questionnaire/questionnaire_test.go
@@ -0,0 +1,85 @@
+package questionnaire_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/questionnaire"
+)
+
+const examples = "../../../examples"
+
+// The configuration of an example was edited by hand, or the generator changed
+// without it. A new team would copy a configuration that its answers don't give.
+func TestExamplesFollowFromTheirAnswers(t *testing.T) {
+	for _, team := range []string{"verhaeghe", "labelpoint"} {
+		t.Run(team, func(t *testing.T) {
+			is := is.New(t)
+			data, err := os.ReadFile(filepath.Join(examples, team, "answers.json"))
+			is.NoErr(err)
+			a, err := questionnaire.Parse(data)
+			is.NoErr(err)
+			want, err := os.ReadFile(filepath.Join(examples, team, "configuration.json"))
+			is.NoErr(err)
+			got, reasons, err := questionnaire.Generate(a)
+			is.NoErr(err)
+			is.Equal(string(got), string(want)) // run `make generate`
+			is.True(len(reasons) > 0)
+			again, _, err := questionnaire.Generate(a)
+			is.NoErr(err)
+			is.Equal(string(got), string(again))
+		})
+	}
+}
+
+// A team says that late steps are dropped, but not when, and that staleness
+// matters more while samples may be very old. It would get a configuration
+// that does neither.
+func TestContradictionsAreRefusedTogether(t *testing.T) {
+	is := is.New(t)
+	_, err := questionnaire.Parse([]byte(`{"format": 1, "title": "t", "team": "t", "models": [
+		{"name": "m", "group": "g", "late_rounds": "drop", "matters_more": "staleness", "oldest_versions": 100}]}`))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "models[0].late_after_seconds"))
+	is.True(strings.Contains(err.Error(), "models[0].oldest_versions"))
+}
+
+// A person answers in the terminal, asks for help, goes back, and contradicts
+// an earlier answer.
+func TestInterviewGoesBackAndAsksAgain(t *testing.T) {
+	is := is.New(t)
+	typed := []string{
+		"Panels", "?", "Labelpiont", "<", "Labelpoint",
+		"0", // no services
+		"1", "label", "writers", "", "", "", "", "",
+		"staleness", "100", "", "", "", "", "", "0", // a model whose samples may be too old
+		"0", "", "", // callers, instances, replacing
+		"2", // the age again
+	}
+	var out bytes.Buffer
+	v := &questionnaire.Interview{
+		In:  strings.NewReader(strings.Join(typed, "\n") + "\n"),
+		Out: &out,
+	}
+	a, err := v.Run()
+	if err != nil {
+		t.Log(out.String())
+	}
+	is.NoErr(err)
+	is.Equal(a.Team, "Labelpoint")
+	is.Equal(a.Models[0].OldestVersions, uint64(2))
+	is.True(strings.Contains(out.String(), "staleness matters more"))
+	data, _, err := questionnaire.Generate(a)
+	is.NoErr(err)
+	cfg, err := configuration.Parse(data)
+	is.NoErr(err)
+	d, ok := cfg.Deployment("label")
+	is.True(ok)
+	is.Equal(d.Rounds.Weighting, configuration.WeightStaleness)
+}
--- a/internal/load/experiment/experiment.go
+++ b/internal/load/experiment/experiment.go
@@ -84,6 +84,7 @@
 			Settings:  s,
 			Addresses: x.book(f, s.Caller, s.FailureDomain),
 			Timer:     x.Timer,
+			Services:  serviceAddresses(f),
 		}
 		wg.Go(func() { results[i] = loads[i].Run(ctx) })
 	}
@@ -130,6 +131,17 @@
 	}
 }
 
+// serviceAddresses returns the addresses of the plain services.
+func serviceAddresses(f *fleet.Fleet) []string {
+	var list []string
+	for _, p := range f.Upstreams {
+		if p.Kind == "service" {
+			list = append(list, p.Address)
+		}
+	}
+	return list
+}
+
 // runs sums the runs that the services recorded, also those that are dead now.
 func (x *Experiment) runs(f *fleet.Fleet) map[string]int {
 	sum := make(map[string]int)
--- a/internal/load/fleet/events.go
+++ b/internal/load/fleet/events.go
@@ -56,17 +56,17 @@
 		case "leave":
 			post(ctx, p.Address+"/leave", nil)
 		case "freeze":
-			p.signal(syscall.SIGSTOP)
+			p.Signal(syscall.SIGSTOP)
 		case "thaw":
-			p.signal(syscall.SIGCONT)
+			p.Signal(syscall.SIGCONT)
 		case "stop":
 			f.crashed[p.Name] = true
-			p.signal(syscall.SIGTERM)
+			p.Signal(syscall.SIGTERM)
 		case "kill":
 			f.crashed[p.Name] = true
-			p.signal(syscall.SIGKILL)
+			p.Signal(syscall.SIGKILL)
 		case "restart":
-			if !p.alive() {
+			if !p.Alive() {
 				_ = p.start()
 			}
 		}
--- a/internal/load/fleet/fleet.go
+++ b/internal/load/fleet/fleet.go
@@ -164,6 +164,7 @@
 		return err
 	}
 	p, err := f.launch(name, "standin", address, kind, "--settings", path)
+	p.Kind = kind
 	f.Upstreams = append(f.Upstreams, p)
 	return err
 }
@@ -288,8 +289,8 @@
 // an event killed are not expected to end well.
 func (f *Fleet) Drain() []error {
 	for _, p := range f.Instances {
-		p.signal(syscall.SIGCONT)
-		p.signal(syscall.SIGTERM)
+		p.Signal(syscall.SIGCONT)
+		p.Signal(syscall.SIGTERM)
 	}
 	var errs []error
 	for _, p := range f.Instances {
@@ -300,12 +301,22 @@
 	return errs
 }
 
+// Kill ends a process at once, as a crash would, and waits until it is gone.
+func (f *Fleet) Kill(p *Process) {
+	f.crashed[p.Name] = true
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Restart starts a process again that has ended.
+func (f *Fleet) Restart(p *Process) error { return p.start() }
+
 // Stop ends all processes that still run.
 func (f *Fleet) Stop() {
 	for _, list := range [][]*Process{f.Instances, f.Upstreams, f.platform} {
 		for _, p := range list {
-			if p.alive() {
-				p.signal(syscall.SIGKILL)
+			if p.Alive() {
+				p.Signal(syscall.SIGKILL)
 				<-p.done
 			}
 		}
--- a/internal/load/fleet/process.go
+++ b/internal/load/fleet/process.go
@@ -15,6 +15,8 @@
 type Process struct {
 	Name    string
 	Address string
+	// Kind is engine or service for an upstream, or empty.
+	Kind string
 
 	path string
 	args []string
@@ -48,14 +50,15 @@
 	return nil
 }
 
-func (p *Process) signal(s syscall.Signal) {
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) {
 	if p.cmd != nil && p.cmd.Process != nil {
 		_ = p.cmd.Process.Signal(s)
 	}
 }
 
-// alive reports whether the process runs.
-func (p *Process) alive() bool {
+// Alive reports whether the process runs.
+func (p *Process) Alive() bool {
 	if p.done == nil {
 		return false
 	}
@@ -74,7 +77,7 @@
 		return nil
 	}
 	if timer.Wait(clock, most, p.done) {
-		p.signal(syscall.SIGKILL)
+		p.Signal(syscall.SIGKILL)
 		<-p.done
 		return fmt.Errorf("%s did not stop within %v", p.Name, most)
 	}
--- a/internal/load/orders/load.go
+++ b/internal/load/orders/load.go
@@ -37,6 +37,8 @@
 	Settings  Settings
 	Addresses *addresses.Book
 	Timer     timer.Service
+	// Services are the addresses for direct requests.
+	Services []string
 
 	tally   *tally
 	http    *http.Client
@@ -125,6 +127,9 @@
 	if l.Settings.Kind == "model" {
 		return l.complete(ctx, id, n, due)
 	}
+	if l.Settings.Direct {
+		return l.orderAt(ctx, l.Services[n%len(l.Services)], "/orders", "", id, due)
+	}
 	ticket := ""
 	for range unreachedTries {
 		address, err := l.Addresses.Pick(ctx)
@@ -193,12 +198,16 @@
 }
 
 func (l *Load) order(ctx context.Context, address, ticket, id string, due timer.Instant) error {
+	return l.orderAt(ctx, address, "/v1/services/"+l.Settings.Deployment+"/orders", ticket, id, due)
+}
+
+func (l *Load) orderAt(ctx context.Context, address, path, ticket, id string, due timer.Instant) error {
 	o := service.Order{
 		OrderID: id,
 		Detail:  "hide cut for " + id,
 	}
 	var answer service.Answer
-	h, err := l.client(address, id, ticket).DoHeader(ctx, http.MethodPost, "/v1/services/"+l.Settings.Deployment+"/orders", o, &answer)
+	h, err := l.client(address, id, ticket).DoHeader(ctx, http.MethodPost, path, o, &answer)
 	if err != nil {
 		return err
 	}
--- a/internal/load/orders/settings.go
+++ b/internal/load/orders/settings.go
@@ -10,6 +10,9 @@
 	FailureDomain string `json:"failure_domain" default:""`
 	// Idempotent requests carry no ticket.
 	Idempotent bool `json:"idempotent" default:"false"`
+	// Direct sends to the services themselves, to see what the way through an
+	// instance adds.
+	Direct bool `json:"direct" default:"false"`
 	// PerSecond is the mean rate of arrivals.
 	PerSecond float64 `json:"per_second" default:"20" min:"0.001"`
 	// BurstFactor multiplies the rate between BurstFromMS and BurstToMS.
