orders: count each latency from its own moment

The race detector found that requests shared the variable of the moment they were due: a request could be counted from the moment of the next one.

problem: the message in an error's JSON no longer repeats code and remedy.

--- a/internal/kernel/problem/error.go
+++ b/internal/kernel/problem/error.go
@@ -34,6 +34,14 @@
 	return fmt.Sprintf("%s: %v; remedy: %s", e.Kind.Code, e.Cause, e.Kind.Remedy)
 }
 
+// message is what happened this time; code and remedy stand beside it.
+func (e *Error) message() string {
+	if e.Cause == nil {
+		return e.Kind.Code
+	}
+	return e.Cause.Error()
+}
+
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
--- a/internal/kernel/problem/http.go
+++ b/internal/kernel/problem/http.go
@@ -24,7 +24,7 @@
 	e := From(err)
 	body := Body{
 		Code:         e.Kind.Code,
-		Message:      e.Error(),
+		Message:      e.message(),
 		Remedy:       e.Kind.Remedy,
 		Outcome:      e.Kind.Outcome,
 		RetryAfterMS: e.RetryAfter.Milliseconds(),
--- a/internal/load/orders/load.go
+++ b/internal/load/orders/load.go
@@ -68,9 +68,10 @@
 			break
 		}
 		room <- struct{}{}
+		at := due
 		wg.Go(func() {
 			defer func() { <-room }()
-			l.one(n, due)
+			l.one(n, at)
 		})
 		l.tally.mu.Lock()
 		l.tally.result.Sent++
