--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -16,11 +17,13 @@
 
 	"github.com/egretbend/egretbend/internal/kernel/setting"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/load/addresses"
 	platform "github.com/egretbend/egretbend/internal/platform/roster"
 	"github.com/egretbend/egretbend/internal/standin/engine"
 	"github.com/egretbend/egretbend/internal/standin/keyvalue"
 	"github.com/egretbend/egretbend/internal/standin/roster"
 	"github.com/egretbend/egretbend/internal/standin/service"
+	"github.com/egretbend/egretbend/internal/standin/trainer"
 	"github.com/egretbend/egretbend/internal/standin/weights"
 )
 
@@ -37,7 +40,7 @@
 		Short:        "Stand-ins for the systems outside of egretbend",
 		SilenceUsage: true,
 	}
-	root.AddCommand(keyvalueCommand(), rosterCommand(), weightsCommand(), engineCommand(), serviceCommand())
+	root.AddCommand(keyvalueCommand(), rosterCommand(), weightsCommand(), engineCommand(), serviceCommand(), trainerCommand())
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
@@ -128,6 +131,43 @@
 	return cmd
 }
 
+// trainerSettings is the file of a trainer.
+type trainerSettings struct {
+	Instances   []string         `json:"instances" need:"true"`
+	MaxVersions uint64           `json:"max_versions" default:"4"`
+	Details     trainer.Settings `json:"details" need:"true"`
+}
+
+func trainerCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "trainer",
+		Short: "A trainer; prints what it saw when it ends",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var file trainerSettings
+			if err := setting.ReadFile(path, &file); err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			t := &trainer.Trainer{
+				Settings:    file.Details,
+				MaxVersions: file.MaxVersions,
+				Timer:       timer.Real{},
+				Addresses: &addresses.Book{
+					Caller: file.Details.Name,
+					Seeds:  file.Instances,
+					Timer:  timer.Real{},
+				},
+			}
+			return json.NewEncoder(cmd.OutOrStdout()).Encode(t.Run(ctx))
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "settings file")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
 // serve answers at an address until a signal comes.
 func serve(listen string, handler http.Handler, announcer *roster.Announcer) error {
 	ln, err := net.Listen("tcp", listen)
