rollout, limit: share engines between trainers by weight; a third attempt

Cause: no instance knew of the other's trainer. Now sessions tell by gossip when they have work to begin, and each trainer's claim is its weight against those of all busy ones. Reports count in full for the use of a whole deployment, kept from the second try.

Cause: the second attempt may be slow as well, and the budget of 8% ran out. A third attempt is made once the second had time to show its pace, and the questionnaire gives 15% where idle time goes first.

Also: the staleness metric was never observed; now it is, at each hand-over.

--- a/internal/fleet/gossip/entry.go
+++ b/internal/fleet/gossip/entry.go
@@ -16,6 +16,7 @@
 	KindWeights
 	KindConfiguration
 	KindUpstream
+	KindDemand
 	kindCount
 )
 
@@ -32,6 +33,8 @@
 		return "configuration"
 	case KindUpstream:
 		return "upstream"
+	case KindDemand:
+		return "demand"
 	}
 	return "unknown"
 }
--- a/internal/fleet/questionnaire/generate.go
+++ b/internal/fleet/questionnaire/generate.go
@@ -133,8 +133,8 @@
 
 // secondAttempts by what matters more.
 const (
-	secondAttemptsIdle  = 0.08
-	secondAttemptsStale = 0.04
+	secondAttemptsIdle  = 0.15
+	secondAttemptsStale = 0.08
 )
 
 func (g *generator) model(at, i int, m Model) configuration.Deployment {
--- /dev/null
+++ b/internal/rollout/demand/book_test.go
@@ -0,0 +1,57 @@
+package demand_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/egretbend/egretbend/internal/fleet/gossip"
+	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/rollout/demand"
+)
+
+// Two trainers share engines from different instances; then one of them is
+// idle, opens a new session elsewhere, and its instance dies. The other one
+// would notice engines that stand idle for nobody.
+func TestShareFollowsBusyTrainers(t *testing.T) {
+	is := is.New(t)
+	table := &member.Table{
+		State: &gossip.State{},
+		Timer: &timer.Manual{},
+	}
+	table.Join(member.Member{
+		ID:          "here",
+		Incarnation: 1,
+	})
+	there := member.Member{
+		ID:          "there",
+		Incarnation: 1,
+	}
+	table.State.Merge(there.Entry(0))
+	b := &demand.Book{
+		State: table.State,
+	}
+	share := func() float64 { return b.Share("plan", "saddle", 3, table.View()) }
+	is.Equal(share(), 1.0) // alone
+	other := demand.Demand{
+		Trainer:    "bag",
+		Session:    1,
+		Instance:   "there",
+		Deployment: "plan",
+		Weight:     1,
+		Busy:       true,
+	}
+	b.Tell(other)
+	is.Equal(share(), 0.75)
+	other.Busy = false
+	b.Tell(other)
+	is.Equal(share(), 1.0)
+	other.Session, other.Busy = 2, true
+	b.Tell(other)
+	other.Session, other.Busy = 1, false
+	b.Tell(other) // the old session's instance wakes up
+	is.Equal(share(), 0.75)
+	table.State.Merge(there.WithStatus(member.Dead).Entry(1 << 40))
+	is.Equal(share(), 1.0)
+}
--- a/internal/rollout/runner/attempt.go
+++ b/internal/rollout/runner/attempt.go
@@ -46,6 +46,7 @@
 		Resume:     rec.Texts,
 		Staleness:  true,
 		Lead:       work.Lead,
+		Share:      l.runner.Demand.Share(work.Deployment, l.state.Trainer, l.weight(), l.runner.Members.View()),
 	}
 }
 
--- a/internal/rollout/runner/copies.go
+++ b/internal/rollout/runner/copies.go
@@ -43,6 +43,7 @@
 			DoneBelow: doneBelow,
 		}, &reply)
 		if err == nil {
+			r.Metrics.copied(len(raw))
 			return reply.Fenced
 		}
 	}
--- a/internal/rollout/runner/live.go
+++ b/internal/rollout/runner/live.go
@@ -10,6 +10,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/rollout/demand"
 	"github.com/egretbend/egretbend/internal/rollout/keeper"
 	"github.com/egretbend/egretbend/internal/rollout/sample"
 	"github.com/egretbend/egretbend/internal/rollout/session"
@@ -36,6 +37,8 @@
 	partials map[sample.Key]*sample.Recorder
 	begun    map[sample.Key]timer.Instant
 	hold     timer.Instant
+	busyAt   timer.Instant
+	told     bool
 	attempts uint64
 	isFenced bool
 	drainEnd sync.Once
@@ -52,6 +55,9 @@
 		state: session.Session{
 			Trainer: trainer,
 			Number:  number,
+			Handed: func(deployment string, k session.Kept) {
+				r.Metrics.staleness(k.Oldest.Behind(r.bound(deployment, nil).Newest))
+			},
 		},
 		ready:    make(chan struct{}),
 		partials: make(map[sample.Key]*sample.Recorder),
@@ -104,6 +110,7 @@
 		})
 		l.notify()
 	}
+	l.tellDemand(now)
 	if now < l.hold {
 		return
 	}
@@ -120,6 +127,33 @@
 	}
 }
 
+// idleTime is how long a session has nothing to begin before it tells so, so
+// that it doesn't tell the fleet of each moment between two samples.
+const idleTime = 300 * time.Millisecond
+
+// tellDemand tells the fleet when the trainer becomes busy or idle. The caller
+// holds the lock.
+func (l *live) tellDemand(now timer.Instant) {
+	deployment := l.state.Deployment()
+	busy := l.state.Busy()
+	if busy {
+		l.busyAt = now
+	}
+	busy = busy || (l.told && now.Sub(l.busyAt) < idleTime)
+	if busy == l.told || (busy && deployment == "") {
+		return
+	}
+	l.told = busy
+	l.runner.Demand.Tell(demand.Demand{
+		Trainer:    l.state.Trainer,
+		Session:    l.state.Number,
+		Instance:   l.runner.Members.Self().ID,
+		Deployment: deployment,
+		Weight:     l.weight(),
+		Busy:       busy,
+	})
+}
+
 // launch begins an attempt if there is room for it. The caller holds the lock.
 // Asking for room here, and not in the attempt, keeps what has no room in the
 // session's order instead of in a crowd of attempts that wait.
--- a/internal/rollout/runner/part.go
+++ b/internal/rollout/runner/part.go
@@ -4,11 +4,13 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/gossip"
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/fleet/peer"
 	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/part"
 	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/rollout/demand"
 	"github.com/egretbend/egretbend/internal/rollout/keeper"
 	"github.com/egretbend/egretbend/internal/rollout/stream"
 	"github.com/egretbend/egretbend/internal/route/router"
@@ -41,10 +43,13 @@
 		Client:    part.Get[*peer.Client](h),
 		Holder:    part.Get[*configuration.Holder](h),
 		Board:     part.Get[*version.Board](h),
-		Members:   part.Get[*member.Table](h),
-		Timer:     h.Timer,
-		Journal:   h.Journal,
-		Metrics:   NewMetrics(h.Metrics),
+		Demand: &demand.Book{
+			State: part.Get[*gossip.State](h),
+		},
+		Members: part.Get[*member.Table](h),
+		Timer:   h.Timer,
+		Journal: h.Journal,
+		Metrics: NewMetrics(h.Metrics),
 	}
 	part.Put(h, generator)
 	part.Put(h, r)
--- a/internal/rollout/runner/runner.go
+++ b/internal/rollout/runner/runner.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/rollout/demand"
 	"github.com/egretbend/egretbend/internal/rollout/keeper"
 	"github.com/egretbend/egretbend/internal/rollout/session"
 	"github.com/egretbend/egretbend/internal/rollout/stream"
@@ -28,6 +29,7 @@
 	Client    *peer.Client
 	Holder    *configuration.Holder
 	Board     *version.Board
+	Demand    *demand.Book
 	Members   *member.Table
 	Timer     timer.Service
 	Journal   *journal.Journal
@@ -43,6 +45,7 @@
 type Metrics struct {
 	Samples   *prometheus.CounterVec
 	Staleness prometheus.Histogram
+	Copied    prometheus.Counter
 }
 
 // The fates of a finished attempt, as metric labels.
@@ -67,8 +70,12 @@
 			Help:    "Versions between a sample's oldest and the newest published one at hand-over.",
 			Buckets: []float64{0, 1, 2, 3, 4, 6, 8, 16},
 		}),
+		Copied: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "egretbend_copied_bytes_total",
+			Help: "Bytes of finished samples that were copied to other instances.",
+		}),
 	}
-	reg.MustRegister(m.Samples, m.Staleness)
+	reg.MustRegister(m.Samples, m.Staleness, m.Copied)
 	return m
 }
 
@@ -78,6 +85,18 @@
 	}
 }
 
+func (m *Metrics) copied(bytes int) {
+	if m != nil {
+		m.Copied.Add(float64(bytes))
+	}
+}
+
+func (m *Metrics) staleness(versions uint64) {
+	if m != nil {
+		m.Staleness.Observe(float64(versions))
+	}
+}
+
 // Open begins a session. A number at or below one that this instance knows is
 // refused with problem.SessionFenced; opening the same session again is not.
 func (r *Runner) Open(trainer string, number uint64) error {
--- a/internal/rollout/session/read.go
+++ b/internal/rollout/session/read.go
@@ -92,6 +92,9 @@
 		case len(s.batch) < most:
 			it.state = handed
 			s.batch = append(s.batch, it)
+			if s.Handed != nil {
+				s.Handed(it.step.spec.Deployment, it.finished)
+			}
 		default:
 			kept = append(kept, it)
 		}
--- a/internal/rollout/session/session.go
+++ b/internal/rollout/session/session.go
@@ -16,6 +16,8 @@
 type Session struct {
 	Trainer string
 	Number  uint64
+	// Handed is told of each sample that is handed over; nil tells nobody.
+	Handed func(deployment string, k Kept)
 
 	steps   map[uint64]*step
 	order   []*step
--- a/internal/rollout/session/step.go
+++ b/internal/rollout/session/step.go
@@ -52,7 +52,9 @@
 	step     *step
 	state    itemState
 	attempts int
-	started  timer.Instant
+	// started is when the first attempt began, begun when the last one did.
+	started timer.Instant
+	begun   timer.Instant
 	// tokens and first are the furthest attempt's count and its first moment.
 	tokens int
 	first  timer.Instant
--- a/internal/rollout/session/work.go
+++ b/internal/rollout/session/work.go
@@ -40,6 +40,10 @@
 const (
 	lateFactor = 1.5
 	lateTokens = 16
+	// attemptsBeside is how many attempts may be made beside the first one. A
+	// second one may be slow as well: of 128 samples with one slow stream in
+	// twenty, every third step has such a sample.
+	attemptsBeside = 2
 )
 
 // retryPause is how long a failed sample waits for its next attempt.
@@ -124,7 +128,7 @@
 	var best *item
 	worst := lateFactor
 	for _, it := range st.order {
-		if it.state != running || it.attempts != 1 {
+		if it.state != running || it.attempts > attemptsBeside || it.justBegun(median, now) {
 			continue
 		}
 		if by := it.lateness(median, now); by > worst {
@@ -134,6 +138,11 @@
 	return best
 }
 
+// justBegun reports whether the last attempt had no time yet to show its pace.
+func (it *item) justBegun(median time.Duration, now timer.Instant) bool {
+	return float64(now.Sub(it.begun)) < lateFactor*float64(median)*lateTokens
+}
+
 // lateness is the time that an item took against what the median would have
 // taken. One without a token may still wait for a slot, which a second attempt
 // would only do again; it is late when it could have been finished by now.
@@ -154,6 +163,7 @@
 		it.tokens = 0
 	}
 	it.state = running
+	it.begun = now
 	it.attempts++
 	s.running++
 	return Work{
@@ -167,6 +177,21 @@
 	}
 }
 
+// Busy reports whether anything waits to be begun. A session whose last
+// samples run needs no more room, and others may take it.
+func (s *Session) Busy() bool {
+	for _, st := range s.order {
+		if st.open() && st.pendingItems() {
+			return true
+		}
+	}
+	return false
+}
+
+func (st *step) pendingItems() bool {
+	return slices.ContainsFunc(st.order, func(it *item) bool { return it.state == pending })
+}
+
 // Wanted reports whether a result for key would still be taken. Attempts poll
 // it, so that work for a dropped step or a beaten attempt ends soon.
 func (s *Session) Wanted(key sample.Key) bool {
--- a/internal/rollout/stream/generator.go
+++ b/internal/rollout/stream/generator.go
@@ -46,6 +46,9 @@
 	// Lead is how many versions are expected to be published until the result
 	// is handed over.
 	Lead uint64
+	// Share is the share of the deployment that the caller may claim while it
+	// is short; zero claims none in particular.
+	Share float64
 	// Avoid is the upstream of an attempt that runs beside this one, or empty.
 	Avoid string
 }
@@ -68,6 +71,7 @@
 		Key:        prefixKey(task.Prompt),
 		Staleness:  task.Staleness,
 		Lead:       task.Lead,
+		Share:      task.Share,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/route/limit/limit_test.go
+++ b/internal/route/limit/limit_test.go
@@ -136,3 +136,32 @@
 		}
 	}
 }
+
+// Two trainers on different instances want the same engines, and each knows
+// the other's use only late. The one with the smaller weight would notice that
+// it gets nothing, the other one that its weight is of no use.
+func TestShareBoundsAndOpens(t *testing.T) {
+	is := is.New(t)
+	clock := &timer.Manual{}
+	clock.Advance(time.Hour)
+	l := &limit.Limiter{
+		Timer: clock,
+	}
+	a := ask("cutting", limit.Training)
+	a.Slots = 16
+	a.Share = 0.25
+	a.Used = 1.5 // above the ceiling of its class: others have filled the slots
+	n := 0
+	for range 20 {
+		if _, err := l.Admit(a); err == nil {
+			n++
+		}
+	}
+	is.Equal(n, 5) // a quarter of 1.25 times 16 slots
+	a.Share = 1
+	_, err := l.Admit(a)
+	is.True(err != nil) // alone it has no claim above the ceiling
+	a.Used = 0.5
+	_, err = l.Admit(a)
+	is.NoErr(err) // and no bound below it
+}
--- a/internal/route/limit/limiter.go
+++ b/internal/route/limit/limiter.go
@@ -28,6 +28,11 @@
 	Capacity float64
 	// Used is the share of the slots that is in use, as far as known.
 	Used float64
+	// Slots is what Used is a share of.
+	Slots float64
+	// Share is the share of the slots that the caller may claim while they are
+	// short, in the whole fleet; zero claims none in particular.
+	Share float64
 }
 
 // Result says how an admitted request went.
@@ -59,7 +64,7 @@
 	s := g.caller(a.Caller, a.Weight, now)
 	limit := g.load()
 	n := float64(g.inFlight.Add(1))
-	if reason := refuse(g, s, a, limit, n); reason != "" {
+	if reason := refuse(g, s, &a, limit, n); reason != "" {
 		g.inFlight.Add(-1)
 		return nil, problem.Overloaded.Withf("deployment %q: %s", a.Deployment, reason).
 			WithRetryAfter(comeBack(n/limit, a.Used))
@@ -74,11 +79,14 @@
 }
 
 // refuse returns why a request is not let in, or nothing.
-func refuse(g *gate, s *share, a Ask, limit, n float64) string {
+func refuse(g *gate, s *share, a *Ask, limit, n float64) string {
 	if n > math.Max(1, limit*a.Class.room()) {
 		return "its limit is reached for priority " + a.Class.String()
 	}
-	if a.Used > a.Class.ceiling() {
+	if a.beyondShare(s) {
+		return "others claim their share and this caller has its own"
+	}
+	if a.Used > a.ceiling() {
 		return "its upstreams are too busy for priority " + a.Class.String()
 	}
 	if n > limit*crowded && g.overShare(s, limit) {
@@ -87,6 +95,29 @@
 	return ""
 }
 
+// claimCeiling is the ceiling for a caller with a claim to a share that it
+// does not use up, so that it gets in where others have filled all slots.
+const claimCeiling = 1.6
+
+// claims reports whether others want the same slots.
+func (a *Ask) claims() bool { return a.Share > 0 && a.Share < 1 }
+
+// beyondShare reports whether the caller has as much as its share. The share
+// is taken of what the class may use in all, so the claims of all fill it. How
+// much the others have now is not asked: it is known late, and each of two who
+// go by it takes what the other one seems to leave.
+func (a *Ask) beyondShare(s *share) bool {
+	return a.claims() && float64(s.inFlight.Load()) >= max(1, a.Share*a.Slots*a.Class.ceiling())
+}
+
+// ceiling is the use of the deployment above which the request is refused.
+func (a *Ask) ceiling() float64 {
+	if a.claims() {
+		return claimCeiling
+	}
+	return a.Class.ceiling()
+}
+
 // Close ends the request.
 func (p *Pass) Close(r Result) {
 	p.share.inFlight.Add(-1)
--- a/internal/route/router/router.go
+++ b/internal/route/router/router.go
@@ -74,6 +74,9 @@
 	// Lead is how many versions are expected to be published until the result
 	// is handed over.
 	Lead uint64
+	// Share is the share of the deployment that the caller may claim while it
+	// is short; zero claims none in particular.
+	Share float64
 }
 
 // usage caches the capacity of a set, which takes a pass over all upstreams.
@@ -114,6 +117,8 @@
 		Weight:     max(job.Weight, 0.01),
 		Capacity:   slots * (1 + set.Deployment.QueueShare),
 		Used:       (others + float64(own)) / slots,
+		Slots:      slots,
+		Share:      job.Share,
 	})
 	if err != nil {
 		return nil, r.refused(job, err)
--- a/internal/route/upstream/set.go
+++ b/internal/route/upstream/set.go
@@ -157,7 +157,9 @@
 			continue
 		}
 		slots += float64(u.slots(h) - max(1, u.Slots))
-		others += u.others(h, now)
+		if now.Sub(h.at) < reportLife {
+			others += h.beyondOwn()
+		}
 	}
 	return slots, others
 }
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -22,8 +22,12 @@
 	SlowStart = 3 * time.Second
 	// slowStartFloor is the share it begins with.
 	slowStartFloor = 0.25
-	// reportHalfLife is the age at which a report counts for half.
+	// reportHalfLife is the age at which a report counts for half in a choice.
 	reportHalfLife = 2 * time.Second
+	// reportLife is the age up to which it counts in full for the use of a
+	// whole deployment. There the reports' errors cancel out, and letting them
+	// fade would make a full deployment look as if it had room.
+	reportLife = 4 * time.Second
 	// paceWeight is the weight of one new measurement of pace.
 	paceWeight = 0.1
 	// slowestFactor bounds how much worse a slow upstream is rated.
@@ -190,11 +194,13 @@
 // the last reports may be part of it. Without that, an instance that just
 // finished its requests takes them for somebody else's and holds back.
 func (u *Upstream) others(h *heard, now timer.Instant) float64 {
-	n := max(0, float64(h.Running+h.Waiting)-float64(h.own))
 	age := float64(now.Sub(h.at)) / float64(reportHalfLife)
-	return n / (1 + max(0, age))
+	return h.beyondOwn() / (1 + max(0, age))
 }
 
+// beyondOwn is the load of others at the moment of the report.
+func (h *heard) beyondOwn() float64 { return max(0, float64(h.Running+h.Waiting)-float64(h.own)) }
+
 func (u *Upstream) slots(h *heard) int {
 	if h.Slots > 0 {
 		return h.Slots
--- a/internal/standin/trainer/result.go
+++ b/internal/standin/trainer/result.go
@@ -16,18 +16,19 @@
 
 // Result is what a trainer saw.
 type Result struct {
-	StepsFinished  int `json:"steps_finished"`
-	StepsDropped   int `json:"steps_dropped"`
-	Samples        int `json:"samples"`
-	Doubled        int `json:"doubled"`
-	TooOld         int `json:"too_old"`
-	WrongVersion   int `json:"wrong_version"`
-	Foreign        int `json:"foreign"`
-	Withdrawn      int `json:"withdrawn"`
-	Discarded      int `json:"discarded"`
-	SecondAttempts int `json:"second_attempts"`
-	Recovered      int `json:"recovered"`
-	Sessions       int `json:"sessions"`
+	Name           string `json:"name"`
+	StepsFinished  int    `json:"steps_finished"`
+	StepsDropped   int    `json:"steps_dropped"`
+	Samples        int    `json:"samples"`
+	Doubled        int    `json:"doubled"`
+	TooOld         int    `json:"too_old"`
+	WrongVersion   int    `json:"wrong_version"`
+	Foreign        int    `json:"foreign"`
+	Withdrawn      int    `json:"withdrawn"`
+	Discarded      int    `json:"discarded"`
+	SecondAttempts int    `json:"second_attempts"`
+	Recovered      int    `json:"recovered"`
+	Sessions       int    `json:"sessions"`
 	// Versions is how many different versions made the samples.
 	Versions int `json:"versions"`
 	// IdleShare is the share of time in which the trainer waited for samples,
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -84,6 +84,7 @@
 		t.version.Number++
 		t.publish(ctx)
 	}
+	t.result.Name = t.Settings.Name
 	t.result.Sessions = int(t.number)
 	t.result.close()
 	return t.result
