--- a/internal/entry/operator/server.go
+++ b/internal/entry/operator/server.go
@@ -171,10 +171,16 @@
 	})
 }
 
-func (s *Server) history(w http.ResponseWriter, _ *http.Request) {
-	list := []configuration.Change{}
-	if doc := s.Holder.Current(); doc != nil {
-		list = doc.History
+func (s *Server) history(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
+	defer cancel()
+	list, err := s.Editor.History(ctx)
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	if list == nil {
+		list = []configuration.Change{}
 	}
 	problem.WriteJSON(w, http.StatusOK, list)
 }
--- a/internal/fleet/configuration/document.go
+++ b/internal/fleet/configuration/document.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// Bare returns the document without its history, which is what instances hand
+// to each other: the history is settled against the key-value service alone,
+// and is several times as large as the configuration.
+func (d *Document) Bare() *Document {
+	bare := *d
+	bare.History = nil
+	return &bare
+}
+
 // Accepted looks for a change in the history and returns the revision that it
 // made. A change below another one made the revision that the other one was
 // made from.
--- a/internal/fleet/configuration/editor.go
+++ b/internal/fleet/configuration/editor.go
@@ -107,6 +107,15 @@
 	return 0, conflict(change, current)
 }
 
+// History returns the accepted changes, newest first.
+func (e *Editor) History(ctx context.Context) ([]Change, error) {
+	current, err := e.read(ctx)
+	if err != nil {
+		return nil, problem.PlatformDown.With(err)
+	}
+	return current.History, nil
+}
+
 func (e *Editor) accept(ctx context.Context, value []byte, rev uint64) (*Document, error) {
 	doc, err := Decode(value, rev)
 	if err != nil {
--- a/internal/fleet/configuration/follow.go
+++ b/internal/fleet/configuration/follow.go
@@ -80,7 +80,7 @@
 	if d == nil || d.Revision <= args.Above {
 		return nil
 	}
-	value, err := d.Encode()
+	value, err := d.Bare().Encode()
 	reply.Revision = d.Revision
 	reply.Value = value
 	return err
@@ -223,7 +223,7 @@
 // them. An accepted change is then known to survivors when this instance and
 // the key-value service fail in the next moment.
 func (f *Follower) Push(ctx context.Context, d *Document) {
-	value, err := d.Encode()
+	value, err := d.Bare().Encode()
 	if err != nil {
 		return
 	}
--- a/internal/fleet/gossip/state.go
+++ b/internal/fleet/gossip/state.go
@@ -20,6 +20,7 @@
 type State struct {
 	mu      sync.Mutex
 	entries map[entryKey]Entry
+	counts  [kindCount]int
 	digest  Digest
 	hot     map[entryKey]int
 	changes [kindCount]atomic.Uint64
@@ -58,6 +59,8 @@
 	}
 	if ok {
 		s.digest[old.bucket()] ^= old.hash()
+	} else {
+		s.counts[e.Kind]++
 	}
 	s.entries[e.id()] = e
 	s.digest[e.bucket()] ^= e.hash()
@@ -126,7 +129,7 @@
 func (s *State) List(k Kind) []Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var list []Entry
+	list := make([]Entry, 0, s.counts[k])
 	for id, e := range s.entries {
 		if id.kind == k {
 			list = append(list, e)
@@ -146,6 +149,7 @@
 		}
 		s.digest[e.bucket()] ^= e.hash()
 		delete(s.entries, id)
+		s.counts[id.kind]--
 		delete(s.hot, id)
 		s.note(id.kind)
 		n++
--- a/internal/fleet/listing/book.go
+++ b/internal/fleet/listing/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/fleet/gossip"
@@ -19,6 +20,9 @@
 // Book is the list as gossip tells it.
 type Book struct {
 	State *gossip.State
+
+	decoded gossip.Decoded[presence]
+	once    sync.Once
 }
 
 // presence is the value of an upstream entry. The minor version counts its
@@ -34,10 +38,11 @@
 	for _, e := range b.State.List(gossip.KindLeaving) {
 		leaving[e.Key] = e.Version.Major
 	}
-	var list []roster.Instance
-	for _, e := range b.State.List(gossip.KindUpstream) {
-		p, ok := decode(e)
-		if !ok || p.Gone {
+	b.once.Do(func() { b.decoded.Decode = decode })
+	all := b.decoded.List(b.State, gossip.KindUpstream)
+	list := make([]roster.Instance, 0, len(all))
+	for _, p := range all {
+		if p.Gone {
 			continue
 		}
 		in := p.Instance
--- a/internal/fleet/member/exchange.go
+++ b/internal/fleet/member/exchange.go
@@ -110,14 +110,20 @@
 	}
 }
 
-// gossip talks to a random instance. One time in sixteen that may be a dead
-// one or a seed: it is how two sides of a cut find each other again.
+// Every so many turns an instance talks to a seed, and to one that may be
+// dead: it is how two sides of a cut find each other again.
+const (
+	seedEvery = 64
+	deadEvery = 16
+)
+
+// gossip talks to a random instance.
 func (x *Exchanger) gossip(ctx context.Context) {
-	if x.turn%16 == 1 {
+	if x.turn%seedEvery == 1 {
 		x.joinSeeds(ctx)
 		return
 	}
-	if m, ok := x.pick(x.turn%16 == 9); ok {
+	if m, ok := x.pick(x.turn%deadEvery == 9); ok {
 		_ = x.with(ctx, m.ID, m.PeerAddress)
 	}
 }
@@ -156,12 +162,16 @@
 	}
 }
 
-// joinSeeds exchanges with one of the configured peers.
+// joinSeeds exchanges with one of the configured peers. The connection is
+// closed after it: all instances have the same few seeds, which would otherwise
+// hold a connection to each instance of the fleet.
 func (x *Exchanger) joinSeeds(ctx context.Context) {
 	if len(x.Seeds) == 0 {
 		return
 	}
-	_ = x.with(ctx, "", x.Seeds[x.Rand.IntN(len(x.Seeds))])
+	seed := x.Seeds[x.Rand.IntN(len(x.Seeds))]
+	_ = x.with(ctx, "", seed)
+	x.Client.Forget(seed)
 }
 
 // with runs one exchange with the instance at address.
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -33,7 +33,9 @@
 	peakAt   timer.Instant
 	loads    map[string]float64
 
-	view atomic.Pointer[View]
+	view       atomic.Pointer[View]
+	decoded    gossip.Decoded[Member]
+	decodeOnce sync.Once
 }
 
 type suspicion struct {
@@ -73,13 +75,8 @@
 	if v := t.view.Load(); v != nil && v.generation == gen {
 		return v
 	}
-	var list []Member
-	for _, e := range t.State.List(gossip.KindMember) {
-		if m, ok := FromEntry(e); ok {
-			list = append(list, m)
-		}
-	}
-	v := newView(t.Self(), list)
+	t.decodeOnce.Do(func() { t.decoded.Decode = FromEntry })
+	v := newView(t.Self(), t.decoded.List(t.State, gossip.KindMember))
 	v.generation = gen
 	t.view.Store(v)
 	return v
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -26,7 +26,12 @@
 		Known: list,
 		byID:  make(map[string]Member, len(list)),
 	}
-	sort.Slice(list, func(i, j int) bool { return ringLess(list[i], list[j]) })
+	slices.SortFunc(list, func(a, b Member) int {
+		if ringLess(a, b) {
+			return -1
+		}
+		return 1
+	})
 	for _, m := range list {
 		v.byID[m.ID] = m
 		if m.Status != Dead && !m.Leaving {
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -60,6 +60,16 @@
 	}
 }
 
+// Forget closes the connection to address unless a call uses it.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cn, ok := c.conns[address]; ok && cn.busy == 0 {
+		_ = cn.rpc.Close()
+		delete(c.conns, address)
+	}
+}
+
 func (c *Client) get(ctx context.Context, address string) (*conn, error) {
 	c.mu.Lock()
 	c.turn++
--- a/internal/route/upstream/refresh.go
+++ b/internal/route/upstream/refresh.go
@@ -20,6 +20,9 @@
 const (
 	// buildPeriod is how often due reports are asked for.
 	buildPeriod = 250 * time.Millisecond
+	// buildPause gathers the changes of a burst, such as the whole list at the
+	// start, into one rebuild.
+	buildPause = 50 * time.Millisecond
 	// reportPeriod is the least time between two reports of one upstream.
 	reportPeriod = time.Second
 	// reportsPerSecond bounds the reports that one instance asks for, which
@@ -58,6 +61,7 @@
 		select {
 		case <-tick.C:
 		case <-listed:
+			timer.Wait(r.Timer, buildPause, t.Dying())
 		case <-leaving:
 		case <-configured:
 		case <-t.Dying():
--- a/internal/route/upstream/set.go
+++ b/internal/route/upstream/set.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"cmp"
 	"slices"
 	"sort"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -78,20 +80,36 @@
 // domain first, the others to all by rendezvous hash. Different instances so
 // share the upstreams evenly, and a change of the list moves few of them.
 func subset(self member.Member, list []roster.Instance, n int) []roster.Instance {
-	if len(list) <= n {
-		return list
+	if len(list) > n {
+		list = pick(self, list, n)
 	}
-	ranked := slices.Clone(list)
-	sort.Slice(ranked, func(i, j int) bool {
-		return member.Score(self.ID, ranked[i].ID) > member.Score(self.ID, ranked[j].ID)
-	})
+	slices.SortFunc(list, func(a, b roster.Instance) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// ranked is a place in a list with its rendezvous hash.
+type ranked struct {
+	score uint64
+	at    int
+}
+
+func pick(self member.Member, list []roster.Instance, n int) []roster.Instance {
+	order := make([]ranked, len(list))
+	for i, in := range list {
+		order[i] = ranked{
+			score: member.Score(self.ID, in.ID),
+			at:    i,
+		}
+	}
+	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
 	var near, far []roster.Instance
-	for _, in := range ranked {
+	for _, r := range order {
+		in := list[r.at]
 		if in.FailureDomain == self.FailureDomain && len(near) < n/2 {
 			near = append(near, in)
-			continue
+		} else if len(far) < n {
+			far = append(far, in)
 		}
-		far = append(far, in)
 	}
 	return append(near, far[:n-len(near)]...)
 }
--- a/internal/route/upstream/table.go
+++ b/internal/route/upstream/table.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"sort"
 	"sync"
 	"sync/atomic"
 
@@ -47,7 +46,6 @@
 	next := make(map[string]*Set, len(cfg.Deployments))
 	for _, d := range cfg.Deployments {
 		group := groups[d.Group]
-		sort.Slice(group, func(i, j int) bool { return group[i].ID < group[j].ID })
 		next[d.Name] = newSet(d, self, group, t.Set(d.Name), now)
 	}
 	t.sets.Store(&next)
