--- a/internal/route/policy/prefix_affinity.go
+++ b/internal/route/policy/prefix_affinity.go
@@ -31,7 +31,8 @@
 	choice := other
 	choice.Reason = ReasonSpill
 	s.Walk(q.Key, affinitySteps, func(u *upstream.Upstream) bool {
-		if !q.eligible(u) || q.score(u) > bound {
+		// A slow engine costs more with every token than a cached prompt saves.
+		if u.Slow() || !q.eligible(u) || q.score(u) > bound {
 			return true
 		}
 		choice.Upstream = u
--- a/internal/route/upstream/refresh.go
+++ b/internal/route/upstream/refresh.go
@@ -27,7 +27,7 @@
 	reportPeriod = time.Second
 	// reportsPerSecond bounds the reports that one instance asks for, which
 	// bounds what they cost however many upstreams it knows.
-	reportsPerSecond = 24
+	reportsPerSecond = 16
 	reportTimeout    = time.Second
 	// reportsAtOnce bounds the reports that are waited for together.
 	reportsAtOnce = 16
@@ -121,7 +121,10 @@
 				continue
 			}
 			seen[u] = now.Add(jitter(period))
-			due = append(due, u)
+			// Answers bring reports along; an upstream in use is not asked.
+			if _, age, ok := u.Report(now); !ok || age >= reportPeriod {
+				due = append(due, u)
+			}
 		}
 	}
 	r.next = seen
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -32,6 +32,8 @@
 	paceWeight = 0.1
 	// slowestFactor bounds how much worse a slow upstream is rated.
 	slowestFactor = 8
+	// slowFactor is from when on an upstream counts as slow.
+	slowFactor = 2
 )
 
 // Upstream is one engine or service instance.
@@ -225,6 +227,12 @@
 // Pace returns the smoothed time per unit of work in seconds, or zero.
 func (u *Upstream) Pace() float64 { return math.Float64frombits(u.pace.Load()) }
 
+// Slow reports whether the upstream takes much longer than the median of its
+// set.
+func (u *Upstream) Slow() bool {
+	return math.Float64frombits(u.slowness.Load()) > slowFactor
+}
+
 // compare rates the upstream's pace against the median of its set.
 func (u *Upstream) compare(median float64) {
 	if median <= 0 || u.Pace() == 0 {
