docs, member: the capacity page; a dead instance is found in three seconds

The page's arithmetic gave 9 s until an instance that died is suspected: its watchers turned to their other successors between the three calls. One that does not answer is now asked again at once until it is suspected, 3 s by the same arithmetic. Not measured on a running fleet.

--- a/internal/fleet/member/exchange.go
+++ b/internal/fleet/member/exchange.go
@@ -38,8 +38,9 @@
 	// SelfLoad tells the share of its capacity that this instance uses.
 	SelfLoad func() float64
 
-	turn int
-	last timer.Instant
+	turn     int
+	watching int
+	last     timer.Instant
 }
 
 // Run exchanges until t dies. News is passed on at once, but not more often
@@ -87,23 +88,33 @@
 	x.gossip(ctx)
 }
 
-// watch talks to the next successor and counts a failure against it.
+// watch talks to the next successor. One that does not answer is asked again
+// the next time, and counted against, until it answers or is suspected; so a
+// dead one is found in three seconds, however many others are watched.
 func (x *Exchanger) watch(ctx context.Context) {
 	next := x.Table.View().Successors(watched)
 	if len(next) == 0 {
 		x.joinSeeds(ctx)
 		return
 	}
-	m := next[(x.turn/2)%len(next)]
+	m := next[x.watching%len(next)]
 	started := x.Timer.Now()
 	err := x.with(ctx, m.ID, m.PeerAddress)
 	if err == nil {
+		x.watching++
 		return
 	}
+	// A call that took longer than its deadline tells of a pause of this
+	// process, not of the other one.
 	if x.Timer.Now().Sub(started) > 2*peer.CallTimeout {
 		return
 	}
+	if m.Status != Alive {
+		x.watching++
+		return
+	}
 	if x.Table.Missed(m.ID) {
+		x.watching++
 		x.Journal.Trouble("member_suspect", err, log.Fields{
 			"member": m.ID,
 		})
