rollout: a second attempt goes to another engine

With prefixes that keep their engine, an attempt beside a slow one could be made at the same slow engine. It now avoids those where attempts at the sample run.

--- a/internal/rollout/runner/attempt.go
+++ b/internal/rollout/runner/attempt.go
@@ -202,5 +202,6 @@
 	l.runner.Metrics.count(fateFinished)
 	delete(l.partials, key)
 	delete(l.begun, key)
+	delete(l.where, key)
 	l.notify()
 }
--- a/internal/rollout/runner/live.go
+++ b/internal/rollout/runner/live.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +38,7 @@
 	ready    chan struct{}
 	partials map[sample.Key]*sample.Recorder
 	begun    map[sample.Key]timer.Instant
+	where    map[sample.Key][]string
 	hold     timer.Instant
 	busyAt   timer.Instant
 	told     bool
@@ -62,6 +65,7 @@
 		ready:    make(chan struct{}),
 		partials: make(map[sample.Key]*sample.Recorder),
 		begun:    make(map[sample.Key]timer.Instant),
+		where:    make(map[sample.Key][]string),
 	}
 }
 
@@ -108,6 +112,7 @@
 			"step":    n,
 			"reason":  "drop_time_passed",
 		})
+		l.forget(n)
 		l.notify()
 	}
 	l.tellDemand(now)
@@ -165,6 +170,10 @@
 		rec:  l.resume(work),
 	}
 	a.task = l.task(work, a.rec)
+	if work.Second {
+		a.task.Avoid = l.where[work.Key]
+	}
+	a.task.Chosen = func(upstream string) { l.chosen(work.Key, upstream) }
 	trip, err := l.runner.Generator.Enter(a.task)
 	if err != nil {
 		return false
@@ -176,6 +185,22 @@
 	return true
 }
 
+// forget drops what is known of the attempts of a dropped step. The caller
+// holds the lock.
+func (l *live) forget(step uint64) {
+	of := func(key sample.Key) bool { return key.Step == step }
+	maps.DeleteFunc(l.partials, func(key sample.Key, _ *sample.Recorder) bool { return of(key) })
+	maps.DeleteFunc(l.begun, func(key sample.Key, _ timer.Instant) bool { return of(key) })
+	maps.DeleteFunc(l.where, func(key sample.Key, _ []string) bool { return of(key) })
+}
+
+// chosen notes where an attempt at a sample runs.
+func (l *live) chosen(key sample.Key, upstream string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.where[key] = append(slices.Clone(l.where[key]), upstream)
+}
+
 // limits follows the configuration of the oldest open step's deployment.
 func (l *live) limits() session.Limits {
 	d, err := l.runner.deployment(l.state.Deployment())
--- a/internal/rollout/stream/generator.go
+++ b/internal/rollout/stream/generator.go
@@ -49,8 +49,10 @@
 	// Share is the share of the deployment that the caller may claim while it
 	// is short; zero claims none in particular.
 	Share float64
-	// Avoid is the upstream of an attempt that runs beside this one, or empty.
-	Avoid string
+	// Avoid names the upstreams of attempts that run beside this one.
+	Avoid []string
+	// Chosen is told of each upstream that is chosen; nil tells nobody.
+	Chosen func(upstream string)
 }
 
 // Finish says how a generation ended and where it ran.
@@ -92,6 +94,9 @@
 		texts: append([]string(nil), task.Resume...),
 		emit:  emit,
 	}
+	for _, id := range task.Avoid {
+		trip.Avoid(id)
+	}
 	finish, err := r.attempts(ctx)
 	trip.Close(r.result(err))
 	return finish, err
@@ -125,9 +130,8 @@
 		if err != nil {
 			return Finish{}, r.final(err, last)
 		}
-		if u.ID == r.task.Avoid && len(r.trip.Set.Upstreams) > 1 {
-			u.Ended()
-			continue
+		if r.task.Chosen != nil {
+			r.task.Chosen(u.ID)
 		}
 		reason, err := r.once(ctx, u)
 		if err == nil {
--- a/internal/route/router/router.go
+++ b/internal/route/router/router.go
@@ -184,16 +184,34 @@
 	pass   *limit.Pass
 	policy policy.Policy
 	tried  [policy.MaxTried]*upstream.Upstream
-	n      int
+	// n counts attempts, avoided the upstreams at the front of tried that were
+	// not attempts.
+	n       int
+	avoided int
 }
 
 // Attempts returns how many upstreams were chosen so far.
 func (t *Trip) Attempts() int { return t.n }
 
+// Avoid keeps the trip off an upstream, by name. It is called before Next: a
+// second attempt beside a slow one is of no use at the same engine.
+func (t *Trip) Avoid(id string) {
+	if t.avoided >= policy.MaxTried/2 || len(t.Set.Upstreams) <= t.avoided+1 {
+		return
+	}
+	for _, u := range t.Set.Upstreams {
+		if u.ID == id {
+			t.tried[t.avoided] = u
+			t.avoided++
+			return
+		}
+	}
+}
+
 // Next chooses an upstream that was not tried yet and counts the request
 // there. It returns problem.NoUpstream when there is none.
 func (t *Trip) Next() (*upstream.Upstream, error) {
-	if t.n >= min(t.Set.Deployment.Attempts, policy.MaxTried) {
+	if t.n >= t.Set.Deployment.Attempts || t.avoided+t.n >= policy.MaxTried {
 		return nil, problem.NoUpstream.Withf("all %d attempts of request %s are used", t.n, t.Job.RequestID).
 			WithRetryAfter(time.Second)
 	}
@@ -209,7 +227,7 @@
 		return nil, problem.NoUpstream.Withf("none of %d upstreams of %q can be used", choice.Candidates, t.Job.Deployment).
 			WithRetryAfter(time.Second)
 	}
-	t.tried[t.n] = choice.Upstream
+	t.tried[t.avoided+t.n] = choice.Upstream
 	t.n++
 	choice.Upstream.Begin()
 	return choice.Upstream, nil
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -30,6 +30,9 @@
 	reportLife = 4 * time.Second
 	// paceWeight is the weight of one new measurement of pace.
 	paceWeight = 0.1
+	// paceJump bounds one measurement against the smoothed pace. A single slow
+	// stream says little about its engine; many of them still add up.
+	paceJump = 3
 	// slowestFactor bounds how much worse a slow upstream is rated.
 	slowestFactor = 8
 	// slowFactor is from when on an upstream counts as slow.
@@ -93,7 +96,8 @@
 	if old == 0 {
 		old = pace.Seconds()
 	}
-	u.pace.Store(math.Float64bits(old + paceWeight*(pace.Seconds()-old)))
+	now := min(pace.Seconds(), paceJump*old)
+	u.pace.Store(math.Float64bits(old + paceWeight*(now-old)))
 }
 
 // Ended ends a request that tells nothing about the upstream, such as one
