gossip, questionnaire, session: mend what a reading of the whole change found

gossip: the decoder is an argument of Decoded.List, so that the zero value works and its two users need no sync.Once to set it. questionnaire: the path of a field was put together twice more; setting.FieldPath serves. session: a field of a step that nothing read is gone.

Left: version.Board and demand.Book each keep a copy of a kind of entries by its count of changes, as member.Table does; one cached form of Decoded could serve all three, but the view sorts its list in place.

--- a/internal/fleet/gossip/decoded.go
+++ b/internal/fleet/gossip/decoded.go
@@ -3,11 +3,8 @@
 import "sync"
 
 // Decoded keeps the decoded values of one kind of entries, so that a change of
-// one entry costs the decoding of one. Its zero value needs a Decode function.
+// one entry costs the decoding of one. Its zero value is empty and works.
 type Decoded[T any] struct {
-	// Decode returns the value of an entry, or false for one to leave out.
-	Decode func(e Entry) (T, bool)
-
 	mu    sync.Mutex
 	known map[string]decoded[T]
 }
@@ -18,8 +15,10 @@
 	ok      bool
 }
 
-// List returns the values of all entries of one kind, in no order.
-func (d *Decoded[T]) List(s *State, k Kind) []T {
+// List returns the values of all entries of one kind, in no order. decode
+// returns the value of an entry, or false for one to leave out; it must be the
+// same for all calls.
+func (d *Decoded[T]) List(s *State, k Kind, decode func(e Entry) (T, bool)) []T {
 	entries := s.List(k)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -29,7 +28,7 @@
 		v, found := d.known[e.Key]
 		if !found || v.version != e.Version {
 			v.version = e.Version
-			v.value, v.ok = d.Decode(e)
+			v.value, v.ok = decode(e)
 		}
 		next[e.Key] = v
 		if v.ok {
--- a/internal/fleet/listing/book.go
+++ b/internal/fleet/listing/book.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"sync"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/fleet/gossip"
@@ -22,7 +21,6 @@
 	State *gossip.State
 
 	decoded gossip.Decoded[presence]
-	once    sync.Once
 }
 
 // presence is the value of an upstream entry. The minor version counts its
@@ -38,8 +36,7 @@
 	for _, e := range b.State.List(gossip.KindLeaving) {
 		leaving[e.Key] = e.Version.Major
 	}
-	b.once.Do(func() { b.decoded.Decode = decode })
-	all := b.decoded.List(b.State, gossip.KindUpstream)
+	all := b.decoded.List(b.State, gossip.KindUpstream, decode)
 	list := make([]roster.Instance, 0, len(all))
 	for _, p := range all {
 		if p.Gone {
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -29,9 +29,8 @@
 	suspects map[string]suspicion
 	loads    map[string]float64
 
-	view       atomic.Pointer[View]
-	decoded    gossip.Decoded[Member]
-	decodeOnce sync.Once
+	view    atomic.Pointer[View]
+	decoded gossip.Decoded[Member]
 }
 
 type suspicion struct {
@@ -71,8 +70,7 @@
 	if v := t.view.Load(); v != nil && v.generation == gen {
 		return v
 	}
-	t.decodeOnce.Do(func() { t.decoded.Decode = FromEntry })
-	v := newView(t.Self(), t.decoded.List(t.State, gossip.KindMember))
+	v := newView(t.Self(), t.decoded.List(t.State, gossip.KindMember, FromEntry))
 	v.generation = gen
 	t.view.Store(v)
 	return v
--- a/internal/fleet/questionnaire/interview.go
+++ b/internal/fleet/questionnaire/interview.go
@@ -139,11 +139,7 @@
 func next(t reflect.Type, path string, given map[string]any) (question, bool) {
 	for i := range t.NumField() {
 		field := t.Field(i)
-		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
-		at := name
-		if path != "" {
-			at = path + "." + name
-		}
+		_, at := setting.FieldPath(field, path)
 		value, answered := given[at]
 		if !answered {
 			return newQuestion(field, at), true
@@ -240,11 +236,7 @@
 	out := make(map[string]any)
 	for i := range t.NumField() {
 		field := t.Field(i)
-		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
-		at := name
-		if path != "" {
-			at = path + "." + name
-		}
+		name, at := setting.FieldPath(field, path)
 		value, ok := given[at]
 		if !ok {
 			continue
--- a/internal/kernel/setting/decode.go
+++ b/internal/kernel/setting/decode.go
@@ -290,6 +290,16 @@
 	}
 }
 
+// FieldPath returns the name of a field in its file, and its path below path.
+// Both are empty for a field that is not part of the file.
+func FieldPath(field reflect.StructField, path string) (name, at string) {
+	name = jsonName(field)
+	if name == "" {
+		return "", ""
+	}
+	return name, join(path, name)
+}
+
 func jsonName(field reflect.StructField) string {
 	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
 	if name == "-" || !field.IsExported() {
--- a/internal/rollout/session/session.go
+++ b/internal/rollout/session/session.go
@@ -116,7 +116,6 @@
 		},
 		items:     make(map[sample.Key]*item),
 		remaining: make(map[string]int),
-		submitted: now,
 	}
 	if spec.DropAfterMS > 0 {
 		dropAfter = time.Duration(spec.DropAfterMS) * time.Millisecond
--- a/internal/rollout/session/step.go
+++ b/internal/rollout/session/step.go
@@ -79,7 +79,6 @@
 	items     map[sample.Key]*item
 	order     []*item
 	remaining map[string]int
-	submitted timer.Instant
 	dropAt    timer.Instant
 	paces     []time.Duration
 }
