outside: the adapters of outside systems get this name

Cause: the users' platform gets a folder of its own, called platform; two things of one name would confuse a reader. Ruled out: keeping internal/platform beside platform/.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -18,7 +18,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/setting"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/load/addresses"
-	platform "github.com/egretbend/egretbend/internal/platform/roster"
+	platform "github.com/egretbend/egretbend/internal/outside/roster"
 	"github.com/egretbend/egretbend/internal/standin/engine"
 	"github.com/egretbend/egretbend/internal/standin/keyvalue"
 	"github.com/egretbend/egretbend/internal/standin/roster"
--- a/internal/entry/caller/completions.go
+++ b/internal/entry/caller/completions.go
@@ -10,7 +10,7 @@
 	"goji.io/pat"
 
 	"github.com/egretbend/egretbend/internal/kernel/problem"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/rollout/sample"
 	"github.com/egretbend/egretbend/internal/rollout/stream"
 	"github.com/egretbend/egretbend/internal/route/relay"
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -14,8 +14,8 @@
 	_ "github.com/egretbend/egretbend/internal/fleet/peer"
 	_ "github.com/egretbend/egretbend/internal/fleet/placement"
 	_ "github.com/egretbend/egretbend/internal/fleet/version"
-	_ "github.com/egretbend/egretbend/internal/platform/keyvalue"
-	_ "github.com/egretbend/egretbend/internal/platform/roster"
+	_ "github.com/egretbend/egretbend/internal/outside/keyvalue"
+	_ "github.com/egretbend/egretbend/internal/outside/roster"
 	_ "github.com/egretbend/egretbend/internal/rollout/runner"
 	_ "github.com/egretbend/egretbend/internal/route/router"
 )
--- a/internal/fleet/configuration/editor.go
+++ b/internal/fleet/configuration/editor.go
@@ -8,7 +8,7 @@
 
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/keyvalue"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
 // resolvePause is the time between two looks for a change whose answer was lost.
--- a/internal/fleet/configuration/follow.go
+++ b/internal/fleet/configuration/follow.go
@@ -15,7 +15,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/peer"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/keyvalue"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
 // How an instance follows the configuration.
--- a/internal/fleet/configuration/part.go
+++ b/internal/fleet/configuration/part.go
@@ -10,7 +10,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/fleet/peer"
 	"github.com/egretbend/egretbend/internal/kernel/part"
-	"github.com/egretbend/egretbend/internal/platform/keyvalue"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
 func init() {
--- a/internal/fleet/configuration/proof_test.go
+++ b/internal/fleet/configuration/proof_test.go
@@ -12,7 +12,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/keyvalue"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 	"github.com/egretbend/egretbend/internal/standin/proof"
 )
 
--- a/internal/fleet/lease/holder.go
+++ b/internal/fleet/lease/holder.go
@@ -11,7 +11,7 @@
 
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/keyvalue"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
 // The times of a lease.
--- a/internal/fleet/lease/proof_test.go
+++ b/internal/fleet/lease/proof_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/egretbend/egretbend/internal/fleet/lease"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/keyvalue"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 	"github.com/egretbend/egretbend/internal/standin/proof"
 )
 
--- a/internal/fleet/listing/book.go
+++ b/internal/fleet/listing/book.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/egretbend/egretbend/internal/fleet/gossip"
-	"github.com/egretbend/egretbend/internal/platform/roster"
+	"github.com/egretbend/egretbend/internal/outside/roster"
 )
 
 // How long entries are remembered, in seconds.
--- a/internal/fleet/listing/part.go
+++ b/internal/fleet/listing/part.go
@@ -6,7 +6,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/gossip"
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/kernel/part"
-	"github.com/egretbend/egretbend/internal/platform/roster"
+	"github.com/egretbend/egretbend/internal/outside/roster"
 )
 
 func init() {
--- a/internal/fleet/listing/reader.go
+++ b/internal/fleet/listing/reader.go
@@ -10,7 +10,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/roster"
+	"github.com/egretbend/egretbend/internal/outside/roster"
 )
 
 // How the platform's list is read.
--- a/internal/fleet/placement/orderer.go
+++ b/internal/fleet/placement/orderer.go
@@ -18,9 +18,9 @@
 	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/engine"
-	"github.com/egretbend/egretbend/internal/platform/keyvalue"
-	"github.com/egretbend/egretbend/internal/platform/roster"
+	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+	"github.com/egretbend/egretbend/internal/outside/roster"
 )
 
 // How orders are given.
--- a/internal/fleet/placement/part.go
+++ b/internal/fleet/placement/part.go
@@ -8,8 +8,8 @@
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/part"
-	"github.com/egretbend/egretbend/internal/platform/engine"
-	"github.com/egretbend/egretbend/internal/platform/keyvalue"
+	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
 func init() {
--- a/internal/fleet/placement/plan.go
+++ b/internal/fleet/placement/plan.go
@@ -4,7 +4,7 @@
 	"sort"
 
 	"github.com/egretbend/egretbend/internal/fleet/version"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 )
 
 // Engine is what is known of one engine.
--- a/internal/fleet/placement/plan_test.go
+++ b/internal/fleet/placement/plan_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/egretbend/egretbend/internal/fleet/placement"
 	"github.com/egretbend/egretbend/internal/fleet/version"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/standin/proof"
 )
 
--- a/internal/load/experiment/swaps.go
+++ b/internal/load/experiment/swaps.go
@@ -9,7 +9,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/load/fleet"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 )
 
 // lookPeriod is how often engines are asked for their versions.
--- a/internal/rollout/runner/attempt.go
+++ b/internal/rollout/runner/attempt.go
@@ -10,7 +10,7 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/rollout/sample"
 	"github.com/egretbend/egretbend/internal/rollout/session"
 	"github.com/egretbend/egretbend/internal/rollout/stream"
--- a/internal/rollout/runner/part.go
+++ b/internal/rollout/runner/part.go
@@ -9,7 +9,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/peer"
 	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/part"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/rollout/demand"
 	"github.com/egretbend/egretbend/internal/rollout/keeper"
 	"github.com/egretbend/egretbend/internal/rollout/stream"
--- a/internal/rollout/sample/sample.go
+++ b/internal/rollout/sample/sample.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"github.com/egretbend/egretbend/internal/fleet/version"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 )
 
 // Key names a sample within its trainer's work.
--- a/internal/rollout/sample/sample_test.go
+++ b/internal/rollout/sample/sample_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/egretbend/egretbend/internal/fleet/version"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/rollout/sample"
 	"github.com/egretbend/egretbend/internal/standin/proof"
 )
--- a/internal/rollout/stream/generator.go
+++ b/internal/rollout/stream/generator.go
@@ -13,7 +13,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/limit"
 	"github.com/egretbend/egretbend/internal/route/router"
 	"github.com/egretbend/egretbend/internal/route/upstream"
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -14,7 +14,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/limit"
 	"github.com/egretbend/egretbend/internal/route/router"
 	"github.com/egretbend/egretbend/internal/route/upstream"
--- a/internal/route/router/part.go
+++ b/internal/route/router/part.go
@@ -9,7 +9,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/part"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/limit"
 	"github.com/egretbend/egretbend/internal/route/upstream"
 )
--- a/internal/route/upstream/refresh.go
+++ b/internal/route/upstream/refresh.go
@@ -13,7 +13,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/listing"
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 )
 
 // How the table is kept fresh.
--- a/internal/route/upstream/scale_test.go
+++ b/internal/route/upstream/scale_test.go
@@ -11,7 +11,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/listing"
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/roster"
+	"github.com/egretbend/egretbend/internal/outside/roster"
 	"github.com/egretbend/egretbend/internal/route/upstream"
 )
 
--- a/internal/route/upstream/table.go
+++ b/internal/route/upstream/table.go
@@ -7,7 +7,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/roster"
+	"github.com/egretbend/egretbend/internal/outside/roster"
 )
 
 // Table holds the Sets of all deployments. Its zero value is empty.
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -7,7 +7,7 @@
 
 	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 )
 
 // How an upstream is judged.
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/engine"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/standin/weights"
 )
 
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -9,8 +9,8 @@
 
 	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/engine"
-	"github.com/egretbend/egretbend/internal/platform/roster"
+	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/outside/roster"
 	"github.com/egretbend/egretbend/internal/standin/fault"
 )
 
--- a/internal/standin/keyvalue/server.go
+++ b/internal/standin/keyvalue/server.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/keyvalue"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 	"github.com/egretbend/egretbend/internal/standin/fault"
 )
 
--- a/internal/standin/keyvalue/store.go
+++ b/internal/standin/keyvalue/store.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/keyvalue"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
 // maxValue is the largest value that the platform's service holds.
--- a/internal/standin/roster/announcer.go
+++ b/internal/standin/roster/announcer.go
@@ -10,7 +10,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/roster"
+	"github.com/egretbend/egretbend/internal/outside/roster"
 )
 
 const announcePeriod = time.Second
--- a/internal/standin/roster/server.go
+++ b/internal/standin/roster/server.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/roster"
+	"github.com/egretbend/egretbend/internal/outside/roster"
 	"github.com/egretbend/egretbend/internal/standin/fault"
 )
 
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -14,8 +14,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/platform/engine"
-	"github.com/egretbend/egretbend/internal/platform/roster"
+	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/outside/roster"
 	"github.com/egretbend/egretbend/internal/route/relay"
 	"github.com/egretbend/egretbend/internal/standin/fault"
 )
