--- a/cmd/egretbend/main.go
+++ b/cmd/egretbend/main.go
@@ -6,8 +6,9 @@
 	"os"
 
 	"github.com/egretbend/egretbend/internal/entry/command"
+	"github.com/egretbend/egretbend/platform"
 )
 
 func main() {
-	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr, platform.Command(), platform.IdleCommand()))
 }
--- /dev/null
+++ b/internal/batch/desk/desk.go
@@ -0,0 +1,267 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/batch/runner"
+	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/fleet/registry"
+	"github.com/egretbend/egretbend/internal/kernel/journal"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+)
+
+// The times of the desk.
+const (
+	// MaxWait is how long a read may wait for results.
+	MaxWait = time.Second
+	// submitTimeout is how long a batch may wait for the key-value service.
+	// Trainers wait about half a second for the answer, and come back.
+	submitTimeout = 2500 * time.Millisecond
+	// callTimeout bounds a call to the owner of a batch, its wait not counted.
+	callTimeout = 600 * time.Millisecond
+	// ledgerTimeout bounds a look into the ledger.
+	ledgerTimeout = 2 * time.Second
+	// endTimeout bounds the end of a batch.
+	endTimeout = 3 * time.Second
+	// hintTimeout bounds the news of an accepted batch to one instance.
+	hintTimeout = 300 * time.Millisecond
+	// retryAway tells callers when to come back while the service is away.
+	retryAway = time.Second
+)
+
+// Peers calls other instances. Read, Body and End return runner.ErrNotHere if
+// the instance does not run the batch.
+type Peers interface {
+	Read(ctx context.Context, address, id string, after int, wait time.Duration) (runner.Page, error)
+	Body(ctx context.Context, address, id, item string) ([]byte, bool, error)
+	End(ctx context.Context, address, id string) error
+	Hint(ctx context.Context, address, id string, owner ledger.Owner) error
+}
+
+// Desk answers calls about batches.
+type Desk struct {
+	Runner   *runner.Runner
+	Ledger   *ledger.Ledger
+	Registry *registry.Registry
+	Peers    Peers
+	Timer    timer.Service
+	Journal  *journal.Journal
+	// Leaving reports whether this instance takes no new batches.
+	Leaving func() bool
+
+	mu     sync.Mutex
+	owners map[string]ledger.Owner
+}
+
+// Submit accepts a batch. A nil error means that it is kept whole from now on.
+func (d *Desk) Submit(ctx context.Context, sub *submission.Submission, route catalog.Route) error {
+	if d.Leaving() {
+		return problem.Leaving.Withf("batch %s", sub.ID).WithRetryAfter(100 * time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	err := d.Runner.Submit(ctx, sub, route)
+	switch {
+	case err == nil:
+		d.tell(sub.ID)
+		return nil
+	case errors.Is(err, ledger.ErrExists):
+		d.Journal.Decision("accepted_before", log.Fields{
+			"request_id": sub.ID,
+		})
+		return nil
+	}
+	e := submitProblem(err)
+	d.Journal.Decision("refuse_batch", log.Fields{
+		"request_id": sub.ID,
+		"items":      len(sub.Items),
+		"outcome":    e.Kind.Code,
+		"reason":     err.Error(),
+	})
+	return e
+}
+
+// submitProblem says "not run" only if the write can't be done any more.
+func submitProblem(err error) *problem.Error {
+	switch {
+	case errors.Is(err, ledger.ErrTooLarge):
+		return problem.TooLarge.With(err)
+	case errors.Is(err, ledger.ErrUnsettled):
+		return problem.ChangeUnknown.With(err).WithOutcome(problem.Unknown)
+	}
+	return problem.PlatformDown.With(err).WithRetryAfter(retryAway)
+}
+
+// tell lets the other instances know who runs a batch: a read at any of them
+// then needs no call of the key-value service.
+func (d *Desk) tell(id string) {
+	for _, m := range d.Registry.Members() {
+		if m.Name == d.Registry.Self().Name {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), hintTimeout)
+			defer cancel()
+			if err := d.Peers.Hint(ctx, m.PeerAddress, id, d.Ledger.Self); err != nil {
+				d.Journal.Detail("hint not taken", log.Fields{
+					"request_id": id,
+					"instance":   m.Name,
+					"error":      err.Error(),
+				})
+			}
+		}()
+	}
+}
+
+// Hint notes who runs a batch.
+func (d *Desk) Hint(id string, owner ledger.Owner) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.owners == nil {
+		d.owners = make(map[string]ledger.Owner)
+	}
+	d.owners[id] = owner
+}
+
+func (d *Desk) forget(id string, owner ledger.Owner) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.owners[id] == owner {
+		delete(d.owners, id)
+	}
+}
+
+// owner returns who runs a batch, by the hints or else by the ledger. It
+// returns ledger.ErrUnknown for a batch that is not open.
+func (d *Desk) owner(ctx context.Context, id string) (ledger.Owner, error) {
+	d.mu.Lock()
+	owner, ok := d.owners[id]
+	d.mu.Unlock()
+	if ok && d.Registry.Alive(owner.Instance, owner.Incarnation) {
+		return owner, nil
+	}
+	claim, err := d.Ledger.Find(ctx, id)
+	if err != nil {
+		return ledger.Owner{}, err
+	}
+	d.Hint(id, claim.Owner)
+	return claim.Owner, nil
+}
+
+// other returns the owner's address if it is another live instance.
+func (d *Desk) other(ctx context.Context, id string) (ledger.Owner, bool) {
+	owner, err := d.owner(ctx, id)
+	return owner, err == nil && owner != d.Ledger.Self
+}
+
+// Read returns results from a position on.
+func (d *Desk) Read(ctx context.Context, id string, after int, wait time.Duration) (runner.Page, error) {
+	page, err := d.Runner.Read(ctx, id, after, wait)
+	if !errors.Is(err, runner.ErrNotHere) {
+		return page, err
+	}
+	find, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	owner, ok := d.other(find, id)
+	cancel()
+	if ok {
+		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		page, err = d.Peers.Read(call, owner.Address, id, after, wait)
+		cancel()
+		if err == nil {
+			return page, nil
+		}
+		d.forget(id, owner)
+	}
+	rec, err := d.load(ctx, id)
+	if err != nil {
+		return runner.Page{}, err
+	}
+	return runner.PageOf(len(rec.Submission.Items), rec.Results, after), nil
+}
+
+// load reads a batch from the ledger.
+func (d *Desk) load(ctx context.Context, id string) (*ledger.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	rec, err := d.Ledger.Load(ctx, id)
+	if errors.Is(err, ledger.ErrUnknown) {
+		return nil, problem.NotFound.Withf("no batch %s", id)
+	}
+	if err != nil {
+		return nil, problem.PlatformDown.Withf("batch %s: %w", id, err).WithRetryAfter(retryAway)
+	}
+	return rec, nil
+}
+
+// Body returns the body of an item that is not listed yet.
+func (d *Desk) Body(ctx context.Context, id, item string) ([]byte, error) {
+	body, ok, err := d.Runner.Body(id, item)
+	if errors.Is(err, runner.ErrNotHere) {
+		body, ok, err = d.bodyElsewhere(ctx, id, item)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		return nil, problem.NotFound.Withf("batch %s has no unlisted item %s", id, item)
+	}
+	return body, nil
+}
+
+func (d *Desk) bodyElsewhere(ctx context.Context, id, item string) ([]byte, bool, error) {
+	find, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	owner, ok := d.other(find, id)
+	cancel()
+	if ok {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if body, ok, err := d.Peers.Body(call, owner.Address, id, item); err == nil {
+			return body, ok, nil
+		}
+	}
+	rec, err := d.load(ctx, id)
+	if err != nil {
+		return nil, false, err
+	}
+	body, ok := runner.BodyOf(rec.Submission, rec.Results, item)
+	return body, ok, nil
+}
+
+// End ends a batch. It may be repeated.
+func (d *Desk) End(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	err := d.Runner.End(ctx, id)
+	if errors.Is(err, runner.ErrNotHere) {
+		err = d.endElsewhere(ctx, id)
+	}
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, ledger.ErrUnknown):
+		return problem.NotFound.Withf("no batch %s", id)
+	}
+	return problem.PlatformDown.Withf("end of batch %s: %w", id, err).WithRetryAfter(retryAway)
+}
+
+// endElsewhere has the owner end a batch, or ends it in the ledger; the owner
+// then learns of it at its next write.
+func (d *Desk) endElsewhere(ctx context.Context, id string) error {
+	if owner, ok := d.other(ctx, id); ok {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := d.Peers.End(call, owner.Address, id)
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return d.Ledger.End(ctx, id, time.Now())
+}
--- /dev/null
+++ b/internal/batch/desk/peers.go
@@ -0,0 +1,136 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/batch/runner"
+	"github.com/egretbend/egretbend/internal/fleet/peer"
+)
+
+// receiver is the name of the calls between instances.
+const receiver = "Batch"
+
+// Call names a batch, and where it applies an item or a position.
+type Call struct {
+	Batch string
+	Item  string
+	After int
+	Wait  time.Duration
+	Owner ledger.Owner
+}
+
+// Reply is what another instance answers. NotHere says that it does not run
+// the batch.
+type Reply struct {
+	NotHere bool
+	Page    runner.Page
+	Body    []byte
+	Found   bool
+}
+
+// Server answers the calls of other instances.
+type Server struct {
+	desk *Desk
+}
+
+// Register makes the desk callable by other instances.
+func (d *Desk) Register(s *peer.Server) error { return s.Register(receiver, &Server{desk: d}) }
+
+// notHere turns the one error that callers act upon into a field, as errors
+// travel as text.
+func (r *Reply) notHere(err error) error {
+	r.NotHere = errors.Is(err, runner.ErrNotHere)
+	if r.NotHere {
+		return nil
+	}
+	return err
+}
+
+// Read answers with results of a batch that runs here.
+func (s *Server) Read(c *Call, r *Reply) error {
+	page, err := s.desk.Runner.Read(context.Background(), c.Batch, c.After, min(c.Wait, MaxWait))
+	r.Page = page
+	return r.notHere(err)
+}
+
+// Body answers with the body of an item of a batch that runs here.
+func (s *Server) Body(c *Call, r *Reply) error {
+	body, ok, err := s.desk.Runner.Body(c.Batch, c.Item)
+	r.Body = body
+	r.Found = ok
+	return r.notHere(err)
+}
+
+// End ends a batch that runs here.
+func (s *Server) End(c *Call, r *Reply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	return r.notHere(s.desk.Runner.End(ctx, c.Batch))
+}
+
+// Hint takes the news of who runs a batch.
+func (s *Server) Hint(c *Call, _ *Reply) error {
+	s.desk.Hint(c.Batch, c.Owner)
+	return nil
+}
+
+// PeerCalls calls other instances' desks.
+type PeerCalls struct {
+	Client *peer.Client
+}
+
+func (p *PeerCalls) call(ctx context.Context, address, method string, c Call) (*Reply, error) {
+	r := &Reply{}
+	if err := p.Client.Call(ctx, address, receiver+"."+method, &c, r); err != nil {
+		return nil, err
+	}
+	if r.NotHere {
+		return nil, runner.ErrNotHere
+	}
+	return r, nil
+}
+
+// Read implements Peers.
+func (p *PeerCalls) Read(ctx context.Context, address, id string, after int, wait time.Duration) (runner.Page, error) {
+	r, err := p.call(ctx, address, "Read", Call{
+		Batch: id,
+		After: after,
+		Wait:  wait,
+	})
+	if err != nil {
+		return runner.Page{}, err
+	}
+	return r.Page, nil
+}
+
+// Body implements Peers.
+func (p *PeerCalls) Body(ctx context.Context, address, id, item string) ([]byte, bool, error) {
+	r, err := p.call(ctx, address, "Body", Call{
+		Batch: id,
+		Item:  item,
+	})
+	if err != nil {
+		return nil, false, err
+	}
+	return r.Body, r.Found, nil
+}
+
+// End implements Peers.
+func (p *PeerCalls) End(ctx context.Context, address, id string) error {
+	_, err := p.call(ctx, address, "End", Call{
+		Batch: id,
+	})
+	return err
+}
+
+// Hint implements Peers.
+func (p *PeerCalls) Hint(ctx context.Context, address, id string, owner ledger.Owner) error {
+	_, err := p.call(ctx, address, "Hint", Call{
+		Batch: id,
+		Owner: owner,
+	})
+	return err
+}
--- /dev/null
+++ b/internal/batch/runner/batch.go
@@ -0,0 +1,176 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/batch/schedule"
+	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+)
+
+// Batch is a batch that this process owns.
+type Batch struct {
+	sub     *submission.Submission
+	route   catalog.Route
+	service string
+	ctx     context.Context
+	cancel  context.CancelFunc
+	// gives is when unfinished items are given up.
+	gives timer.Instant
+
+	mu      sync.Mutex
+	claim   ledger.Claim
+	tasks   map[string]*task
+	queue   []*task
+	groups  map[string]int
+	listed  []submission.Result
+	pending []submission.Result
+	// since is when the first pending result came.
+	since   timer.Instant
+	whole   bool
+	open    int
+	ended   bool
+	lost    bool
+	changed chan struct{}
+	wake    chan struct{}
+	write   chan struct{}
+}
+
+// Page is a part of a batch's results.
+type Page struct {
+	Total   int
+	Results []submission.Result
+	Next    int
+}
+
+// pageBytes bounds the text of one page.
+const pageBytes = 900 << 10
+
+// page returns the results from a position on. The lock is held.
+func (b *Batch) page(after int) Page {
+	return PageOf(len(b.sub.Items), b.listed, after)
+}
+
+// PageOf cuts a page out of all listed results.
+func PageOf(total int, listed []submission.Result, after int) Page {
+	p := Page{
+		Total: total,
+		Next:  after,
+	}
+	size := 0
+	for after < len(listed) {
+		r := listed[after]
+		size += len(r.Text) + len(r.Item) + 64
+		if size > pageBytes && len(p.Results) > 0 {
+			break
+		}
+		p.Results = append(p.Results, r)
+		after++
+	}
+	p.Next = after
+	return p
+}
+
+// signal wakes one waiter on c without waiting itself.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// tell wakes all readers. The lock is held.
+func (b *Batch) tell() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// finish takes the result of a task. The lock is held.
+func (b *Batch) finish(t *task, r submission.Result, now timer.Instant) {
+	if t.phase == finished || b.over() {
+		return
+	}
+	t.phase = finished
+	t.events = nil
+	b.open--
+	if len(b.pending) == 0 {
+		b.since = now
+	}
+	b.pending = append(b.pending, r)
+	b.groups[t.item.Group]--
+	if b.groups[t.item.Group] == 0 {
+		b.whole = true
+	}
+	signal(b.write)
+}
+
+// over reports whether the batch needs no more work here. The lock is held.
+func (b *Batch) over() bool { return b.ended || b.lost }
+
+// due describes the pending results. The lock is held.
+func (b *Batch) due(now timer.Instant) schedule.Pending {
+	return schedule.Pending{
+		Results: len(b.pending),
+		Whole:   b.whole,
+		Last:    b.open == 0,
+		Oldest:  now.Sub(b.since),
+	}
+}
+
+// giveUp lists all unfinished items as dead. The lock is held.
+func (b *Batch) giveUp(now timer.Instant) {
+	for i := range b.sub.Items {
+		t := b.tasks[b.sub.Items[i].ID]
+		if t == nil || t.phase == finished {
+			continue
+		}
+		if t.cancel != nil {
+			t.cancel()
+		}
+		b.finish(t, submission.Result{
+			Item:  t.item.ID,
+			State: submission.Dead,
+		}, now)
+	}
+	b.queue = nil
+}
+
+// newBatch prepares a batch; stored results of an earlier owner stand.
+func newBatch(sub *submission.Submission, claim ledger.Claim, stored []submission.Result) *Batch {
+	b := &Batch{
+		sub:     sub,
+		claim:   claim,
+		tasks:   make(map[string]*task, len(sub.Items)),
+		groups:  make(map[string]int),
+		listed:  stored,
+		changed: make(chan struct{}),
+		wake:    make(chan struct{}, 1),
+		write:   make(chan struct{}, 1),
+	}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	done := make(map[string]bool, len(stored))
+	for _, r := range stored {
+		done[r.Item] = true
+	}
+	for _, i := range schedule.Order(sub.Items) {
+		item := &sub.Items[i]
+		if done[item.ID] || b.tasks[item.ID] != nil {
+			continue
+		}
+		t := &task{
+			item: item,
+		}
+		b.tasks[item.ID] = t
+		b.queue = append(b.queue, t)
+		b.groups[item.Group]++
+		b.open++
+	}
+	return b
+}
+
+// left returns the time until unfinished items are given up.
+func (b *Batch) left(now timer.Instant) time.Duration { return b.gives.Sub(now) }
--- /dev/null
+++ b/internal/batch/runner/drive.go
@@ -0,0 +1,338 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/batch/schedule"
+	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+)
+
+// drive begins the items of a batch as engines have room.
+func (r *Runner) drive(b *Batch) {
+	for {
+		b.mu.Lock()
+		r.pump(b)
+		done := b.over() || b.open == 0
+		b.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-b.wake:
+		case <-b.ctx.Done():
+			return
+		case <-r.tomb.Dying():
+			return
+		}
+	}
+}
+
+// candidate is an engine that may take an item.
+type candidate struct {
+	schedule.Engine
+	u *catalog.Upstream
+}
+
+// engines returns the engines that can serve the batch now. The lock is held.
+func (r *Runner) engines(b *Batch, now timer.Instant) []candidate {
+	var list []candidate
+	for _, u := range r.Book.Group(b.service).Upstreams {
+		if !u.Usable(now) || u.Resting(now) {
+			continue
+		}
+		if b.sub.Model != "" && u.ModelVersion(b.sub.Model) < b.sub.OldestVersion {
+			continue
+		}
+		list = append(list, candidate{
+			Engine: schedule.Engine{
+				Room:  u.Room(now),
+				Slots: max(1, u.Slots),
+				Pace:  u.Slowness(),
+				Near:  u.FailureDomain == r.FailureDomain,
+			},
+			u: u,
+		})
+	}
+	return list
+}
+
+// usual returns the usual time between two events at the batch's engines.
+func (r *Runner) usual(b *Batch) time.Duration {
+	return time.Duration(r.Book.Group(b.service).Set.MedianPace() * float64(time.Second))
+}
+
+// pump begins as many items as there is room for. The lock is held.
+func (r *Runner) pump(b *Batch) {
+	if b.over() || len(b.queue) == 0 {
+		return
+	}
+	now := r.Timer.Now()
+	list := r.engines(b, now)
+	plain := make([]schedule.Engine, len(list))
+	for i, c := range list {
+		plain[i] = c.Engine
+	}
+	for len(b.queue) > 0 {
+		at := schedule.Pick(plain)
+		if at < 0 {
+			return
+		}
+		plain[at].Room--
+		t := b.queue[0]
+		b.queue = b.queue[1:]
+		r.begin(b, t, list[at].u, now)
+	}
+}
+
+// begin starts one attempt. The lock is held.
+func (r *Runner) begin(b *Batch, t *task, u *catalog.Upstream, now timer.Instant) {
+	ctx, cancel := context.WithCancel(b.ctx)
+	t.phase = running
+	t.upstream = u
+	t.cancel = cancel
+	t.begun = now
+	t.heard = now
+	t.made = 0
+	t.moving = false
+	t.stuck = false
+	t.attempts++
+	u.Begin()
+	g := Generation{
+		Batch:  b.sub,
+		Item:   t.item,
+		Route:  b.route,
+		After:  t.last,
+		Oldest: b.sub.OldestVersion,
+		Left:   b.left(now),
+		Heard:  func(report engine.Report) { u.Heard(report, r.Timer.Now()) },
+	}
+	go func() {
+		defer cancel()
+		err := r.Generator.Generate(ctx, u, g, func(e Event) error { return r.event(b, t, e) })
+		r.attempted(b, t, u, err)
+	}()
+}
+
+// errStale ends an attempt whose engine has weights too old for the batch.
+var errStale = errors.New("the engine's weights are too old for the batch")
+
+// errDisorder ends an attempt whose events don't follow each other.
+var errDisorder = errors.New("an event is not the next one")
+
+// event takes one event of a stream.
+func (r *Runner) event(b *Batch, t *task, e Event) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.moving || b.over() {
+		return context.Canceled
+	}
+	if e.Version != 0 && e.Version < b.sub.OldestVersion {
+		return errStale
+	}
+	if !t.add(e, r.Timer.Now()) {
+		return errDisorder
+	}
+	return nil
+}
+
+// attempted handles the end of one attempt.
+func (r *Runner) attempted(b *Batch, t *task, u *catalog.Upstream, err error) {
+	now := r.Timer.Now()
+	b.mu.Lock()
+	r.account(t, u, err, now)
+	r.Metrics.attempt(err)
+	if t.phase == finished || b.over() {
+		b.mu.Unlock()
+		return
+	}
+	if err == nil {
+		t.phase = scoring
+		b.mu.Unlock()
+		signal(b.wake)
+		r.score(b, t)
+		return
+	}
+	if !t.moving {
+		r.Journal.Decision("attempt_failed", log.Fields{
+			"request_id": t.item.ID,
+			"batch":      b.sub.ID,
+			"upstream":   u.ID,
+			"after":      t.last,
+			"error":      err.Error(),
+		})
+	}
+	switch {
+	case errors.Is(err, engine.ErrImpossible):
+		r.dead(b, t, "impossible", now)
+	case errors.Is(err, engine.ErrAttemptFailed):
+		t.failures++
+		if t.failures >= max(1, b.route.Attempts) {
+			r.dead(b, t, "attempts", now)
+		}
+	case errors.Is(err, errStale):
+		t.restart()
+	}
+	if t.phase != finished {
+		t.phase = waiting
+		t.cancel = nil
+		b.queue = append([]*task{t}, b.queue...)
+	}
+	b.mu.Unlock()
+	signal(b.wake)
+}
+
+// account notes what an attempt tells of its engine. The lock is held.
+func (r *Runner) account(t *task, u *catalog.Upstream, err error, now timer.Instant) {
+	var refused *engine.RefusedError
+	pace := time.Duration(0)
+	if t.made >= 2 {
+		pace = t.heard.Sub(t.begun) / time.Duration(t.made)
+	}
+	switch {
+	case err == nil, errors.Is(err, engine.ErrAttemptFailed), errors.Is(err, engine.ErrImpossible):
+		u.Succeeded(pace)
+	case errors.Is(err, engine.ErrMisdirected):
+		u.MarkLeaving()
+		u.Ended()
+	case errors.As(err, &refused), errors.Is(err, errStale):
+		u.Rest(now)
+		u.Ended()
+	case t.moving && t.stuck:
+		u.Failed(now)
+	case t.moving:
+		u.Paced(pace)
+		u.Ended()
+	case errors.Is(err, context.Canceled):
+		u.Ended()
+	case errors.Is(err, engine.ErrNotSent):
+		u.Unreachable(now)
+	default:
+		u.Failed(now)
+	}
+}
+
+// dead ends an item that can't be done. The lock is held.
+func (r *Runner) dead(b *Batch, t *task, why string, now timer.Instant) {
+	r.Journal.Decision("dead", log.Fields{
+		"request_id": t.item.ID,
+		"batch":      b.sub.ID,
+		"why":        why,
+		"failures":   t.failures,
+	})
+	b.finish(t, submission.Result{
+		Item:  t.item.ID,
+		State: submission.Dead,
+	}, now)
+}
+
+// score has a finished text scored and takes its result.
+func (r *Runner) score(b *Batch, t *task) {
+	score := ""
+	if t.item.Reward != nil {
+		var err error
+		score, err = r.Scorer.Score(b.ctx, t.item.Reward)
+		if err != nil {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			if !b.over() {
+				r.dead(b, t, "reward: "+err.Error(), r.Timer.Now())
+			}
+			return
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.finish(t, t.result(score), r.Timer.Now())
+}
+
+// writeOut writes finished results and lists them.
+func (r *Runner) writeOut(b *Batch) {
+	for {
+		select {
+		case <-b.write:
+		case <-b.ctx.Done():
+			return
+		case <-r.tomb.Dying():
+			return
+		}
+		b.mu.Lock()
+		if b.over() {
+			b.mu.Unlock()
+			return
+		}
+		if !schedule.Write(b.due(r.Timer.Now())) {
+			b.mu.Unlock()
+			continue
+		}
+		results, claim := b.pending, b.claim
+		b.pending, b.whole = nil, false
+		b.mu.Unlock()
+		if !r.append(b, claim, results) {
+			return
+		}
+		b.mu.Lock()
+		done := b.open == 0 && len(b.pending) == 0
+		b.mu.Unlock()
+		if done {
+			r.Journal.Decision("complete", log.Fields{
+				"request_id": b.sub.ID,
+				"chunks":     b.claim.Chunks,
+				"age_ms":     time.Since(b.sub.Submitted()).Milliseconds(),
+			})
+			return
+		}
+	}
+}
+
+// append writes one chunk, again and again while the service is away, and
+// lists it. It reports false when the batch is no longer this process's.
+func (r *Runner) append(b *Batch, claim ledger.Claim, results []submission.Result) bool {
+	for {
+		ctx, cancel := context.WithTimeout(b.ctx, writeTimeout)
+		next, err := r.Ledger.Append(ctx, claim, results)
+		cancel()
+		if err == nil {
+			b.mu.Lock()
+			b.claim = next
+			b.listed = append(b.listed, results...)
+			b.tell()
+			b.mu.Unlock()
+			return true
+		}
+		if b.ctx.Err() != nil || !r.tomb.Alive() {
+			return false
+		}
+		if errors.Is(err, ledger.ErrFenced) {
+			r.lose(b, err)
+			return false
+		}
+		r.Journal.Trouble("results not written", err, log.Fields{
+			"request_id": b.sub.ID,
+			"results":    len(results),
+		})
+		timer.Wait(r.Timer, writePause, r.tomb.Dying())
+	}
+}
+
+// lose drops a batch that another process took over or ended.
+func (r *Runner) lose(b *Batch, err error) {
+	b.mu.Lock()
+	b.lost = true
+	b.tell()
+	b.mu.Unlock()
+	b.cancel()
+	r.mu.Lock()
+	delete(r.batches, b.sub.ID)
+	r.mu.Unlock()
+	r.Journal.Trouble("batch lost", err, log.Fields{
+		"request_id": b.sub.ID,
+	})
+}
--- /dev/null
+++ b/internal/batch/runner/reward.go
@@ -0,0 +1,56 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/forward"
+)
+
+// rewardPause is the pause before a reward call is sent once more.
+const rewardPause = 100 * time.Millisecond
+
+// Rewards scores texts by calls through the routes.
+type Rewards struct {
+	Config    *catalog.Holder
+	Forwarder *forward.Forwarder
+	Timer     timer.Service
+}
+
+// Score implements Scorer. It goes on until the call is answered with proof, or
+// until upstreams have failed it as often as its route allows.
+func (s *Rewards) Score(ctx context.Context, reward *submission.Reward) (string, error) {
+	failures := 0
+	for {
+		attempts := 1
+		if route, ok := s.Config.Current().Find(reward.Host, reward.Path); ok {
+			attempts = max(1, route.Attempts)
+			answer, err := s.Forwarder.Do(ctx, forward.Request{
+				ID:     reward.ID,
+				Method: http.MethodPost,
+				Target: reward.Path,
+				Host:   reward.Host,
+				Body:   reward.Body,
+				Route:  route,
+			})
+			if err == nil && answer.Status < http.StatusMultipleChoices {
+				return answer.Proof, nil
+			}
+			if err == nil {
+				failures += answer.Failures
+			}
+		}
+		if failures >= attempts {
+			return "", fmt.Errorf("%w: %d times", engine.ErrAttemptFailed, failures)
+		}
+		if !timer.Wait(s.Timer, rewardPause, ctx.Done()) {
+			return "", ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/runner/runner.go
@@ -0,0 +1,361 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/batch/schedule"
+	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/kernel/journal"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+)
+
+// The times of the runner.
+const (
+	// lookEvery is how often streams are looked at for stalls.
+	lookEvery = 100 * time.Millisecond
+	// writeTimeout bounds one write of results.
+	writeTimeout = 2 * time.Second
+	// writePause is the pause after a write that failed.
+	writePause = 300 * time.Millisecond
+	// defaultGiveUp is for routes that don't say when items are given up.
+	defaultGiveUp = 60 * time.Second
+	// forgetAfter is how long after its submission a batch stays in memory:
+	// its results can be read for two minutes.
+	forgetAfter = 150 * time.Second
+)
+
+// ErrNotHere means that another process runs the batch, or none.
+var ErrNotHere = errors.New("the batch is not run by this instance")
+
+// Generator makes one attempt at an item. emit is called for each whole event,
+// in order, and returns an error to end the attempt. A nil error means that
+// the engine ended the text as whole. Errors: those of package engine.
+type Generator interface {
+	Generate(ctx context.Context, u *catalog.Upstream, g Generation, emit func(Event) error) error
+}
+
+// Scorer scores a finished text and returns the proof of it, or
+// engine.ErrAttemptFailed when the call fails for good.
+type Scorer interface {
+	Score(ctx context.Context, reward *submission.Reward) (string, error)
+}
+
+// Runner runs batches.
+type Runner struct {
+	Ledger    *ledger.Ledger
+	Book      *catalog.Book
+	Holder    *catalog.Holder
+	Generator Generator
+	Scorer    Scorer
+	Timer     timer.Service
+	Journal   *journal.Journal
+	Metrics   *Metrics
+	// FailureDomain is this process's own.
+	FailureDomain string
+
+	tomb    tomb.Tomb
+	mu      sync.Mutex
+	batches map[string]*Batch
+}
+
+// Start begins the runner's look-out.
+func (r *Runner) Start() {
+	r.tomb.Go(r.watch)
+}
+
+// Stop ends all work at once. What was not written runs again at the next
+// owner.
+func (r *Runner) Stop() {
+	r.tomb.Kill(nil)
+	r.mu.Lock()
+	for _, b := range r.batches {
+		b.cancel()
+	}
+	r.mu.Unlock()
+	_ = r.tomb.Wait()
+}
+
+// Submit accepts a batch and begins it. Errors: those of ledger.Accept.
+func (r *Runner) Submit(ctx context.Context, sub *submission.Submission, route catalog.Route) error {
+	claim, err := r.Ledger.Accept(ctx, sub)
+	if err != nil {
+		return err
+	}
+	r.adopt(newBatch(sub, claim, nil), route, "accept")
+	return nil
+}
+
+// Adopt goes on with a batch that this process has claimed.
+func (r *Runner) Adopt(ctx context.Context, claim ledger.Claim) error {
+	rec, err := r.Ledger.Load(ctx, claim.Batch)
+	if err != nil {
+		return err
+	}
+	cfg := r.Holder.Current()
+	if cfg == nil {
+		return errors.New("no configuration yet")
+	}
+	// A route that is gone gives up its items at their time.
+	route, _ := cfg.Find(rec.Submission.Host, rec.Submission.Path)
+	claim.Chunks = rec.Chunks
+	r.adopt(newBatch(rec.Submission, claim, rec.Results), route, "take_over")
+	return nil
+}
+
+// adopt begins the work on a batch.
+func (r *Runner) adopt(b *Batch, route catalog.Route, why string) {
+	b.route = route
+	b.service = route.Choose(rand.Float64())
+	after := route.GiveUpAfter
+	if after == 0 {
+		after = defaultGiveUp
+	}
+	age := time.Since(b.sub.Submitted())
+	b.gives = r.Timer.Now().Add(after - min(max(0, age), after))
+	r.mu.Lock()
+	if r.batches == nil {
+		r.batches = make(map[string]*Batch)
+	}
+	if r.batches[b.sub.ID] != nil {
+		r.mu.Unlock()
+		return
+	}
+	r.batches[b.sub.ID] = b
+	r.mu.Unlock()
+	r.Metrics.begun()
+	r.Journal.Decision(why, log.Fields{
+		"request_id": b.sub.ID,
+		"step":       b.sub.Step,
+		"model":      b.sub.Model,
+		"items":      len(b.sub.Items),
+		"open":       b.open,
+		"oldest":     b.sub.OldestVersion,
+		"service":    b.service,
+		"age_ms":     age.Milliseconds(),
+	})
+	go r.drive(b)
+	go r.writeOut(b)
+}
+
+// Has reports whether this process runs the batch.
+func (r *Runner) Has(id string) bool { return r.find(id) != nil }
+
+func (r *Runner) find(id string) *Batch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.batches[id]
+}
+
+// Claims returns the claims on batches that are not over.
+func (r *Runner) Claims() []ledger.Claim {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var claims []ledger.Claim
+	for _, b := range r.batches {
+		b.mu.Lock()
+		if !b.over() {
+			claims = append(claims, b.claim)
+		}
+		b.mu.Unlock()
+	}
+	return claims
+}
+
+// Read returns results from a position on, and waits for some if there are
+// none yet.
+func (r *Runner) Read(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
+	b := r.find(id)
+	if b == nil {
+		return Page{}, ErrNotHere
+	}
+	var done <-chan timer.Instant
+	if wait > 0 {
+		sub := r.Timer.Once(wait)
+		defer sub.Close()
+		done = sub.C
+	}
+	for {
+		b.mu.Lock()
+		if b.lost {
+			b.mu.Unlock()
+			return Page{}, ErrNotHere
+		}
+		p, changed, ended := b.page(after), b.changed, b.ended
+		b.mu.Unlock()
+		if len(p.Results) > 0 || wait <= 0 || ended || p.Next >= p.Total {
+			return p, nil
+		}
+		select {
+		case <-changed:
+		case <-done:
+			return p, nil
+		case <-ctx.Done():
+			return p, ctx.Err()
+		case <-r.tomb.Dying():
+			return Page{}, ErrNotHere
+		}
+	}
+}
+
+// Body returns the body of an item that is not listed yet; ok is false when
+// there is none.
+func (r *Runner) Body(id, item string) (body []byte, ok bool, err error) {
+	b := r.find(id)
+	if b == nil {
+		return nil, false, ErrNotHere
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.lost {
+		return nil, false, ErrNotHere
+	}
+	body, ok = BodyOf(b.sub, b.listed, item)
+	return body, ok && !b.ended, nil
+}
+
+// BodyOf returns the body of an item that is not listed.
+func BodyOf(sub *submission.Submission, listed []submission.Result, item string) ([]byte, bool) {
+	for _, res := range listed {
+		if res.Item == item {
+			return nil, false
+		}
+	}
+	for _, it := range sub.Items {
+		if it.ID == item {
+			return it.Body, true
+		}
+	}
+	return nil, false
+}
+
+// End ends a batch: its items stop at once, and the ledger keeps the end.
+func (r *Runner) End(ctx context.Context, id string) error {
+	b := r.find(id)
+	if b == nil {
+		return ErrNotHere
+	}
+	b.mu.Lock()
+	already, lost := b.ended, b.lost
+	b.ended = true
+	claim := b.claim
+	open := b.open
+	b.tell()
+	b.mu.Unlock()
+	b.cancel()
+	if lost {
+		return ErrNotHere
+	}
+	if !already {
+		r.Journal.Decision("end", log.Fields{
+			"request_id": id,
+			"unfinished": open,
+		})
+	}
+	return r.Ledger.EndClaimed(ctx, claim, time.Now())
+}
+
+// watch looks after all batches until the runner stops.
+func (r *Runner) watch() error {
+	sub := r.Timer.Every(lookEvery)
+	defer sub.Close()
+	for {
+		select {
+		case <-sub.C:
+			r.look()
+		case <-r.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// look moves streams that fell behind and forgets old batches.
+func (r *Runner) look() {
+	now := r.Timer.Now()
+	r.mu.Lock()
+	list := make([]*Batch, 0, len(r.batches))
+	for id, b := range r.batches {
+		if time.Since(b.sub.Submitted()) > forgetAfter {
+			b.cancel()
+			delete(r.batches, id)
+			continue
+		}
+		list = append(list, b)
+	}
+	r.mu.Unlock()
+	for _, b := range list {
+		r.lookAt(b, now)
+	}
+}
+
+// lookAt looks at one batch.
+func (r *Runner) lookAt(b *Batch, now timer.Instant) {
+	b.mu.Lock()
+	if b.over() || b.open == 0 && len(b.pending) == 0 {
+		b.mu.Unlock()
+		return
+	}
+	if b.left(now) <= 0 && b.open > 0 {
+		r.Journal.Decision("give_up", log.Fields{
+			"request_id": b.sub.ID,
+			"unfinished": b.open,
+		})
+		b.giveUp(now)
+	}
+	usual := r.usual(b)
+	engines := r.engines(b, now)
+	for _, t := range b.tasks {
+		if t.phase == running && !t.moving {
+			r.mayMove(b, t, usual, engines, now)
+		}
+	}
+	b.mu.Unlock()
+	signal(b.wake)
+	signal(b.write)
+}
+
+// mayMove moves a stream to another engine if waiting costs more. The lock is
+// held.
+func (r *Runner) mayMove(b *Batch, t *task, usual time.Duration, engines []candidate, now timer.Instant) {
+	to := -1
+	for i := range engines {
+		e := &engines[i]
+		if e.u != t.upstream && e.Room >= 1 && e.Pace <= 1.5 {
+			to = i
+			break
+		}
+	}
+	p := schedule.Progress{
+		Waited: now.Sub(t.heard),
+		Ran:    now.Sub(t.begun),
+		Events: t.made,
+		Moves:  t.moves,
+	}
+	if !schedule.Move(p, usual, to >= 0) {
+		return
+	}
+	engines[to].Room--
+	t.moving = true
+	t.moves++
+	t.stuck = p.Waited > usual*3
+	t.cancel()
+	r.Metrics.moved()
+	r.Journal.Decision("move", log.Fields{
+		"request_id": t.item.ID,
+		"batch":      b.sub.ID,
+		"from":       t.upstream.ID,
+		"after":      t.last,
+		"waited_ms":  p.Waited.Milliseconds(),
+		"ran_ms":     p.Ran.Milliseconds(),
+		"events":     p.Events,
+		"usual_ms":   usual.Milliseconds(),
+	})
+}
--- /dev/null
+++ b/internal/batch/submission/submission.go
@@ -0,0 +1,81 @@
+package submission
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Reward is the call that scores the finished text of an item.
+type Reward struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Body []byte `json:"body,omitempty"`
+}
+
+// Item is one prompt of a batch.
+type Item struct {
+	ID     string            `json:"id"`
+	Path   string            `json:"path"`
+	Header map[string]string `json:"header,omitempty"`
+	Body   []byte            `json:"body,omitempty"`
+	Group  string            `json:"group,omitempty"`
+	Model  string            `json:"model,omitempty"`
+	// ExpectedTokens is the caller's estimate of the output, 0 if unknown. It
+	// is right at the median and often far off.
+	ExpectedTokens int     `json:"expected_tokens,omitempty"`
+	Reward         *Reward `json:"reward,omitempty"`
+}
+
+// Submission is a batch as it was handed in.
+type Submission struct {
+	ID string `json:"id"`
+	// Host and Path select the route.
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Step int    `json:"step"`
+	// Model is the model of a trainer's batch.
+	Model string `json:"model,omitempty"`
+	// OldestVersion is the oldest weight version that may make its tokens.
+	OldestVersion uint64 `json:"oldest_version,omitempty"`
+	// WantedGroups is how many whole groups the trainer waits for.
+	WantedGroups int `json:"wanted_groups,omitempty"`
+	// SubmittedMS is the time of day of the first submission, in Unix
+	// milliseconds.
+	SubmittedMS int64  `json:"submitted_ms"`
+	Items       []Item `json:"items"`
+}
+
+// Encode returns the stored form.
+func (s *Submission) Encode() ([]byte, error) { return json.Marshal(s) }
+
+// Decode returns the submission of a stored form.
+func Decode(data []byte) (*Submission, error) {
+	s := &Submission{}
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, fmt.Errorf("stored batch: %w; it was written by another release", err)
+	}
+	return s, nil
+}
+
+// Submitted returns the time of the first submission.
+func (s *Submission) Submitted() time.Time { return time.UnixMilli(s.SubmittedMS) }
+
+// State says how an item ended.
+type State string
+
+// The states of a result.
+const (
+	Completed State = "completed"
+	Dead      State = "dead"
+)
+
+// Result is the end of an item.
+type Result struct {
+	Item     string   `json:"item"`
+	State    State    `json:"state"`
+	Text     string   `json:"text,omitempty"`
+	Versions []uint64 `json:"versions,omitempty"`
+	Score    string   `json:"score,omitempty"`
+}
--- a/internal/entry/command/root.go
+++ b/internal/entry/command/root.go
@@ -36,13 +36,15 @@
 	json    bool
 }
 
-// Main runs the command line and returns its exit code.
-func Main(args []string, out, errOut io.Writer) int {
+// Main runs the command line with further commands of adapters, and returns its
+// exit code.
+func Main(args []string, out, errOut io.Writer, further ...*cobra.Command) int {
 	a := &app{
 		out: out,
 		err: errOut,
 	}
 	root := a.root()
+	root.AddCommand(further...)
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
--- /dev/null
+++ b/internal/fleet/mirror/mirror.go
@@ -0,0 +1,223 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/kernel/journal"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+)
+
+// How a mirror follows.
+const (
+	// watchWait is how long one watch may wait. The service allows 30 s and
+	// counts each call; a connection that fell silent is found sooner, by the
+	// keep-alive probes of its socket.
+	watchWait = 28 * time.Second
+	// answerSlack is how much later than asked a watch may end, for links and
+	// a slow service.
+	answerSlack = 4 * time.Second
+	// listTimeout bounds a listing; a slow service takes 50 times its usual
+	// 4 ms, for each page.
+	listTimeout = 3 * time.Second
+	// retryFirst and retryMost bound the pause after a failed call.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+)
+
+// Mirror follows one prefix.
+type Mirror struct {
+	Space   keyvalue.Space
+	Prefix  string
+	Take    func([]keyvalue.Change)
+	Timer   timer.Service
+	Journal *journal.Journal
+	// Pause is how long to gather changes between two watches. Each watch that
+	// returns is a priced call, and a rollout of weights changes many entries
+	// one after the other.
+	Pause time.Duration
+	// Settle is how long a key that is missing from a listing after an outage
+	// is kept: entries that lapsed while the service was away come back within
+	// about two seconds. Zero removes them at once.
+	Settle time.Duration
+
+	known    map[string]uint64
+	revision uint64
+	outage   bool
+	regained timer.Instant
+	missing  map[string]timer.Instant
+	heard    atomic.Int64
+	synced   atomic.Bool
+}
+
+// Synced reports whether a listing has been taken.
+func (m *Mirror) Synced() bool { return m.synced.Load() }
+
+// Age returns the time since the service was last heard.
+func (m *Mirror) Age() time.Duration { return m.Timer.Now().Sub(timer.Instant(m.heard.Load())) }
+
+// Run follows until t dies.
+func (m *Mirror) Run(t *tomb.Tomb) error {
+	m.known = make(map[string]uint64)
+	m.missing = make(map[string]timer.Instant)
+	ctx := t.Context(context.Background())
+	retry := retryFirst
+	for t.Alive() {
+		err := m.round(ctx, t)
+		if !t.Alive() {
+			return nil
+		}
+		if err == nil {
+			if m.outage {
+				m.outage = false
+				m.Journal.Event("dependency regained", log.Fields{
+					"dependency": "key-value service",
+					"prefix":     m.Prefix,
+					"revision":   m.revision,
+				})
+			}
+			retry = retryFirst
+			continue
+		}
+		if !m.outage {
+			m.Journal.Trouble("dependency lost", err, log.Fields{
+				"dependency": "key-value service",
+				"prefix":     m.Prefix,
+				"revision":   m.revision,
+			})
+		}
+		m.outage = true
+		timer.Wait(m.Timer, retry, t.Dying())
+		retry = min(2*retry, retryMost)
+	}
+	return nil
+}
+
+// round does one call: a listing if there is none yet, else a watch.
+func (m *Mirror) round(ctx context.Context, t *tomb.Tomb) error {
+	if !m.synced.Load() || m.revision == 0 {
+		return m.list(ctx)
+	}
+	wait := watchWait
+	if len(m.missing) > 0 {
+		wait = m.Settle / 2
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	changes, next, err := m.Space.Watch(ctx, m.Prefix, m.revision, wait)
+	if errors.Is(err, keyvalue.ErrCompacted) {
+		m.revision = 0
+		return m.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	m.hear()
+	m.revision = max(m.revision, next)
+	m.apply(changes)
+	m.expire()
+	if len(changes) > 0 && m.Pause > 0 {
+		timer.Wait(m.Timer, m.Pause, t.Dying())
+	}
+	return nil
+}
+
+// hear notes that the service answered.
+func (m *Mirror) hear() timer.Instant {
+	now := m.Timer.Now()
+	m.heard.Store(int64(now))
+	if m.outage {
+		m.regained = now
+	}
+	return now
+}
+
+// list takes the whole prefix and works out what is gone.
+func (m *Mirror) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	listing, err := m.Space.Range(ctx, m.Prefix, keyvalue.Fresh)
+	if err != nil {
+		return err
+	}
+	now := m.hear()
+	var changes []keyvalue.Change
+	present := make(map[string]bool, len(listing.Items))
+	for _, item := range listing.Items {
+		present[item.Key] = true
+		changes = append(changes, keyvalue.Change{
+			Item: item,
+		})
+	}
+	for key := range m.known {
+		if _, waits := m.missing[key]; !present[key] && !waits {
+			m.missing[key] = now.Add(m.Settle)
+		}
+	}
+	m.revision = listing.Revision
+	m.apply(changes)
+	m.expire()
+	m.synced.Store(true)
+	return nil
+}
+
+// apply passes on the changes that are news.
+func (m *Mirror) apply(changes []keyvalue.Change) {
+	var news []keyvalue.Change
+	for _, c := range changes {
+		if !strings.HasPrefix(c.Key, m.Prefix) || c.Revision <= m.known[c.Key] {
+			continue
+		}
+		if c.Removed && m.settling() {
+			m.missing[c.Key] = m.Timer.Now().Add(m.Settle)
+			continue
+		}
+		delete(m.missing, c.Key)
+		if c.Removed {
+			delete(m.known, c.Key)
+		} else {
+			m.known[c.Key] = c.Revision
+		}
+		news = append(news, c)
+	}
+	if len(news) > 0 {
+		m.Take(news)
+	}
+}
+
+// settling reports whether a removal may only tell of an outage: entries that
+// lapsed meanwhile would all be dropped at once, though their owners are well
+// and about to write them again.
+func (m *Mirror) settling() bool {
+	return m.Settle > 0 && m.regained != 0 && m.Timer.Now().Sub(m.regained) < m.Settle
+}
+
+// expire removes the keys that did not come back in time.
+func (m *Mirror) expire() {
+	now := m.Timer.Now()
+	var gone []keyvalue.Change
+	for key, at := range m.missing {
+		if now < at {
+			continue
+		}
+		delete(m.missing, key)
+		delete(m.known, key)
+		gone = append(gone, keyvalue.Change{
+			Item: keyvalue.Item{
+				Key:      key,
+				Revision: m.revision,
+			},
+			Removed: true,
+		})
+	}
+	if len(gone) > 0 {
+		m.Take(gone)
+	}
+}
--- /dev/null
+++ b/internal/fleet/registry/registry.go
@@ -0,0 +1,253 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/fleet/mirror"
+	"github.com/egretbend/egretbend/internal/kernel/journal"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+)
+
+// prefix is where instances write themselves.
+const prefix = "egretbend/instance/"
+
+// The times of a lease.
+const (
+	// leaseTTL is how long after its last renewal an instance is taken for
+	// dead. Its batches are taken over then; shorter would take them from
+	// instances that are only slow.
+	leaseTTL = 2 * time.Second
+	// renewEvery leaves room for two lost renewals.
+	renewEvery = 600 * time.Millisecond
+	// callTimeout bounds one call of the lease.
+	callTimeout = 900 * time.Millisecond
+	// viewSettle is how long instances are kept after an outage of the
+	// service, in which their leases may have run out.
+	viewSettle = 1500 * time.Millisecond
+)
+
+// Member is one instance.
+type Member struct {
+	Name string `json:"name"`
+	// Incarnation tells the lives of an instance apart.
+	Incarnation   string `json:"incarnation"`
+	PeerAddress   string `json:"peer_address"`
+	EntryAddress  string `json:"entry_address,omitempty"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	Leaving       bool   `json:"leaving,omitempty"`
+}
+
+// Registry writes this instance and follows the others.
+type Registry struct {
+	Space   keyvalue.Space
+	Timer   timer.Service
+	Journal *journal.Journal
+	// Changed is called after each change of the view; nil is not called.
+	Changed func()
+
+	self    atomic.Pointer[Member]
+	lease   uint64
+	mu      sync.Mutex
+	members map[string]Member
+	view    atomic.Pointer[[]Member]
+	follow  *mirror.Mirror
+}
+
+// SetSelf says who this instance is. It is called before Run.
+func (r *Registry) SetSelf(m Member) { r.self.Store(&m) }
+
+// Self returns this instance.
+func (r *Registry) Self() Member { return *r.self.Load() }
+
+// Members returns the instances in order of their names, this one included.
+func (r *Registry) Members() []Member {
+	if v := r.view.Load(); v != nil {
+		return *v
+	}
+	return []Member{r.Self()}
+}
+
+// Alive reports whether a life of an instance is in the view.
+func (r *Registry) Alive(name, incarnation string) bool {
+	for _, m := range r.Members() {
+		if m.Name == name {
+			return m.Incarnation == incarnation
+		}
+	}
+	return false
+}
+
+// Synced reports whether the view was read from the service.
+func (r *Registry) Synced() bool { return r.follow != nil && r.follow.Synced() }
+
+// Run writes this instance and follows the others until t dies.
+func (r *Registry) Run(t *tomb.Tomb) error {
+	r.follow = &mirror.Mirror{
+		Space:   r.Space,
+		Prefix:  prefix,
+		Take:    r.take,
+		Timer:   r.Timer,
+		Journal: r.Journal,
+		Settle:  viewSettle,
+	}
+	t.Go(func() error { return r.follow.Run(t) })
+	ctx := t.Context(context.Background())
+	sub := r.Timer.Every(renewEvery)
+	defer sub.Close()
+	failing := false
+	for {
+		err := r.renew(ctx)
+		if t.Alive() && (err != nil) != failing {
+			failing = err != nil
+			r.logLease(err)
+		}
+		select {
+		case <-sub.C:
+		case <-t.Dying():
+			return nil
+		}
+	}
+}
+
+func (r *Registry) logLease(err error) {
+	if err != nil {
+		r.Journal.Trouble("lease not renewed", err, log.Fields{
+			"lease": r.lease,
+		})
+		return
+	}
+	r.Journal.Event("lease held", log.Fields{
+		"lease": r.lease,
+	})
+}
+
+// renew keeps the lease, or begins another one and writes this instance under
+// it.
+func (r *Registry) renew(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if r.lease != 0 {
+		err := r.Space.KeepAlive(ctx, r.lease)
+		if !errors.Is(err, keyvalue.ErrLeaseGone) {
+			return err
+		}
+		r.lease = 0
+	}
+	lease, err := r.Space.Grant(ctx, leaseTTL)
+	if err != nil {
+		return err
+	}
+	if err := r.write(ctx, lease); err != nil {
+		return err
+	}
+	r.lease = lease
+	return nil
+}
+
+func (r *Registry) write(ctx context.Context, lease uint64) error {
+	self := r.Self()
+	value, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	_, err = r.Space.Commit(ctx, keyvalue.Transaction{
+		Writes: []keyvalue.Write{
+			{Key: prefix + self.Name, Value: value, Lease: lease},
+		},
+	})
+	return err
+}
+
+// Leave tells all others that this instance takes no new work.
+func (r *Registry) Leave(ctx context.Context) error {
+	self := r.Self()
+	self.Leaving = true
+	r.self.Store(&self)
+	r.publish()
+	return r.write(ctx, r.lease)
+}
+
+// End gives the lease back, after Run has returned.
+func (r *Registry) End(ctx context.Context) error {
+	if r.lease == 0 {
+		return nil
+	}
+	return r.Space.Revoke(ctx, r.lease)
+}
+
+// take applies changes of the view.
+func (r *Registry) take(changes []keyvalue.Change) {
+	r.mu.Lock()
+	if r.members == nil {
+		r.members = make(map[string]Member)
+	}
+	for _, c := range changes {
+		name := strings.TrimPrefix(c.Key, prefix)
+		if c.Removed {
+			delete(r.members, name)
+			continue
+		}
+		var m Member
+		if err := json.Unmarshal(c.Value, &m); err != nil {
+			r.Journal.Trouble("instance entry not understood", err, log.Fields{
+				"key": c.Key,
+			})
+			continue
+		}
+		r.members[name] = m
+	}
+	r.mu.Unlock()
+	r.publish()
+	r.Journal.Event("instances", log.Fields{
+		"known":   len(r.Members()),
+		"changes": len(changes),
+	})
+	if r.Changed != nil {
+		r.Changed()
+	}
+}
+
+func (r *Registry) publish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	self := r.Self()
+	list := []Member{self}
+	for _, m := range r.members {
+		if m.Name != self.Name {
+			list = append(list, m)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	r.view.Store(&list)
+}
+
+// EntryAddresses returns where callers connect, those of a failure domain
+// first, at most n. Instances that are leaving are not among them.
+func (r *Registry) EntryAddresses(domain string, n int) []string {
+	var near, far []string
+	for _, m := range r.Members() {
+		switch {
+		case m.Leaving || m.EntryAddress == "":
+		case m.FailureDomain == domain:
+			near = append(near, m.EntryAddress)
+		default:
+			far = append(far, m.EntryAddress)
+		}
+	}
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	all := append(near, far...)
+	return all[:min(n, len(all))]
+}
--- /dev/null
+++ b/internal/fleet/weights/orderer.go
@@ -0,0 +1,309 @@
+package weights
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/kernel/journal"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+)
+
+// The times of orders.
+const (
+	// planEvery is how often a plan is made while orders are under way.
+	planEvery = 200 * time.Millisecond
+	// orderTimeout bounds the answer to an order; a good engine answers within
+	// a few milliseconds.
+	orderTimeout = 600 * time.Millisecond
+	// loadTimeout is how long an accepted load may take before the engine is
+	// asked again: a load takes about a second, some more when several run.
+	loadTimeout = 6 * time.Second
+	// lostTimeout is how long to wait for the effect of an order without an
+	// answer. The same count of orders goes with the second one, so only one
+	// of them can be carried out.
+	lostTimeout = 1500 * time.Millisecond
+	// refusedPause is the pause after a refused order.
+	refusedPause = 500 * time.Millisecond
+)
+
+// Switch says what becomes of the streams that an engine runs.
+type Switch int
+
+// The ways to switch.
+const (
+	// Continue lets streams go on under the new version.
+	Continue Switch = iota
+	// Finish lets streams end first.
+	Finish
+)
+
+// Command is an order as it goes to an engine.
+type Command struct {
+	Order
+	Switch Switch
+	Holder string
+	Fence  uint64
+	// Seen is how many orders the engine should have accepted before.
+	Seen uint64
+}
+
+// The answers to an order.
+var (
+	// ErrStanding means that the order holds already.
+	ErrStanding = errors.New("the engine has that version already")
+	// ErrCount means that the engine carries out another order, or has seen
+	// another number of them.
+	ErrCount = errors.New("the engine is busy or has seen other orders")
+	// ErrRefused means that the engine will not carry it out.
+	ErrRefused = errors.New("the engine refuses the order")
+)
+
+// State is what an engine says of itself.
+type State struct {
+	Orders   uint64
+	Busy     bool
+	Versions map[string]uint64
+}
+
+// Engines gives orders to engines. Order returns nil when the engine has begun,
+// one of the errors above, or another error when the outcome is not known.
+type Engines interface {
+	Order(ctx context.Context, u *catalog.Upstream, c Command) error
+	State(ctx context.Context, u *catalog.Upstream) (State, error)
+}
+
+// Orderer gives the orders while it holds the right to.
+type Orderer struct {
+	Holder  *Holder
+	Book    *catalog.Book
+	Config  *catalog.Holder
+	Engines Engines
+	Timer   timer.Service
+	Journal *journal.Journal
+	// Name is this instance's.
+	Name string
+
+	mu    sync.Mutex
+	named map[string]uint64
+	last  map[string]*standing
+	wake  chan struct{}
+}
+
+// standing is what is known of the orders to one engine.
+type standing struct {
+	u       *catalog.Upstream
+	order   Order
+	seen    uint64
+	until   timer.Instant
+	loading bool
+	// learnt is what the engine said itself beyond the list.
+	learnt State
+}
+
+// Named tells of a version that a trainer has named.
+func (o *Orderer) Named(model string, version uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.named == nil {
+		o.named = make(map[string]uint64)
+	}
+	o.named[model] = max(o.named[model], version)
+	select {
+	case o.wakeChannel() <- struct{}{}:
+	default:
+	}
+}
+
+func (o *Orderer) wakeChannel() chan struct{} {
+	if o.wake == nil {
+		o.wake = make(chan struct{}, 1)
+	}
+	return o.wake
+}
+
+// Run keeps the right to give orders and gives them until t dies.
+func (o *Orderer) Run(t *tomb.Tomb) error {
+	ctx := t.Context(context.Background())
+	o.mu.Lock()
+	o.last = make(map[string]*standing)
+	wake := o.wakeChannel()
+	o.mu.Unlock()
+	keep := o.Timer.Every(holdRenew)
+	defer keep.Close()
+	plan := o.Timer.Every(planEvery)
+	defer plan.Close()
+	o.keep(ctx)
+	for {
+		select {
+		case <-keep.C:
+			o.keep(ctx)
+		case <-plan.C:
+			o.round(ctx)
+		case <-wake:
+			o.round(ctx)
+		case <-t.Dying():
+			return nil
+		}
+	}
+}
+
+func (o *Orderer) keep(ctx context.Context) {
+	if err := o.Holder.Keep(ctx); err != nil {
+		o.Journal.Detail("order lease not renewed", log.Fields{
+			"error": err.Error(),
+		})
+	}
+}
+
+// round makes a plan and gives its orders.
+func (o *Orderer) round(ctx context.Context) {
+	fence, ok := o.Holder.Fence()
+	cfg := o.Config.Current()
+	if !ok || cfg == nil {
+		return
+	}
+	for name, service := range cfg.Services {
+		if service.Engine != nil {
+			o.serve(ctx, fence, name, service.Engine.Models)
+		}
+	}
+}
+
+// serve gives the orders for the engines of one service.
+func (o *Orderer) serve(ctx context.Context, fence uint64, service string, models []string) {
+	o.mu.Lock()
+	now := o.Timer.Now()
+	var engines []Engine
+	byID := make(map[string]*catalog.Upstream)
+	for _, u := range o.Book.Group(service).Upstreams {
+		if u.Leaving() {
+			continue
+		}
+		byID[u.ID] = u
+		engines = append(engines, o.view(u, now))
+	}
+	sets := Assign(engines, models, o.named)
+	orders := Plan(engines, o.named, sets, AtOnce(len(engines)))
+	for _, order := range orders {
+		u := byID[order.Engine]
+		s := o.standing(u)
+		s.order = order
+		s.loading = true
+		s.until = now.Add(loadTimeout)
+		c := Command{
+			Order:  order,
+			Holder: o.Name,
+			Fence:  fence,
+			Seen:   s.seen,
+		}
+		go o.give(ctx, u, s, c)
+	}
+	o.mu.Unlock()
+}
+
+func (o *Orderer) standing(u *catalog.Upstream) *standing {
+	s := o.last[u.ID]
+	if s == nil || s.u != u {
+		s = &standing{
+			u: u,
+		}
+		o.last[u.ID] = s
+	}
+	return s
+}
+
+// view is an engine as the plan sees it: the list, and what it said since.
+func (o *Orderer) view(u *catalog.Upstream, now timer.Instant) Engine {
+	s := o.standing(u)
+	l := u.Listed()
+	s.seen = max(s.seen, l.Orders, s.learnt.Orders)
+	versions := l.Versions
+	if s.learnt.Orders > l.Orders || s.learnt.Orders == l.Orders && s.learnt.Versions != nil && !s.learnt.Busy {
+		versions = s.learnt.Versions
+	}
+	if s.loading && (versions[s.order.Model] >= s.order.Version && s.order.Version > 0 || now >= s.until) {
+		s.loading = false
+	}
+	return Engine{
+		ID:       u.ID,
+		Versions: versions,
+		Loading:  s.loading,
+		Load:     u.Load(now),
+	}
+}
+
+// give sends one order and notes its outcome.
+func (o *Orderer) give(ctx context.Context, u *catalog.Upstream, s *standing, c Command) {
+	sent := o.Timer.Now()
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	err := o.Engines.Order(call, u, c)
+	cancel()
+	var state State
+	var asked error
+	if errors.Is(err, ErrCount) {
+		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		state, asked = o.Engines.State(call, u)
+		cancel()
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.Timer.Now()
+	outcome := "begun"
+	switch {
+	case err == nil:
+		s.seen = c.Seen + 1
+		s.until = now.Add(loadTimeout)
+	case errors.Is(err, ErrStanding):
+		outcome = "standing"
+		s.learnt = learn(s, c)
+		s.loading = false
+	case errors.Is(err, ErrCount):
+		outcome = "other_count"
+		if asked == nil {
+			s.learnt = state
+			s.seen = state.Orders
+		}
+		s.until = now.Add(refusedPause)
+	case errors.Is(err, ErrRefused):
+		outcome = "refused"
+		s.until = now.Add(refusedPause)
+	default:
+		outcome = "unknown"
+		s.until = now.Add(lostTimeout)
+	}
+	fields := log.Fields{
+		"engine":  u.ID,
+		"model":   c.Model,
+		"version": c.Version,
+		"fencing": c.Fence,
+		"seen":    c.Seen,
+		"took_ms": now.Sub(sent).Milliseconds(),
+		"outcome": outcome,
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	o.Journal.Decision("order", fields)
+}
+
+// learn returns the engine's state with a version that it says it has.
+func learn(s *standing, c Command) State {
+	versions := make(map[string]uint64)
+	for m, v := range s.u.Listed().Versions {
+		versions[m] = v
+	}
+	for m, v := range s.learnt.Versions {
+		versions[m] = max(versions[m], v)
+	}
+	versions[c.Model] = max(versions[c.Model], c.Version)
+	return State{
+		Orders:   max(s.seen, s.learnt.Orders),
+		Versions: versions,
+	}
+}
--- /dev/null
+++ b/internal/fleet/weights/plan.go
@@ -0,0 +1,152 @@
+package weights
+
+import (
+	"sort"
+)
+
+// Engine is what a plan knows of one engine.
+type Engine struct {
+	ID       string
+	Versions map[string]uint64
+	// Loading engines carry out an order now.
+	Loading bool
+	// Load is the use of its slots; 1 means that all are taken.
+	Load float64
+}
+
+// Order moves an engine to a version of a model.
+type Order struct {
+	Engine  string
+	Model   string
+	Version uint64
+}
+
+// atOnceShare is how many engines share one load at a time: loads slow each
+// other down beyond about a fifth of the engines.
+const atOnceShare = 5
+
+// AtOnce returns how many of n engines load at the same time.
+func AtOnce(n int) int { return max(1, (n+atOnceShare/2)/atOnceShare) }
+
+// Assign divides engines among models. An engine stays with the model of which
+// it has fresh weights, as long as no set gets more than its share; the others
+// fill the smallest sets. A set that lost its engines gets some of the largest.
+func Assign(engines []Engine, models []string, named map[string]uint64) map[string]string {
+	sets := make(map[string]string, len(engines))
+	if len(models) == 0 {
+		return sets
+	}
+	sorted := append([]Engine(nil), engines...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
+	most := (len(sorted) + len(models) - 1) / len(models)
+	size := make(map[string]int, len(models))
+	put := func(e Engine, model string) {
+		sets[e.ID] = model
+		size[model]++
+	}
+	for _, e := range sorted {
+		if model := home(e, models, named); model != "" && size[model] < most {
+			put(e, model)
+		}
+	}
+	for _, e := range sorted {
+		if sets[e.ID] == "" {
+			put(e, smallest(models, size))
+		}
+	}
+	least := len(sorted) / len(models)
+	for {
+		to, from := smallest(models, size), largest(models, size)
+		if size[to] >= least || size[from] <= least {
+			return sets
+		}
+		for _, e := range sorted {
+			if sets[e.ID] == from {
+				size[from]--
+				put(e, to)
+				break
+			}
+		}
+	}
+}
+
+// home returns the model of which the engine has the freshest weights, or
+// nothing if it never moved beyond the first version of any.
+func home(e Engine, models []string, named map[string]uint64) string {
+	best, lead := "", uint64(0)
+	for _, m := range models {
+		v := e.Versions[m]
+		if v > 1 && v+1 >= named[m] && v > lead {
+			best, lead = m, v
+		}
+	}
+	return best
+}
+
+func smallest(models []string, size map[string]int) string {
+	best := models[0]
+	for _, m := range models[1:] {
+		if size[m] < size[best] {
+			best = m
+		}
+	}
+	return best
+}
+
+func largest(models []string, size map[string]int) string {
+	best := models[0]
+	for _, m := range models[1:] {
+		if size[m] > size[best] {
+			best = m
+		}
+	}
+	return best
+}
+
+// Plan returns the orders to give now. Engines whose weights are too old for
+// the next step go first, then the idle ones, so that a step always finds
+// engines at work while others load.
+func Plan(engines []Engine, named map[string]uint64, sets map[string]string, atOnce int) []Order {
+	type want struct {
+		Order
+		behind uint64
+		load   float64
+	}
+	var wants []want
+	for _, e := range engines {
+		if e.Loading {
+			atOnce--
+			continue
+		}
+		model := sets[e.ID]
+		if v := named[model]; v > e.Versions[model] {
+			wants = append(wants, want{
+				Order: Order{
+					Engine:  e.ID,
+					Model:   model,
+					Version: v,
+				},
+				behind: v - e.Versions[model],
+				load:   e.Load,
+			})
+		}
+	}
+	sort.SliceStable(wants, func(i, j int) bool {
+		a, b := wants[i], wants[j]
+		if (a.behind > 1) != (b.behind > 1) {
+			return a.behind > 1
+		}
+		if a.load != b.load {
+			return a.load < b.load
+		}
+		return a.Engine < b.Engine
+	})
+	var orders []Order
+	for _, w := range wants {
+		if len(orders) >= atOnce {
+			break
+		}
+		orders = append(orders, w.Order)
+	}
+	return orders
+}
--- a/internal/outside/engine/adapter.go
+++ b/internal/outside/engine/adapter.go
@@ -86,6 +86,14 @@
 	ErrBroken = errors.New("the stream ended early")
 	// ErrCrossed means that the answer belongs to another attempt.
 	ErrCrossed = errors.New("the answer is for another attempt")
+	// ErrMisdirected means that another upstream has the address now, or the
+	// upstream has other weights than were expected. It did not run.
+	ErrMisdirected = errors.New("the address belongs to another upstream")
+	// ErrAttemptFailed means that the upstream ran the request and says that
+	// it failed.
+	ErrAttemptFailed = errors.New("the upstream ran the request and failed")
+	// ErrImpossible means that no upstream will ever be able to run it.
+	ErrImpossible = errors.New("the upstream says that the request can never be done")
 	// ErrFenced means that the engine saw a higher fencing number.
 	ErrFenced = errors.New("the order's fencing number is old")
 )
--- a/internal/route/upstream/set.go
+++ b/internal/route/upstream/set.go
@@ -180,8 +180,26 @@
 	return slots, others
 }
 
+// Judge compares the upstreams and bounds how many are out.
+func (s *Set) Judge(now timer.Instant) {
+	s.comparePaces()
+	s.limitOut(now)
+}
+
 // comparePaces rates each upstream's pace against the median.
 func (s *Set) comparePaces() {
+	median := s.MedianPace()
+	if median == 0 {
+		return
+	}
+	for _, u := range s.Upstreams {
+		u.compare(median)
+	}
+}
+
+// MedianPace returns the median time per unit of work in seconds, or zero
+// while fewer than three upstreams have a pace.
+func (s *Set) MedianPace() float64 {
 	var paces []float64
 	for _, u := range s.Upstreams {
 		if p := u.Pace(); p > 0 {
@@ -189,13 +207,10 @@
 		}
 	}
 	if len(paces) < 3 {
-		return
+		return 0
 	}
 	sort.Float64s(paces)
-	median := paces[len(paces)/2]
-	for _, u := range s.Upstreams {
-		u.compare(median)
-	}
+	return paces[len(paces)/2]
 }
 
 // maxOutShare is the largest share of a set that may be out for failures.
--- a/internal/route/upstream/table.go
+++ b/internal/route/upstream/table.go
@@ -55,7 +55,6 @@
 // called once a second or so.
 func (t *Table) Judge(now timer.Instant) {
 	for _, s := range t.Sets() {
-		s.comparePaces()
-		s.limitOut(now)
+		s.Judge(now)
 	}
 }
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -56,8 +56,10 @@
 	ejects   atomic.Int32
 	outUntil atomic.Int64
 	since    atomic.Int64
-	pace     atomic.Uint64
-	slowness atomic.Uint64
+	// restsUntil is when a refusal is over.
+	restsUntil atomic.Int64
+	pace       atomic.Uint64
+	slowness   atomic.Uint64
 }
 
 // heard is a report with what was known when it came.
@@ -68,6 +70,9 @@
 	own int64
 }
 
+// StartedAt says since when the upstream serves; a new one starts slowly.
+func (u *Upstream) StartedAt(at timer.Instant) { u.since.Store(int64(at)) }
+
 // Begin counts a request that is sent now.
 func (u *Upstream) Begin() {
 	n := u.inFlight.Add(1)
@@ -88,15 +93,7 @@
 	u.inFlight.Add(-1)
 	u.strikes.Store(0)
 	u.ejects.Store(0)
-	if pace <= 0 {
-		return
-	}
-	old := math.Float64frombits(u.pace.Load())
-	if old == 0 {
-		old = pace.Seconds()
-	}
-	now := min(pace.Seconds(), paceJump*old)
-	u.pace.Store(math.Float64bits(old + paceWeight*(now-old)))
+	u.Paced(pace)
 }
 
 // Ended ends a request that tells nothing about the upstream, such as one
@@ -110,12 +107,25 @@
 	if u.strikes.Add(1) < ejectAfter {
 		return false
 	}
+	u.takeOut(now)
+	return true
+}
+
+// Unreachable ends a request that could not even be sent. A closed port says
+// more than a failed answer: the upstream is taken out at once.
+func (u *Upstream) Unreachable(now timer.Instant) {
+	u.inFlight.Add(-1)
+	if !u.Out(now) {
+		u.takeOut(now)
+	}
+}
+
+func (u *Upstream) takeOut(now timer.Instant) {
 	u.strikes.Store(0)
 	out := ejectFirst << min(u.ejects.Add(1)-1, 10)
 	until := now.Add(min(out, ejectMost))
 	u.outUntil.Store(int64(until))
 	u.since.Store(int64(until))
-	return true
 }
 
 // Out reports whether the upstream is taken out for its failures.
@@ -130,6 +140,48 @@
 // Usable reports whether the upstream may get new work.
 func (u *Upstream) Usable(now timer.Instant) bool { return !u.leaving.Load() && !u.Out(now) }
 
+// Paced notes the pace of a request that is not over.
+func (u *Upstream) Paced(pace time.Duration) {
+	if pace <= 0 {
+		return
+	}
+	old := math.Float64frombits(u.pace.Load())
+	if old == 0 {
+		old = pace.Seconds()
+	}
+	now := min(pace.Seconds(), paceJump*old)
+	u.pace.Store(math.Float64bits(old + paceWeight*(now-old)))
+}
+
+// restTime is how long an upstream that refused gets no new work from this
+// instance: it is full, or loads weights for about a second.
+const restTime = 150 * time.Millisecond
+
+// Rest notes a refusal.
+func (u *Upstream) Rest(now timer.Instant) { u.restsUntil.Store(int64(now.Add(restTime))) }
+
+// Resting reports whether the upstream refused a moment ago.
+func (u *Upstream) Resting(now timer.Instant) bool { return int64(now) < u.restsUntil.Load() }
+
+// Room returns how many more requests the upstream takes at once, by this
+// instance's exact count and what the last report shows of others.
+func (u *Upstream) Room(now timer.Instant) float64 {
+	own := float64(u.inFlight.Load())
+	h := u.report.Load()
+	if h == nil {
+		return float64(max(1, u.Slots)) - own
+	}
+	return float64(u.slots(h)) - own - u.others(h, now)
+}
+
+// Slowness is the upstream's pace against the median of its set, 1 if unknown.
+func (u *Upstream) Slowness() float64 {
+	if s := math.Float64frombits(u.slowness.Load()); s > 0 {
+		return s
+	}
+	return 1
+}
+
 // Heard takes a report that came now.
 func (u *Upstream) Heard(r engine.Report, now timer.Instant) {
 	u.report.Store(&heard{
