weights: count orders by the engine's own word

Ruled out: a wrong model or version name (the engines answered 409, not 400). Change: the count begins at zero and is read back from the engine when it says that it differs.

--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -102,8 +103,8 @@
 	seen    uint64
 	until   timer.Instant
 	loading bool
-	// learnt is what the engine said itself beyond the list.
-	learnt State
+	// learnt are the versions that the engine told itself.
+	learnt map[string]uint64
 }
 
 // Named tells of a version that a trainer has named.
@@ -222,11 +223,7 @@
 func (o *Orderer) view(u *catalog.Upstream, now timer.Instant) Engine {
 	s := o.standing(u)
 	l := u.Listed()
-	s.seen = max(s.seen, l.Orders, s.learnt.Orders)
-	versions := l.Versions
-	if s.learnt.Orders > l.Orders || s.learnt.Orders == l.Orders && s.learnt.Versions != nil && !s.learnt.Busy {
-		versions = s.learnt.Versions
-	}
+	versions := newest(l.Versions, s.learnt)
 	if s.loading && (versions[s.order.Model] >= s.order.Version && s.order.Version > 0 || now >= s.until) {
 		s.loading = false
 	}
@@ -238,6 +235,20 @@
 	}
 }
 
+// newest merges what the list and the engine itself say; versions only go up
+// within the life of an engine.
+func newest(listed, learnt map[string]uint64) map[string]uint64 {
+	if len(learnt) == 0 {
+		return listed
+	}
+	merged := make(map[string]uint64, len(listed))
+	maps.Copy(merged, listed)
+	for m, v := range learnt {
+		merged[m] = max(merged[m], v)
+	}
+	return merged
+}
+
 // give sends one order and notes its outcome.
 func (o *Orderer) give(ctx context.Context, u *catalog.Upstream, s *standing, c Command) {
 	sent := o.Timer.Now()
@@ -261,12 +272,12 @@
 		s.until = now.Add(loadTimeout)
 	case errors.Is(err, ErrStanding):
 		outcome = "standing"
-		s.learnt = learn(s, c)
+		s.learnt = newest(s.learnt, map[string]uint64{c.Model: c.Version})
 		s.loading = false
 	case errors.Is(err, ErrCount):
 		outcome = "other_count"
 		if asked == nil {
-			s.learnt = state
+			s.learnt = state.Versions
 			s.seen = state.Orders
 		}
 		s.until = now.Add(refusedPause)
@@ -291,19 +302,3 @@
 	}
 	o.Journal.Decision("order", fields)
 }
-
-// learn returns the engine's state with a version that it says it has.
-func learn(s *standing, c Command) State {
-	versions := make(map[string]uint64)
-	for m, v := range s.u.Listed().Versions {
-		versions[m] = v
-	}
-	for m, v := range s.learnt.Versions {
-		versions[m] = max(versions[m], v)
-	}
-	versions[c.Model] = max(versions[c.Model], c.Version)
-	return State{
-		Orders:   max(s.seen, s.learnt.Orders),
-		Versions: versions,
-	}
-}
--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -20,8 +20,6 @@
 	Leaving       bool
 	// Born tells two lives under one id apart.
 	Born int64
-	// Orders is how many orders the upstream has accepted in this life.
-	Orders uint64
 	// Versions are the weight versions by model.
 	Versions map[string]uint64
 	// Revision is that of the entry.
