mirror, store: list again after a watch was cut

Ruled out: stale reads and late listings (a trace showed no listing between the change and the next one).

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -27,6 +27,9 @@
 	// listTimeout bounds a listing; a slow service takes 50 times its usual
 	// 4 ms, for each page.
 	listTimeout = 3 * time.Second
+	// lapseAfter is how long an outage must last for entries to lapse in it:
+	// they live for some seconds without a renewal.
+	lapseAfter = 1500 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
@@ -51,6 +54,7 @@
 	known    map[string]uint64
 	revision uint64
 	outage   bool
+	lost     timer.Instant
 	regained timer.Instant
 	missing  map[string]timer.Instant
 	heard    atomic.Int64
@@ -93,6 +97,9 @@
 				"revision":   m.revision,
 			})
 		}
+		if !m.outage {
+			m.lost = m.Timer.Now()
+		}
 		m.outage = true
 		timer.Wait(m.Timer, retry, t.Dying())
 		retry = min(2*retry, retryMost)
@@ -117,6 +124,9 @@
 		return m.list(ctx)
 	}
 	if err != nil {
+		// A watch that was cut may have been deaf before: only a listing tells
+		// what it missed.
+		m.revision = 0
 		return err
 	}
 	m.hear()
@@ -133,7 +143,7 @@
 func (m *Mirror) hear() timer.Instant {
 	now := m.Timer.Now()
 	m.heard.Store(int64(now))
-	if m.outage {
+	if m.outage && now.Sub(m.lost) >= lapseAfter {
 		m.regained = now
 	}
 	return now
@@ -156,9 +166,13 @@
 			Item: item,
 		})
 	}
+	settle := m.Settle
+	if !m.settling() {
+		settle = 0
+	}
 	for key := range m.known {
 		if _, waits := m.missing[key]; !present[key] && !waits {
-			m.missing[key] = now.Add(m.Settle)
+			m.missing[key] = now.Add(settle)
 		}
 	}
 	m.revision = listing.Revision
