--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -57,6 +58,7 @@
 	// Leaving reports whether this instance takes no new batches.
 	Leaving func() bool
 
+	doubt  atomic.Bool
 	mu     sync.Mutex
 	owners map[string]ledger.Owner
 }
@@ -165,6 +167,10 @@
 // Read returns results from a position on.
 func (d *Desk) Read(ctx context.Context, id string, after int, wait time.Duration) (runner.Page, error) {
 	page, err := d.Runner.Read(ctx, id, after, wait)
+	if err == nil && len(page.Results) == 0 && (d.doubt.Load() || !d.Registry.Held()) {
+		// Another instance may have listed more meanwhile.
+		err = runner.ErrNotHere
+	}
 	if !errors.Is(err, runner.ErrNotHere) {
 		return page, err
 	}
--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -40,8 +40,10 @@
 	for {
 		select {
 		case <-sub.C:
+			d.verify(ctx)
 			d.sweep(ctx, keyvalue.Stale)
 		case <-changed:
+			d.verify(ctx)
 			d.sweep(ctx, keyvalue.Fresh)
 		case <-t.Dying():
 			return nil
@@ -71,13 +73,44 @@
 	}
 }
 
+// Doubt has all claims of this instance looked up before the next sweep: its
+// lease had ended, so others may own its batches now. Reads would otherwise miss
+// the results that the new owners list.
+func (d *Desk) Doubt() { d.doubt.Store(true) }
+
+// verify drops the batches that have another owner, or are ended, by the
+// ledger.
+func (d *Desk) verify(ctx context.Context) {
+	if !d.doubt.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
+	defer cancel()
+	claims, err := d.Ledger.Open(ctx, keyvalue.Fresh)
+	if err != nil {
+		d.Journal.Trouble("own batches not verified", err, log.Fields{})
+		return
+	}
+	stands := make(map[string]uint64, len(claims))
+	for _, c := range claims {
+		stands[c.Batch] = c.Revision
+	}
+	for _, c := range d.Runner.Claims() {
+		if stands[c.Batch] != c.Revision {
+			d.Runner.Lose(c.Batch, ledger.ErrFenced)
+		}
+	}
+	d.doubt.Store(false)
+}
+
 // orphan reports whether this instance should take over a batch.
 func (d *Desk) orphan(c ledger.Claim) bool {
 	if c.Owner == d.Ledger.Self {
 		return !d.Runner.Has(c.Batch)
 	}
-	if d.Registry.Alive(c.Owner.Instance, c.Owner.Incarnation) {
-		return false
+	if m, ok := d.Registry.Find(c.Owner.Instance); ok {
+		// An instance that came back goes on with what it had.
+		return m.Incarnation != c.Owner.Incarnation && m.Incarnation == d.Ledger.Self.Incarnation
 	}
 	return First(d.Registry.Members(), c.Batch) == d.Registry.Self().Name
 }
@@ -102,7 +135,11 @@
 	claim := seen
 	var err error
 	if seen.Owner != d.Ledger.Self {
-		claim, err = d.Ledger.TakeOver(ctx, seen)
+		sign := registry.Key(seen.Owner.Instance)
+		if seen.Owner.Instance == d.Ledger.Self.Instance {
+			sign = ""
+		}
+		claim, err = d.Ledger.TakeOver(ctx, seen, sign)
 	}
 	if errors.Is(err, ledger.ErrFenced) {
 		return
--- a/internal/batch/ledger/ledger.go
+++ b/internal/batch/ledger/ledger.go
@@ -291,16 +291,24 @@
 }
 
 // TakeOver makes this process the owner of an open batch, if the claim still
-// stands as it was seen.
-func (l *Ledger) TakeOver(ctx context.Context, seen Claim) (Claim, error) {
+// stands as it was seen and the key by which its owner would show that it lives
+// does not exist. A view that is behind may take a live owner for dead; that one
+// would go on answering reads without the results of the new one.
+func (l *Ledger) TakeOver(ctx context.Context, seen Claim, sign string) (Claim, error) {
 	owner, err := json.Marshal(l.Self)
 	if err != nil {
 		return Claim{}, err
 	}
+	expects := []keyvalue.Expect{
+		{Key: openPrefix + seen.Batch, Revision: seen.Revision},
+	}
+	if sign != "" {
+		expects = append(expects, keyvalue.Expect{
+			Key: sign,
+		})
+	}
 	rev, err := l.Space.Commit(ctx, keyvalue.Transaction{
-		Expects: []keyvalue.Expect{
-			{Key: openPrefix + seen.Batch, Revision: seen.Revision},
-		},
+		Expects: expects,
 		Writes: []keyvalue.Write{
 			{Key: openPrefix + seen.Batch, Value: owner},
 		},
--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -311,7 +311,7 @@
 			return false
 		}
 		if errors.Is(err, ledger.ErrFenced) {
-			r.lose(b, err)
+			r.Lose(b.sub.ID, err)
 			return false
 		}
 		r.Journal.Trouble("results not written", err, log.Fields{
@@ -322,8 +322,12 @@
 	}
 }
 
-// lose drops a batch that another process took over or ended.
-func (r *Runner) lose(b *Batch, err error) {
+// Lose drops a batch that another process took over or ended.
+func (r *Runner) Lose(id string, err error) {
+	b := r.find(id)
+	if b == nil {
+		return
+	}
 	b.mu.Lock()
 	b.lost = true
 	b.tell()
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -20,8 +20,13 @@
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
-// prefix is where instances write themselves.
-const prefix = "egretbend/instance/"
+// The keys of the registry. All lie below one prefix, so that one watch tells of
+// them.
+const (
+	fleetPrefix    = "egretbend/fleet/"
+	instancePrefix = fleetPrefix + "instance/"
+	dutyPrefix     = fleetPrefix + "duty/"
+)
 
 // The times of a lease.
 const (
@@ -38,6 +43,13 @@
 	viewSettle = 1500 * time.Millisecond
 )
 
+// Key returns where an instance writes itself.
+func Key(name string) string { return instancePrefix + name }
+
+// DutyKey returns where the holder of a duty that only one instance has writes
+// its name.
+func DutyKey(duty string) string { return dutyPrefix + duty }
+
 // Member is one instance.
 type Member struct {
 	Name string `json:"name"`
@@ -57,11 +69,17 @@
 	Journal *journal.Journal
 	// Changed is called after each change of the view; nil is not called.
 	Changed func()
+	// Lapsed is called when this instance holds a lease again after it had lost
+	// one: others may have taken it for dead meanwhile. nil is not called.
+	Lapsed func()
 
 	self    atomic.Pointer[Member]
 	lease   uint64
+	renewed atomic.Int64
+	lapsed  bool
 	mu      sync.Mutex
 	members map[string]Member
+	duties  map[string]string
 	view    atomic.Pointer[[]Member]
 	follow  *mirror.Mirror
 }
@@ -80,14 +98,37 @@
 	return []Member{r.Self()}
 }
 
-// Alive reports whether a life of an instance is in the view.
-func (r *Registry) Alive(name, incarnation string) bool {
+// Find returns the instance called name.
+func (r *Registry) Find(name string) (Member, bool) {
 	for _, m := range r.Members() {
 		if m.Name == name {
-			return m.Incarnation == incarnation
+			return m, true
 		}
 	}
-	return false
+	return Member{}, false
+}
+
+// First returns the name of the first instance that is not leaving.
+func (r *Registry) First() string {
+	for _, m := range r.Members() {
+		if !m.Leaving {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// Duty returns the name of the instance that holds a duty, or nothing.
+func (r *Registry) Duty(duty string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.duties[duty]
+}
+
+// Alive reports whether a life of an instance is in the view.
+func (r *Registry) Alive(name, incarnation string) bool {
+	m, ok := r.Find(name)
+	return ok && m.Incarnation == incarnation
 }
 
 // Synced reports whether the view was read from the service.
@@ -97,7 +138,7 @@
 func (r *Registry) Run(t *tomb.Tomb) error {
 	r.follow = &mirror.Mirror{
 		Space:   r.Space,
-		Prefix:  prefix,
+		Prefix:  fleetPrefix,
 		Take:    r.take,
 		Timer:   r.Timer,
 		Journal: r.Journal,
@@ -139,12 +180,18 @@
 func (r *Registry) renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asked := r.Timer.Now()
 	if r.lease != 0 {
 		err := r.Space.KeepAlive(ctx, r.lease)
+		if err == nil {
+			r.renewed.Store(int64(asked))
+		}
 		if !errors.Is(err, keyvalue.ErrLeaseGone) {
 			return err
 		}
 		r.lease = 0
+		r.renewed.Store(0)
+		r.lapsed = true
 	}
 	lease, err := r.Space.Grant(ctx, leaseTTL)
 	if err != nil {
@@ -154,9 +201,21 @@
 		return err
 	}
 	r.lease = lease
+	r.renewed.Store(int64(asked))
+	if r.lapsed && r.Lapsed != nil {
+		r.Lapsed()
+	}
+	r.lapsed = false
 	return nil
 }
 
+// Held reports whether this instance's lease surely stands: nobody takes it for
+// dead.
+func (r *Registry) Held() bool {
+	at := r.renewed.Load()
+	return at != 0 && r.Timer.Now().Sub(timer.Instant(at)) < leaseTTL
+}
+
 func (r *Registry) write(ctx context.Context, lease uint64) error {
 	self := r.Self()
 	value, err := json.Marshal(self)
@@ -165,7 +224,7 @@
 	}
 	_, err = r.Space.Commit(ctx, keyvalue.Transaction{
 		Writes: []keyvalue.Write{
-			{Key: prefix + self.Name, Value: value, Lease: lease},
+			{Key: Key(self.Name), Value: value, Lease: lease},
 		},
 	})
 	return err
@@ -193,9 +252,14 @@
 	r.mu.Lock()
 	if r.members == nil {
 		r.members = make(map[string]Member)
+		r.duties = make(map[string]string)
 	}
 	for _, c := range changes {
-		name := strings.TrimPrefix(c.Key, prefix)
+		if duty, ok := strings.CutPrefix(c.Key, dutyPrefix); ok {
+			r.duties[duty] = string(c.Value)
+			continue
+		}
+		name := strings.TrimPrefix(c.Key, instancePrefix)
 		if c.Removed {
 			delete(r.members, name)
 			continue
--- a/internal/fleet/weights/holder.go
+++ b/internal/fleet/weights/holder.go
@@ -12,8 +12,8 @@
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
-// holderKey names the instance that gives orders.
-const holderKey = "egretbend/orders/holder"
+// Duty is the registry's name for the right to give orders.
+const Duty = "orders"
 
 // The times of holding.
 const (
@@ -38,12 +38,14 @@
 	Space   keyvalue.Space
 	Timer   timer.Service
 	Journal *journal.Journal
+	// Key is where the holder writes its name.
+	Key string
 	// Name is this instance's. A holder that restarts is the same one.
 	Name string
-	// Candidate reports whether this instance should try for the right, given
-	// who was seen to hold it last. Each try is a priced call; if all instances
-	// asked all the time, that would be most of what the fleet asks.
-	Candidate func(holder string) bool
+	// Candidate reports whether this instance should try for the right. Each
+	// try is a priced call; if all instances tried all the time, that would be
+	// most of what the fleet asks.
+	Candidate func() bool
 
 	lease  uint64
 	fence  uint64
@@ -69,7 +71,7 @@
 	if h.fence != 0 {
 		return h.renew(ctx)
 	}
-	if !h.Candidate(h.seen) {
+	if !h.Candidate() {
 		return nil
 	}
 	return h.acquire(ctx)
@@ -94,12 +96,11 @@
 // acquire takes the key if nobody holds it, or if an earlier life of this
 // instance does.
 func (h *Holder) acquire(ctx context.Context) error {
-	item, err := h.Space.Get(ctx, holderKey)
+	item, err := h.Space.Get(ctx, h.Key)
 	if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
 		return err
 	}
-	h.seen = string(item.Value)
-	own := h.seen == h.Name
+	own := string(item.Value) == h.Name
 	if item.Revision != 0 && !own {
 		return nil
 	}
@@ -112,10 +113,10 @@
 	asked := h.Timer.Now()
 	rev, err := h.Space.Commit(ctx, keyvalue.Transaction{
 		Expects: []keyvalue.Expect{
-			{Key: holderKey, Revision: item.Revision},
+			{Key: h.Key, Revision: item.Revision},
 		},
 		Writes: []keyvalue.Write{
-			{Key: holderKey, Value: []byte(h.Name), Lease: h.lease},
+			{Key: h.Key, Value: []byte(h.Name), Lease: h.lease},
 		},
 	})
 	if errors.Is(err, keyvalue.ErrConflict) {
