detour: reach the key-value service through other instances

Cause: an instance that was cut off from the service stopped giving orders and could accept nothing; the duty moved after 6 s.

--- /dev/null
+++ b/internal/fleet/detour/call.go
@@ -0,0 +1,189 @@
+package detour
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/fleet/peer"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+)
+
+// Kind is one operation of the key-value service.
+type Kind int
+
+// The kinds of calls.
+const (
+	KindGet Kind = iota
+	KindRange
+	KindWatch
+	KindCommit
+	KindGrant
+	KindKeepAlive
+	KindRevoke
+)
+
+var kindNames = [...]string{"get", "range", "watch", "commit", "grant", "keep_alive", "revoke"}
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	if k < 0 || int(k) >= len(kindNames) {
+		return fmt.Sprintf("kind %d", int(k))
+	}
+	return kindNames[k]
+}
+
+// Call is a call of the key-value service on its way through another instance.
+// Each kind uses some of the fields.
+type Call struct {
+	Kind        Kind
+	Key         string
+	Stale       bool
+	After       uint64
+	WaitMS      int64
+	Lease       uint64
+	Transaction keyvalue.Transaction
+}
+
+// Answer is the answer to a Call.
+type Answer struct {
+	Item     keyvalue.Item
+	Listing  keyvalue.Listing
+	Changes  []keyvalue.Change
+	Revision uint64
+	Lease    uint64
+	Failure  Failure
+	Text     string
+	// Compared are the items of a conflict.
+	Compared []keyvalue.Item
+}
+
+// Failure is an error that travels between instances.
+type Failure int
+
+// The failures.
+const (
+	FailureNone Failure = iota
+	FailureNotFound
+	FailureConflict
+	FailureLeaseGone
+	FailureCompacted
+	FailureBusy
+	FailureDown
+	FailureLost
+)
+
+var failures = map[Failure]error{
+	FailureNotFound:  keyvalue.ErrNotFound,
+	FailureLeaseGone: keyvalue.ErrLeaseGone,
+	FailureCompacted: keyvalue.ErrCompacted,
+	FailureBusy:      keyvalue.ErrBusy,
+	FailureDown:      keyvalue.ErrDown,
+}
+
+// failureOf returns the failure of an error. What is not known may have been
+// done.
+func failureOf(err error) Failure {
+	if err == nil {
+		return FailureNone
+	}
+	if errors.Is(err, keyvalue.ErrConflict) {
+		return FailureConflict
+	}
+	for f, e := range failures {
+		if errors.Is(err, e) {
+			return f
+		}
+	}
+	return FailureLost
+}
+
+// Err returns the answer's error.
+func (a Answer) Err() error {
+	switch a.Failure {
+	case FailureNone:
+		return nil
+	case FailureConflict:
+		return &keyvalue.ConflictError{
+			Items: a.Compared,
+		}
+	}
+	if err, ok := failures[a.Failure]; ok {
+		return fmt.Errorf("%w: %s", err, a.Text)
+	}
+	return fmt.Errorf("%w: %s", keyvalue.ErrLost, a.Text)
+}
+
+// At makes the call at a space.
+func (c Call) At(ctx context.Context, s keyvalue.Space) Answer {
+	var a Answer
+	var err error
+	wait := time.Duration(c.WaitMS) * time.Millisecond
+	switch c.Kind {
+	case KindGet:
+		a.Item, err = s.Get(ctx, c.Key)
+	case KindRange:
+		a.Listing, err = s.Range(ctx, c.Key, keyvalue.Freshness(c.Stale))
+	case KindWatch:
+		a.Changes, a.Revision, err = s.Watch(ctx, c.Key, c.After, wait)
+	case KindCommit:
+		a.Revision, err = s.Commit(ctx, c.Transaction)
+	case KindGrant:
+		a.Lease, err = s.Grant(ctx, wait)
+	case KindKeepAlive:
+		err = s.KeepAlive(ctx, c.Lease)
+	case KindRevoke:
+		err = s.Revoke(ctx, c.Lease)
+	}
+	a.Failure = failureOf(err)
+	if err != nil {
+		a.Text = err.Error()
+	}
+	var conflict *keyvalue.ConflictError
+	if errors.As(err, &conflict) {
+		a.Compared = conflict.Items
+	}
+	return a
+}
+
+// receiver is the name of the calls between instances.
+const receiver = "Detour"
+
+// Server makes the calls of other instances at the service.
+type Server struct {
+	space keyvalue.Space
+}
+
+// Register lets other instances call the service through this one, on the
+// direct way only.
+func Register(s *peer.Server, direct keyvalue.Space) error {
+	return s.Register(receiver, &Server{space: direct})
+}
+
+// Call makes one call.
+func (s *Server) Call(c *Call, a *Answer) error {
+	limit := peerTimeout
+	if c.Kind == KindWatch {
+		limit = badFor + watchSlack
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	*a = c.At(ctx, s.space)
+	return nil
+}
+
+// PeerCalls implements Peers.
+type PeerCalls struct {
+	Client *peer.Client
+}
+
+// Call implements Peers.
+func (p *PeerCalls) Call(ctx context.Context, address string, c Call) (Answer, error) {
+	var a Answer
+	err := p.Client.Call(ctx, address, receiver+".Call", &c, &a)
+	if err != nil {
+		return a, fmt.Errorf("%w: %w", keyvalue.ErrLost, err)
+	}
+	return a, nil
+}
--- a/internal/fleet/weights/plan.go
+++ b/internal/fleet/weights/plan.go
@@ -70,14 +70,17 @@
 	}
 }
 
-// home returns the model of which the engine has the freshest weights, or
+// home returns the model whose newest version the engine is least behind, or
 // nothing if it never moved beyond the first version of any.
 func home(e Engine, models []string, named map[string]uint64) string {
-	best, lead := "", uint64(0)
+	best, behind := "", uint64(0)
 	for _, m := range models {
 		v := e.Versions[m]
-		if v > 1 && v+1 >= named[m] && v > lead {
-			best, lead = m, v
+		if v <= 1 {
+			continue
+		}
+		if gap := max(named[m], v) - v; best == "" || gap < behind {
+			best, behind = m, gap
 		}
 	}
 	return best
