--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
 
@@ -26,6 +27,8 @@
 	// submitTimeout is how long a batch may wait for the key-value service.
 	// Trainers wait about half a second for the answer, and come back.
 	submitTimeout = 2500 * time.Millisecond
+	// submitPause is the pause between two tries within that time.
+	submitPause = 150 * time.Millisecond
 	// callTimeout bounds a call to the owner of a batch, its wait not counted.
 	callTimeout = 600 * time.Millisecond
 	// ledgerTimeout bounds a look into the ledger.
@@ -35,7 +38,7 @@
 	// hintTimeout bounds the news of an accepted batch to one instance.
 	hintTimeout = 300 * time.Millisecond
 	// retryAway tells callers when to come back while the service is away.
-	retryAway = time.Second
+	retryAway = 2 * time.Second
 )
 
 // Peers calls other instances. Read, Body and End return runner.ErrNotHere if
@@ -70,7 +73,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	err := d.Runner.Submit(ctx, sub, route)
+	err := d.accept(ctx, sub, route)
 	switch {
 	case err == nil:
 		d.tell(sub.ID)
@@ -91,6 +94,20 @@
 	return e
 }
 
+// accept waits a bounded time for the key-value service if it is away: a trainer
+// stands still without its batch, and its next try would meet the same outage.
+func (d *Desk) accept(ctx context.Context, sub *submission.Submission, route catalog.Route) error {
+	for {
+		err := d.Runner.Submit(ctx, sub, route)
+		if !errors.Is(err, keyvalue.ErrDown) && !errors.Is(err, keyvalue.ErrBusy) {
+			return err
+		}
+		if !timer.Wait(d.Timer, submitPause, ctx.Done()) {
+			return err
+		}
+	}
+}
+
 // submitProblem says "not run" only if the write can't be done any more.
 func submitProblem(err error) *problem.Error {
 	switch {
--- a/internal/fleet/detour/call.go
+++ b/internal/fleet/detour/call.go
@@ -152,24 +152,33 @@
 
 // Server makes the calls of other instances at the service.
 type Server struct {
-	space keyvalue.Space
+	space *Space
 }
 
-// Register lets other instances call the service through this one, on the
+// Register lets other instances call the service through this one, on its
 // direct way only.
-func Register(s *peer.Server, direct keyvalue.Space) error {
-	return s.Register(receiver, &Server{space: direct})
+func (s *Space) Register(server *peer.Server) error {
+	return server.Register(receiver, &Server{
+		space: s,
+	})
 }
 
 // Call makes one call.
 func (s *Server) Call(c *Call, a *Answer) error {
+	if !s.space.Fresh() {
+		a.Failure = FailureDown
+		return nil
+	}
 	limit := peerTimeout
 	if c.Kind == KindWatch {
-		limit = badFor + watchSlack
+		limit += watchThrough
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	*a = c.At(ctx, s.space)
+	*a = c.At(ctx, s.space.Direct)
+	if c.Kind != KindWatch {
+		s.space.note(a.Err())
+	}
 	return nil
 }
 
--- a/internal/fleet/detour/space.go
+++ b/internal/fleet/detour/space.go
@@ -25,8 +25,16 @@
 	badFor = time.Second
 	// triesThrough is how many other instances are tried for one call.
 	triesThrough = 2
-	// watchSlack is how much longer than asked a watch may take.
+	// watchSlack is how much longer than asked a direct watch may take.
 	watchSlack = 3 * time.Second
+	// watchThrough is how long a watch waits at another instance. Short waits
+	// bring it back to the direct way soon, and a dead instance is left soon.
+	watchThrough = 600 * time.Millisecond
+	// restFor is how long nothing is sent after all ways failed: every call is
+	// priced, also one that the service does not answer.
+	restFor = 700 * time.Millisecond
+	// shunFor is how long an instance that failed a call is not asked again.
+	shunFor = 3 * time.Second
 )
 
 // Peers makes calls at other instances, which make them at the service.
@@ -45,9 +53,43 @@
 	mu    sync.Mutex
 	bad   timer.Instant
 	isBad bool
+	rests timer.Instant
+	shun  map[string]timer.Instant
 	turn  chan struct{}
 }
 
+// Fresh reports whether the direct way works as far as is known. Other
+// instances are told at once when it doesn't, without a call of the service.
+func (s *Space) Fresh() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.isBad || s.Timer.Now().Sub(s.bad) >= badFor
+}
+
+// resting reports whether all ways failed a moment ago.
+func (s *Space) resting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Timer.Now() < s.rests
+}
+
+// rest stops all calls for a while.
+func (s *Space) rest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rests = s.Timer.Now().Add(restFor)
+}
+
+// avoid leaves an instance out for a while.
+func (s *Space) avoid(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shun == nil {
+		s.shun = make(map[string]timer.Instant)
+	}
+	s.shun[address] = s.Timer.Now().Add(shunFor)
+}
+
 // direct reports whether the direct way is to be tried first, and returns a
 // channel that is closed when it turns bad.
 func (s *Space) direct() (bool, <-chan struct{}) {
@@ -94,50 +136,65 @@
 
 // do makes a call on the ways that there are.
 func (s *Space) do(ctx context.Context, c Call) (Answer, error) {
+	if s.resting() {
+		return Answer{}, keyvalue.ErrDown
+	}
 	first, _ := s.direct()
-	var a Answer
-	var err error
+	ways := []func(context.Context, Call) (Answer, error){s.through, s.straight}
 	if first {
-		if a, err = s.straight(ctx, c); !away(err) || ctx.Err() != nil {
+		ways[0], ways[1] = ways[1], ways[0]
+	}
+	var errs []error
+	for _, way := range ways {
+		a, err := way(ctx, c)
+		if !away(err) {
 			return a, err
 		}
+		errs = append(errs, err)
+		if ctx.Err() != nil {
+			return Answer{}, worst(errs)
+		}
+	}
+	s.rest()
+	return Answer{}, worst(errs)
+}
+
+// worst returns the error that leaves most open: a call that was lost on any
+// way may have been done.
+func worst(errs []error) error {
+	for _, err := range errs {
+		if !errors.Is(err, keyvalue.ErrDown) && !errors.Is(err, keyvalue.ErrBusy) {
+			return errors.Join(keyvalue.ErrLost, err)
+		}
 	}
-	lost := errors.Is(err, keyvalue.ErrLost)
+	return errors.Join(errs...)
+}
+
+// through makes a call by way of other instances.
+func (s *Space) through(ctx context.Context, c Call) (Answer, error) {
+	var errs []error
 	for _, address := range s.some() {
 		call, cancel := context.WithTimeout(ctx, peerTimeout)
-		through, perr := s.Peers.Call(call, address, c)
+		a, err := s.Peers.Call(call, address, c)
 		cancel()
-		if perr == nil && !away(through.Err()) {
+		if err != nil {
+			s.avoid(address)
+		} else if err = a.Err(); !away(err) {
 			s.Journal.Detail("detour", log.Fields{
 				"call":    c.Kind.String(),
 				"through": address,
 			})
-			return through, through.Err()
-		}
-		if perr == nil {
-			perr = through.Err()
+			return a, err
 		}
-		lost = lost || !errors.Is(perr, keyvalue.ErrDown)
-		err = perr
+		errs = append(errs, err)
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	if !first && ctx.Err() == nil {
-		a, derr := s.straight(ctx, c)
-		if !away(derr) {
-			return a, derr
-		}
-		lost = lost || errors.Is(derr, keyvalue.ErrLost)
-		err = derr
-	}
-	if err == nil {
-		err = ctx.Err()
-	}
-	if lost && !errors.Is(err, keyvalue.ErrLost) {
-		err = errors.Join(keyvalue.ErrLost, err)
+	if len(errs) == 0 {
+		return Answer{}, keyvalue.ErrDown
 	}
-	return Answer{}, err
+	return Answer{}, worst(errs)
 }
 
 // straight makes a call on the direct way.
@@ -152,9 +209,17 @@
 	return a, err
 }
 
-// some returns a few other instances.
+// some returns a few other instances that have not failed lately.
 func (s *Space) some() []string {
-	others := s.Others()
+	now := s.Timer.Now()
+	s.mu.Lock()
+	var others []string
+	for _, address := range s.Others() {
+		if now >= s.shun[address] {
+			others = append(others, address)
+		}
+	}
+	s.mu.Unlock()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	return others[:min(len(others), triesThrough)]
 }
@@ -162,18 +227,27 @@
 // Watch implements keyvalue.Space. It waits on one way only; when that one
 // fails the caller lists again, on the other one.
 func (s *Space) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
-	first, turned := s.direct()
+	if s.resting() {
+		return nil, 0, keyvalue.ErrDown
+	}
 	c := Call{
 		Kind:   KindWatch,
 		Key:    prefix,
 		After:  after,
 		WaitMS: wait.Milliseconds(),
 	}
+	s.mu.Lock()
+	bad := s.isBad
+	if s.turn == nil {
+		s.turn = make(chan struct{})
+	}
+	turned := s.turn
+	s.mu.Unlock()
+	if bad {
+		return s.watchElsewhere(ctx, c)
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	if !first {
-		return s.watchThrough(ctx, c)
-	}
 	go func() {
 		select {
 		case <-turned:
@@ -185,16 +259,17 @@
 	return a.Changes, a.Revision, a.Err()
 }
 
-func (s *Space) watchThrough(ctx context.Context, c Call) ([]keyvalue.Change, uint64, error) {
+func (s *Space) watchElsewhere(ctx context.Context, c Call) ([]keyvalue.Change, uint64, error) {
 	others := s.some()
 	if len(others) == 0 {
 		return nil, 0, keyvalue.ErrDown
 	}
-	// A short wait brings the watch back to the direct way soon after that is
-	// good again.
-	c.WaitMS = min(c.WaitMS, badFor.Milliseconds())
+	c.WaitMS = min(c.WaitMS, watchThrough.Milliseconds())
+	ctx, cancel := context.WithTimeout(ctx, watchThrough+peerTimeout)
+	defer cancel()
 	a, err := s.Peers.Call(ctx, others[0], c)
 	if err != nil {
+		s.avoid(others[0])
 		return nil, 0, err
 	}
 	return a.Changes, a.Revision, a.Err()
