--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -48,6 +48,7 @@
 	Body(ctx context.Context, address, id, item string) ([]byte, bool, error)
 	End(ctx context.Context, address, id string) error
 	Hint(ctx context.Context, address, id string, owner ledger.Owner) error
+	Adopt(ctx context.Context, address, id string) error
 }
 
 // Desk answers calls about batches.
--- a/internal/batch/desk/peers.go
+++ b/internal/batch/desk/peers.go
@@ -71,6 +71,13 @@
 	return r.notHere(s.desk.Runner.End(ctx, c.Batch))
 }
 
+// Adopt begins a batch that was handed over to this instance.
+func (s *Server) Adopt(c *Call, _ *Reply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return s.desk.Adopt(ctx, c.Batch)
+}
+
 // Hint takes the news of who runs a batch.
 func (s *Server) Hint(c *Call, _ *Reply) error {
 	s.desk.Hint(c.Batch, c.Owner)
@@ -126,6 +133,16 @@
 	return err
 }
 
+// Adopt implements Peers.
+func (p *PeerCalls) Adopt(ctx context.Context, address, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := p.call(ctx, address, "Adopt", Call{
+		Batch: id,
+	})
+	return err
+}
+
 // Hint implements Peers.
 func (p *PeerCalls) Hint(ctx context.Context, address, id string, owner ledger.Owner) error {
 	_, err := p.call(ctx, address, "Hint", Call{
--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -23,74 +23,82 @@
 	// death missed: an owner that died just after it accepted, or an accepted
 	// write whose answer was lost.
 	sweepEvery = 4 * time.Second
-	// sweepTimeout bounds one look.
+	// gatherTime gathers the ends of instances that died together into one look.
+	gatherTime = 100 * time.Millisecond
+	// sweepAgain is the pause after a look that failed although an instance is
+	// known to be gone.
+	sweepAgain = 300 * time.Millisecond
+	// sweepTimeout bounds one look, and one take-over.
 	sweepTimeout = 2 * time.Second
 )
 
-// Run looks for batches whose owner is gone until t dies. changed is signalled
-// after each change of the view of instances.
-func (d *Desk) Run(t *tomb.Tomb, changed <-chan struct{}) error {
+// Run looks for batches whose owner is gone until t dies. gone is signalled when
+// an instance left the view, and once when the view is first known: an instance
+// that starts again goes on with what its earlier life had.
+func (d *Desk) Run(t *tomb.Tomb, gone <-chan struct{}) error {
 	ctx := t.Context(context.Background())
 	// Instances that start together would otherwise ask together.
-	if !timer.Wait(d.Timer, time.Duration(rand.Int64N(int64(sweepEvery))), t.Dying()) {
-		return nil
-	}
-	sub := d.Timer.Every(sweepEvery)
-	defer sub.Close()
+	next := d.Timer.Once(time.Duration(rand.Int64N(int64(sweepEvery))))
+	defer func() { next.Close() }()
+	f := keyvalue.Stale
 	for {
 		select {
-		case <-sub.C:
-			d.verify(ctx)
-			d.sweep(ctx, keyvalue.Stale)
-		case <-changed:
-			d.verify(ctx)
-			d.sweep(ctx, keyvalue.Fresh)
+		case <-next.C:
+		case <-gone:
+			f = keyvalue.Fresh
+			timer.Wait(d.Timer, gatherTime, t.Dying())
 		case <-t.Dying():
 			return nil
 		}
+		after := sweepEvery
+		if err := d.sweep(ctx, f); err != nil && f == keyvalue.Fresh {
+			after = sweepAgain
+		} else {
+			f = keyvalue.Stale
+		}
+		next.Close()
+		next = d.Timer.Once(after)
 	}
 }
 
 // sweep takes over the batches without a live owner for which this instance
-// ranks first.
-func (d *Desk) sweep(ctx context.Context, f keyvalue.Freshness) {
+// ranks first, and drops those that it has lost.
+func (d *Desk) sweep(ctx context.Context, f keyvalue.Freshness) error {
 	if !d.Registry.Synced() || d.Leaving() {
-		return
+		return nil
+	}
+	doubt := d.doubt.Load()
+	if doubt {
+		f = keyvalue.Fresh
 	}
 	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
-	defer cancel()
 	claims, err := d.Ledger.Open(ctx, f)
+	cancel()
 	if err != nil {
 		d.Journal.Detail("open batches not read", log.Fields{
 			"error": err.Error(),
 		})
-		return
+		return err
+	}
+	if doubt {
+		d.verify(claims)
 	}
 	for _, c := range claims {
 		if d.orphan(c) {
-			d.takeOver(ctx, c)
+			go d.takeOver(c)
 		}
 	}
+	return nil
 }
 
-// Doubt has all claims of this instance looked up before the next sweep: its
-// lease had ended, so others may own its batches now. Reads would otherwise miss
-// the results that the new owners list.
+// Doubt has all claims of this instance looked up at the next sweep: its lease
+// had ended, so others may own its batches now. Reads would otherwise miss the
+// results that the new owners list.
 func (d *Desk) Doubt() { d.doubt.Store(true) }
 
-// verify drops the batches that have another owner, or are ended, by the
-// ledger.
-func (d *Desk) verify(ctx context.Context) {
-	if !d.doubt.Load() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
-	defer cancel()
-	claims, err := d.Ledger.Open(ctx, keyvalue.Fresh)
-	if err != nil {
-		d.Journal.Trouble("own batches not verified", err, log.Fields{})
-		return
-	}
+// verify drops the batches that have another owner, or are ended.
+func (d *Desk) verify(claims []ledger.Claim) {
+	d.doubt.Store(false)
 	stands := make(map[string]uint64, len(claims))
 	for _, c := range claims {
 		stands[c.Batch] = c.Revision
@@ -100,7 +108,6 @@
 			d.Runner.Lose(c.Batch, ledger.ErrFenced)
 		}
 	}
-	d.doubt.Store(false)
 }
 
 // orphan reports whether this instance should take over a batch.
@@ -112,26 +119,30 @@
 		// An instance that came back goes on with what it had.
 		return m.Incarnation != c.Owner.Incarnation && m.Incarnation == d.Ledger.Self.Incarnation
 	}
-	return First(d.Registry.Members(), c.Batch) == d.Registry.Self().Name
+	return First(d.Registry.Members(), c.Batch).Name == d.Registry.Self().Name
 }
 
 // First returns the instance that ranks first for a batch, by a rendezvous
 // hash over those that are not leaving. The batches of a dead instance so
-// spread over all others.
-func First(members []registry.Member, batch string) string {
-	best, top := "", uint64(0)
+// spread over all others. It returns a member without a name if there is none.
+func First(members []registry.Member, batch string) registry.Member {
+	var best registry.Member
+	top := uint64(0)
 	for _, m := range members {
 		if m.Leaving {
 			continue
 		}
-		if score := member.Score(m.Name, batch); best == "" || score > top {
-			best, top = m.Name, score
+		if score := member.Score(m.Name, batch); best.Name == "" || score > top {
+			best, top = m, score
 		}
 	}
 	return best
 }
 
-func (d *Desk) takeOver(ctx context.Context, seen ledger.Claim) {
+// takeOver makes this instance the owner of a batch and goes on with it.
+func (d *Desk) takeOver(seen ledger.Claim) {
+	ctx, cancel := context.WithTimeout(context.Background(), sweepTimeout)
+	defer cancel()
 	claim := seen
 	var err error
 	if seen.Owner != d.Ledger.Self {
@@ -157,3 +168,44 @@
 	d.Hint(claim.Batch, claim.Owner)
 	d.tell(claim.Batch)
 }
+
+// HandOver gives the batches of this instance, which leaves, to others with
+// what was made of them.
+func (d *Desk) HandOver(ctx context.Context) {
+	for _, c := range d.Runner.Claims() {
+		to := First(d.Registry.Members(), c.Batch)
+		if to.Name == "" {
+			continue
+		}
+		owner := ledger.Owner{
+			Instance:    to.Name,
+			Incarnation: to.Incarnation,
+			Address:     to.PeerAddress,
+		}
+		err := d.Runner.HandOver(ctx, c.Batch, owner)
+		if err == nil {
+			err = d.Peers.Adopt(ctx, owner.Address, c.Batch)
+		}
+		fields := log.Fields{
+			"request_id": c.Batch,
+			"to":         to.Name,
+		}
+		if err != nil {
+			d.Journal.Trouble("hand-over not finished", err, fields)
+			continue
+		}
+		d.Journal.Decision("hand_over", fields)
+	}
+}
+
+// Adopt begins a batch that was handed over to this instance.
+func (d *Desk) Adopt(ctx context.Context, id string) error {
+	claim, err := d.Ledger.Find(ctx, id)
+	if err != nil {
+		return err
+	}
+	if claim.Owner == d.Ledger.Self {
+		go d.takeOver(claim)
+	}
+	return nil
+}
--- a/internal/batch/ledger/ledger.go
+++ b/internal/batch/ledger/ledger.go
@@ -71,8 +71,8 @@
 type Record struct {
 	Submission *submission.Submission
 	Results    []submission.Result
+	Progress   []submission.Progress
 	Chunks     int
-	Ended      bool
 }
 
 // Ledger reads and writes batches on behalf of one process.
@@ -84,6 +84,7 @@
 }
 
 func partKey(id string, n int) string  { return fmt.Sprintf("%s%s/part/%02d", batchPrefix, id, n) }
+func progressKey(id string) string     { return batchPrefix + id + "/progress" }
 func chunkKey(id string, n int) string { return fmt.Sprintf("%s%s/result/%06d", batchPrefix, id, n) }
 
 // Accept stores a batch whole, with this process as its owner.
@@ -167,37 +168,95 @@
 	return Claim{}, ErrUnsettled
 }
 
-// Append writes the next chunk of results and returns the claim with it. It
-// returns ErrFenced when the batch has another owner or is ended. Any other
-// error leaves the chunk to be written again with the very same results.
-func (l *Ledger) Append(ctx context.Context, c Claim, results []submission.Result) (Claim, error) {
-	data, err := json.Marshal(results)
+// Append writes the next chunk of results, and the progress of long items beside
+// it, and returns the claim with it. It returns ErrFenced when the batch has
+// another owner or is ended. Any other error leaves the chunk to be written
+// again with the very same results.
+func (l *Ledger) Append(ctx context.Context, c Claim, results []submission.Result, progress []submission.Progress) (Claim, error) {
+	tx, chunk, err := c.write(results, progress)
 	if err != nil {
 		return c, err
 	}
-	open, chunk := openPrefix+c.Batch, chunkKey(c.Batch, c.Chunks)
-	_, err = l.Space.Commit(ctx, keyvalue.Transaction{
+	_, err = l.Space.Commit(ctx, tx)
+	if err = stood(err, chunk); err != nil {
+		return c, err
+	}
+	c.Chunks++
+	return c, nil
+}
+
+// write returns the transaction for the next chunk.
+func (c Claim) write(results []submission.Result, progress []submission.Progress) (keyvalue.Transaction, keyvalue.Write, error) {
+	data, err := json.Marshal(results)
+	if err != nil {
+		return keyvalue.Transaction{}, keyvalue.Write{}, err
+	}
+	chunk := keyvalue.Write{
+		Key:   chunkKey(c.Batch, c.Chunks),
+		Value: data,
+	}
+	tx := keyvalue.Transaction{
 		Expects: []keyvalue.Expect{
-			{Key: open, Revision: c.Revision},
-			{Key: chunk},
-		},
-		Writes: []keyvalue.Write{
-			{Key: chunk, Value: data},
+			{Key: openPrefix + c.Batch, Revision: c.Revision},
+			{Key: chunk.Key},
 		},
-	})
+		Writes: []keyvalue.Write{chunk},
+	}
+	if len(progress) == 0 {
+		return tx, chunk, nil
+	}
+	partial, err := json.Marshal(progress)
+	if err != nil {
+		return tx, chunk, err
+	}
+	// Progress that does not fit is made again.
+	if len(partial) <= partBytes {
+		tx.Writes = append(tx.Writes, keyvalue.Write{
+			Key:   progressKey(c.Batch),
+			Value: partial,
+		})
+	}
+	return tx, chunk, nil
+}
+
+// stood returns the outcome of writing a chunk: it may stand from an earlier
+// try whose answer was lost.
+func stood(err error, chunk keyvalue.Write) error {
 	var conflict *keyvalue.ConflictError
-	if errors.As(err, &conflict) {
-		// The chunk may stand from an earlier try whose answer was lost.
-		if string(conflict.Item(chunk).Value) != string(data) {
-			return c, ErrFenced
-		}
-		err = nil
+	if !errors.As(err, &conflict) {
+		return err
 	}
+	if string(conflict.Item(chunk.Key).Value) != string(chunk.Value) {
+		return ErrFenced
+	}
+	return nil
+}
+
+// HandOver makes another process the owner of a batch, with the last results
+// and the progress of this one. It returns ErrFenced when the batch has another
+// owner already or is ended.
+func (l *Ledger) HandOver(ctx context.Context, c Claim, to Owner, results []submission.Result, progress []submission.Progress) error {
+	tx, _, err := c.write(results, progress)
 	if err != nil {
-		return c, err
+		return err
 	}
-	c.Chunks++
-	return c, nil
+	if len(results) == 0 {
+		tx.Expects = tx.Expects[:1]
+		tx.Writes = tx.Writes[1:]
+	}
+	owner, err := json.Marshal(to)
+	if err != nil {
+		return err
+	}
+	tx.Writes = append(tx.Writes, keyvalue.Write{
+		Key:   openPrefix + c.Batch,
+		Value: owner,
+	})
+	_, err = l.Space.Commit(ctx, tx)
+	if errors.Is(err, keyvalue.ErrConflict) {
+		return ErrFenced
+	}
+	return err
 }
 
 // End ends a batch. It may be repeated.
@@ -338,6 +397,12 @@
 			spec = append(spec, item.Value...)
 			continue
 		}
+		if item.Key == progressKey(id) {
+			if err := json.Unmarshal(item.Value, &rec.Progress); err != nil {
+				return nil, fmt.Errorf("progress of batch %s: %w", id, err)
+			}
+			continue
+		}
 		var results []submission.Result
 		if err := json.Unmarshal(item.Value, &results); err != nil {
 			return nil, fmt.Errorf("results of batch %s: %w", id, err)
--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,10 @@
 	// gives is when unfinished items are given up.
 	gives timer.Instant
 
+	// writing is held while results are on their way to the ledger; it is
+	// taken before mu.
+	writing sync.Mutex
+
 	mu      sync.Mutex
 	claim   ledger.Claim
 	tasks   map[string]*task
@@ -111,6 +116,13 @@
 // over reports whether the batch needs no more work here. The lock is held.
 func (b *Batch) over() bool { return b.ended || b.lost }
 
+// isLost reports whether another process has the batch.
+func (b *Batch) isLost() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lost
+}
+
 // due describes the pending results. The lock is held.
 func (b *Batch) due(now timer.Instant) schedule.Pending {
 	return schedule.Pending{
@@ -139,8 +151,9 @@
 	b.queue = nil
 }
 
-// newBatch prepares a batch; stored results of an earlier owner stand.
-func newBatch(sub *submission.Submission, claim ledger.Claim, stored []submission.Result) *Batch {
+// newBatch prepares a batch; stored results of an earlier owner stand, and its
+// progress is gone on with as far as its weights are young enough.
+func newBatch(sub *submission.Submission, claim ledger.Claim, stored []submission.Result, progress []submission.Progress) *Batch {
 	b := &Batch{
 		sub:     sub,
 		claim:   claim,
@@ -169,8 +182,31 @@
 		b.groups[item.Group]++
 		b.open++
 	}
+	for _, p := range progress {
+		if t := b.tasks[p.Item]; t != nil && !slices.ContainsFunc(p.Versions, func(v uint64) bool { return v < sub.OldestVersion }) {
+			t.events = p.Events
+			t.last = len(p.Events)
+			t.versions = p.Versions
+		}
+	}
 	return b
 }
 
+// progress returns the texts of unfinished items with at least some events. The
+// lock is held.
+func (b *Batch) progress(least int) []submission.Progress {
+	var list []submission.Progress
+	for _, t := range b.tasks {
+		if t.phase != finished && t.phase != scoring && len(t.events) >= least {
+			list = append(list, submission.Progress{
+				Item:     t.item.ID,
+				Events:   slices.Clone(t.events),
+				Versions: slices.Clone(t.versions),
+			})
+		}
+	}
+	return list
+}
+
 // left returns the time until unfinished items are given up.
 func (b *Batch) left(now timer.Instant) time.Duration { return b.gives.Sub(now) }
--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -263,19 +263,7 @@
 		case <-r.tomb.Dying():
 			return
 		}
-		b.mu.Lock()
-		if b.over() {
-			b.mu.Unlock()
-			return
-		}
-		if !schedule.Write(b.due(r.Timer.Now())) {
-			b.mu.Unlock()
-			continue
-		}
-		results, claim := b.pending, b.claim
-		b.pending, b.whole = nil, false
-		b.mu.Unlock()
-		if !r.append(b, claim, results) {
+		if !r.writeDue(b) {
 			return
 		}
 		b.mu.Lock()
@@ -292,12 +280,36 @@
 	}
 }
 
+// progressEvents is how many events make the progress of an item worth storing:
+// a shorter text is soon made again.
+const progressEvents = 12
+
+// writeDue writes the finished results if that is due. It reports false when
+// there is nothing more to write here.
+func (r *Runner) writeDue(b *Batch) bool {
+	b.writing.Lock()
+	defer b.writing.Unlock()
+	b.mu.Lock()
+	if b.over() {
+		b.mu.Unlock()
+		return false
+	}
+	if !schedule.Write(b.due(r.Timer.Now())) {
+		b.mu.Unlock()
+		return true
+	}
+	results, claim, progress := b.pending, b.claim, b.progress(progressEvents)
+	b.pending, b.whole = nil, false
+	b.mu.Unlock()
+	return r.append(b, claim, results, progress)
+}
+
 // append writes one chunk, again and again while the service is away, and
 // lists it. It reports false when the batch is no longer this process's.
-func (r *Runner) append(b *Batch, claim ledger.Claim, results []submission.Result) bool {
+func (r *Runner) append(b *Batch, claim ledger.Claim, results []submission.Result, progress []submission.Progress) bool {
 	for {
 		ctx, cancel := context.WithTimeout(b.ctx, writeTimeout)
-		next, err := r.Ledger.Append(ctx, claim, results)
+		next, err := r.Ledger.Append(ctx, claim, results, progress)
 		cancel()
 		if err == nil {
 			b.mu.Lock()
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	r.adopt(newBatch(sub, claim, nil), route, "accept")
+	r.adopt(newBatch(sub, claim, nil, nil), route, "accept")
 	return nil
 }
 
@@ -107,7 +107,7 @@
 	// A route that is gone gives up its items at their time.
 	route, _ := cfg.Find(rec.Submission.Host, rec.Submission.Path)
 	claim.Chunks = rec.Chunks
-	r.adopt(newBatch(rec.Submission, claim, rec.Results), route, "take_over")
+	r.adopt(newBatch(rec.Submission, claim, rec.Results, rec.Progress), route, "take_over")
 	return nil
 }
 
@@ -125,7 +125,7 @@
 	if r.batches == nil {
 		r.batches = make(map[string]*Batch)
 	}
-	if r.batches[b.sub.ID] != nil {
+	if old := r.batches[b.sub.ID]; old != nil && !old.isLost() {
 		r.mu.Unlock()
 		return
 	}
@@ -146,8 +146,38 @@
 	go r.writeOut(b)
 }
 
+// HandOver stops a batch here and makes another process its owner, with all that
+// was made of it.
+func (r *Runner) HandOver(ctx context.Context, id string, to ledger.Owner) error {
+	b := r.find(id)
+	if b == nil {
+		return ErrNotHere
+	}
+	b.writing.Lock()
+	defer b.writing.Unlock()
+	b.mu.Lock()
+	if b.over() {
+		b.mu.Unlock()
+		return ErrNotHere
+	}
+	b.lost = true
+	claim, pending, progress := b.claim, b.pending, b.progress(1)
+	b.tell()
+	b.mu.Unlock()
+	b.cancel()
+	return r.Ledger.HandOver(ctx, claim, to, pending, progress)
+}
+
 // Has reports whether this process runs the batch.
-func (r *Runner) Has(id string) bool { return r.find(id) != nil }
+func (r *Runner) Has(id string) bool {
+	b := r.find(id)
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.lost
+}
 
 func (r *Runner) find(id string) *Batch {
 	r.mu.Lock()
--- a/internal/batch/submission/submission.go
+++ b/internal/batch/submission/submission.go
@@ -79,3 +79,10 @@
 	Versions []uint64 `json:"versions,omitempty"`
 	Score    string   `json:"score,omitempty"`
 }
+
+// Progress is the text of an unfinished item as far as it was made.
+type Progress struct {
+	Item     string   `json:"item"`
+	Events   []string `json:"events"`
+	Versions []uint64 `json:"versions,omitempty"`
+}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -67,8 +67,9 @@
 	Space   keyvalue.Space
 	Timer   timer.Service
 	Journal *journal.Journal
-	// Changed is called after each change of the view; nil is not called.
-	Changed func()
+	// Gone is called after an instance left the view, and when the view is first
+	// known; nil is not called.
+	Gone func()
 	// Lapsed is called when this instance holds a lease again after it had lost
 	// one: others may have taken it for dead meanwhile. nil is not called.
 	Lapsed func()
@@ -250,6 +251,7 @@
 // take applies changes of the view.
 func (r *Registry) take(changes []keyvalue.Change) {
 	r.mu.Lock()
+	gone := r.members == nil
 	if r.members == nil {
 		r.members = make(map[string]Member)
 		r.duties = make(map[string]string)
@@ -262,6 +264,7 @@
 		name := strings.TrimPrefix(c.Key, instancePrefix)
 		if c.Removed {
 			delete(r.members, name)
+			gone = true
 			continue
 		}
 		var m Member
@@ -279,8 +282,8 @@
 		"known":   len(r.Members()),
 		"changes": len(changes),
 	})
-	if r.Changed != nil {
-		r.Changed()
+	if gone && r.Gone != nil {
+		r.Gone()
 	}
 }
 
