--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -305,10 +305,13 @@
 }
 
 // append writes one chunk, again and again while the service is away, and
-// lists it. It reports false when the batch is no longer this process's.
+// lists it. It reports false when nothing more is to be written here. The end of
+// a batch does not cut a write short: a chunk that was stored without this
+// process knowing would show in the ledger and not here, so that a result that
+// was read once would be missing in the next answer.
 func (r *Runner) append(b *Batch, claim ledger.Claim, results []submission.Result, progress []submission.Progress) bool {
 	for {
-		ctx, cancel := context.WithTimeout(b.ctx, writeTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 		next, err := r.Ledger.Append(ctx, claim, results, progress)
 		cancel()
 		if err == nil {
@@ -319,10 +322,10 @@
 			b.mu.Unlock()
 			return true
 		}
-		if b.ctx.Err() != nil || !r.tomb.Alive() {
-			return false
-		}
-		if errors.Is(err, ledger.ErrFenced) {
+		b.mu.Lock()
+		over := b.over()
+		b.mu.Unlock()
+		if over || errors.Is(err, ledger.ErrFenced) {
 			r.Lose(b.sub.ID, err)
 			return false
 		}
@@ -330,7 +333,9 @@
 			"request_id": b.sub.ID,
 			"results":    len(results),
 		})
-		timer.Wait(r.Timer, writePause, r.tomb.Dying())
+		if !timer.Wait(r.Timer, writePause, r.tomb.Dying()) {
+			return false
+		}
 	}
 }
 
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -274,13 +274,17 @@
 		return ErrNotHere
 	}
 	b.mu.Lock()
-	already, lost := b.ended, b.lost
+	already, open := b.ended, b.open
 	b.ended = true
-	claim := b.claim
-	open := b.open
 	b.tell()
 	b.mu.Unlock()
 	b.cancel()
+	// A write that is under way decides its chunk first.
+	b.writing.Lock()
+	b.mu.Lock()
+	claim, lost := b.claim, b.lost
+	b.mu.Unlock()
+	b.writing.Unlock()
 	if lost {
 		return ErrNotHere
 	}
