--- a/internal/fleet/detour/space.go
+++ b/internal/fleet/detour/space.go
@@ -49,6 +49,8 @@
 	Others  func() []string
 	Timer   timer.Service
 	Journal *journal.Journal
+	// Turned is called when the direct way turns bad; nil is not called.
+	Turned func()
 
 	mu    sync.Mutex
 	bad   timer.Instant
@@ -66,6 +68,13 @@
 	return !s.isBad || s.Timer.Now().Sub(s.bad) >= badFor
 }
 
+// Good reports whether the last call on the direct way was answered.
+func (s *Space) Good() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.isBad
+}
+
 // resting reports whether all ways failed a moment ago.
 func (s *Space) resting() bool {
 	s.mu.Lock()
@@ -117,6 +126,9 @@
 	s.mu.Unlock()
 	switch {
 	case failed && !was:
+		if s.Turned != nil {
+			s.Turned()
+		}
 		s.Journal.Trouble("dependency lost", err, log.Fields{
 			"dependency": "key-value service, direct way",
 		})
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -1,8 +1,10 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -30,6 +32,9 @@
 	// lapseAfter is how long an outage must last for entries to lapse in it:
 	// they live for some seconds without a renewal.
 	lapseAfter = 1500 * time.Millisecond
+	// inactivePause is how often an inactive mirror looks whether it should
+	// follow again.
+	inactivePause = 200 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
@@ -50,9 +55,15 @@
 	// is kept: entries that lapsed while the service was away come back within
 	// about two seconds. Zero removes them at once.
 	Settle time.Duration
+	// Seen hears of each change with the revision up to which all is known, for
+	// a copy that others may ask; nil is not called.
+	Seen func(changes []keyvalue.Change, revision uint64)
+	// Active says whether to follow at all; nil means always.
+	Active func() bool
 
 	known    map[string]uint64
 	revision uint64
+	relist   bool
 	outage   bool
 	lost     timer.Instant
 	regained timer.Instant
@@ -74,6 +85,11 @@
 	ctx := t.Context(context.Background())
 	retry := retryFirst
 	for t.Alive() {
+		if m.Active != nil && !m.Active() {
+			m.relist = true
+			timer.Wait(m.Timer, inactivePause, t.Dying())
+			continue
+		}
 		err := m.round(ctx, t)
 		if !t.Alive() {
 			return nil
@@ -109,7 +125,7 @@
 
 // round does one call: a listing if there is none yet, else a watch.
 func (m *Mirror) round(ctx context.Context, t *tomb.Tomb) error {
-	if !m.synced.Load() || m.revision == 0 {
+	if !m.synced.Load() || m.relist {
 		return m.list(ctx)
 	}
 	wait := watchWait
@@ -120,13 +136,12 @@
 	defer cancel()
 	changes, next, err := m.Space.Watch(ctx, m.Prefix, m.revision, wait)
 	if errors.Is(err, keyvalue.ErrCompacted) {
-		m.revision = 0
 		return m.list(ctx)
 	}
 	if err != nil {
 		// A watch that was cut may have been deaf before: only a listing tells
 		// what it missed.
-		m.revision = 0
+		m.relist = true
 		return err
 	}
 	m.hear()
@@ -157,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	now := m.hear()
+	m.hear()
 	var changes []keyvalue.Change
 	present := make(map[string]bool, len(listing.Items))
 	for _, item := range listing.Items {
@@ -166,31 +181,39 @@
 			Item: item,
 		})
 	}
-	settle := m.Settle
-	if !m.settling() {
-		settle = 0
-	}
 	for key := range m.known {
-		if _, waits := m.missing[key]; !present[key] && !waits {
-			m.missing[key] = now.Add(settle)
+		if !present[key] {
+			changes = append(changes, keyvalue.Change{
+				Item: keyvalue.Item{
+					Key:      key,
+					Revision: max(listing.Revision, m.known[key]+1),
+				},
+				Removed: true,
+			})
 		}
 	}
-	m.revision = listing.Revision
+	m.revision = max(m.revision, listing.Revision)
 	m.apply(changes)
 	m.expire()
+	m.relist = false
 	m.synced.Store(true)
 	return nil
 }
 
-// apply passes on the changes that are news.
+// apply takes the changes that are news, in order of their revisions. A removal
+// just after an outage is put off.
 func (m *Mirror) apply(changes []keyvalue.Change) {
-	var news []keyvalue.Change
+	var seen, news []keyvalue.Change
+	slices.SortStableFunc(changes, func(a, b keyvalue.Change) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, c := range changes {
 		if !strings.HasPrefix(c.Key, m.Prefix) || c.Revision <= m.known[c.Key] {
 			continue
 		}
+		seen = append(seen, c)
 		if c.Removed && m.settling() {
-			m.missing[c.Key] = m.Timer.Now().Add(m.Settle)
+			if _, waits := m.missing[c.Key]; !waits {
+				m.missing[c.Key] = m.Timer.Now().Add(m.Settle)
+			}
 			continue
 		}
 		delete(m.missing, c.Key)
@@ -201,6 +224,9 @@
 		}
 		news = append(news, c)
 	}
+	if m.Seen != nil {
+		m.Seen(seen, m.revision)
+	}
 	if len(news) > 0 {
 		m.Take(news)
 	}
--- /dev/null
+++ b/internal/fleet/relay/copy.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+)
+
+// keptChanges is how many changes a copy remembers: some seconds of the busiest
+// times. Who is further behind takes the whole prefix.
+const keptChanges = 256
+
+// Copy holds the last changes of a prefix, for those who ask this instance.
+type Copy struct {
+	mu       sync.Mutex
+	changes  []keyvalue.Change
+	begun    bool
+	reaches  uint64
+	revision uint64
+	changed  chan struct{}
+}
+
+// Take applies changes that were seen up to a revision.
+func (c *Copy) Take(changes []keyvalue.Change, revision uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.begun {
+		c.begun = true
+		c.reaches = revision
+		changes = nil
+	}
+	c.changes = append(c.changes, changes...)
+	if over := len(c.changes) - keptChanges; over > 0 {
+		c.reaches = c.changes[over-1].Revision
+		c.changes = slices.Delete(c.changes, 0, over)
+	}
+	c.revision = max(c.revision, revision)
+	if len(changes) > 0 {
+		c.wake()
+	}
+}
+
+// wake wakes all who wait. The lock is held.
+func (c *Copy) wake() {
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+}
+
+// Turn wakes all who wait: this instance no longer hears the service.
+func (c *Copy) Turn() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wake()
+}
+
+// since returns the changes after a revision, and a channel that is closed at
+// the next one. ok is false when the copy does not reach back that far.
+func (c *Copy) since(after uint64) (changes []keyvalue.Change, revision uint64, next <-chan struct{}, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.changed == nil {
+		c.changed = make(chan struct{})
+	}
+	if !c.begun || after < c.reaches {
+		return nil, c.revision, c.changed, false
+	}
+	for _, change := range c.changes {
+		if change.Revision > after {
+			changes = append(changes, change)
+		}
+	}
+	return changes, max(c.revision, after), c.changed, true
+}
--- a/internal/fleet/weights/holder.go
+++ b/internal/fleet/weights/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -48,6 +49,7 @@
 	Candidate func() bool
 
 	lease  uint64
+	holds  atomic.Bool
 	fence  uint64
 	sure   timer.Instant
 	begins timer.Instant
@@ -61,7 +63,7 @@
 }
 
 // Holds reports whether this instance is the holder, even if it has to wait.
-func (h *Holder) Holds() bool { return h.fence != 0 }
+func (h *Holder) Holds() bool { return h.holds.Load() }
 
 // Keep renews the lease or tries to get it. It is called about every
 // holdRenew.
@@ -85,6 +87,7 @@
 			"fencing": h.fence,
 		})
 		h.lease, h.fence = 0, 0
+		h.holds.Store(false)
 		return nil
 	}
 	if err == nil {
@@ -129,6 +132,7 @@
 		return err
 	}
 	h.fence = rev
+	h.holds.Store(true)
 	h.sure = asked
 	h.begins = h.Timer.Now()
 	if !own {
@@ -149,5 +153,6 @@
 	}
 	lease := h.lease
 	h.lease, h.fence = 0, 0
+	h.holds.Store(false)
 	return h.Space.Revoke(ctx, lease)
 }
