--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -27,6 +27,9 @@
 	// submitTimeout is how long a batch may wait for the key-value service.
 	// Trainers wait about half a second for the answer, and come back.
 	submitTimeout = 2500 * time.Millisecond
+	// homeTimeout is how long the home of a batch may take to accept it before
+	// this instance does it itself.
+	homeTimeout = 400 * time.Millisecond
 	// submitPause is the pause between two tries within that time.
 	submitPause = 150 * time.Millisecond
 	// callTimeout bounds a call to the owner of a batch, its wait not counted.
@@ -49,6 +52,7 @@
 	End(ctx context.Context, address, id string) error
 	Hint(ctx context.Context, address, id string, owner ledger.Owner) error
 	Adopt(ctx context.Context, address, id string) error
+	Submit(ctx context.Context, address string, sub *submission.Submission) error
 }
 
 // Desk answers calls about batches.
@@ -61,6 +65,8 @@
 	Journal  *journal.Journal
 	// Leaving reports whether this instance takes no new batches.
 	Leaving func() bool
+	// Config finds the route of a batch that comes from another instance.
+	Config *catalog.Holder
 
 	doubt  atomic.Bool
 	mu     sync.Mutex
@@ -68,7 +74,40 @@
 }
 
 // Submit accepts a batch. A nil error means that it is kept whole from now on.
+// All batches of one model run at the same instance, as long as it answers: its
+// connections to the engines serve the next step again.
 func (d *Desk) Submit(ctx context.Context, sub *submission.Submission, route catalog.Route) error {
+	home := First(d.Registry.Members(), homeKey(sub))
+	if home.Name != "" && home.Name != d.Ledger.Self.Instance {
+		call, cancel := context.WithTimeout(ctx, homeTimeout)
+		err := d.Peers.Submit(call, home.PeerAddress, sub)
+		cancel()
+		if err == nil {
+			d.Journal.Decision("accepted_at_home", log.Fields{
+				"request_id": sub.ID,
+				"home":       home.Name,
+			})
+			return nil
+		}
+		// What the other instance did is settled by the same transaction here.
+		d.Journal.Trouble("home does not accept", err, log.Fields{
+			"request_id": sub.ID,
+			"home":       home.Name,
+		})
+	}
+	return d.Accept(ctx, sub, route)
+}
+
+// homeKey is what the instance of a batch is chosen by.
+func homeKey(sub *submission.Submission) string {
+	if sub.Model != "" {
+		return sub.Model
+	}
+	return sub.Host + sub.Path
+}
+
+// Accept accepts a batch at this instance.
+func (d *Desk) Accept(ctx context.Context, sub *submission.Submission, route catalog.Route) error {
 	if d.Leaving() {
 		return problem.Leaving.Withf("batch %s", sub.ID).WithRetryAfter(100 * time.Millisecond)
 	}
--- a/internal/batch/desk/peers.go
+++ b/internal/batch/desk/peers.go
@@ -7,7 +7,9 @@
 
 	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/batch/runner"
+	"github.com/egretbend/egretbend/internal/batch/submission"
 	"github.com/egretbend/egretbend/internal/fleet/peer"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
 )
 
 // receiver is the name of the calls between instances.
@@ -78,6 +80,21 @@
 	return s.desk.Adopt(ctx, c.Batch)
 }
 
+// Submit accepts a batch that reached another instance.
+func (s *Server) Submit(sub *submission.Submission, _ *Reply) error {
+	cfg := s.desk.Config.Current()
+	if cfg == nil {
+		return problem.NotReady.Withf("no configuration yet")
+	}
+	route, ok := cfg.Find(sub.Host, sub.Path)
+	if !ok {
+		return problem.NotFound.Withf("no route for %s%s", sub.Host, sub.Path)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), homeTimeout)
+	defer cancel()
+	return s.desk.Accept(ctx, sub, route)
+}
+
 // Hint takes the news of who runs a batch.
 func (s *Server) Hint(c *Call, _ *Reply) error {
 	s.desk.Hint(c.Batch, c.Owner)
@@ -143,6 +160,12 @@
 	return err
 }
 
+// Submit implements Peers.
+func (p *PeerCalls) Submit(ctx context.Context, address string, sub *submission.Submission) error {
+	var r Reply
+	return p.Client.Call(ctx, address, receiver+".Submit", sub, &r)
+}
+
 // Hint implements Peers.
 func (p *PeerCalls) Hint(ctx context.Context, address, id string, owner ledger.Owner) error {
 	_, err := p.call(ctx, address, "Hint", Call{
