--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -63,12 +63,14 @@
 	FailureDomain string
 
 	tomb    tomb.Tomb
+	begun   chan struct{}
 	mu      sync.Mutex
 	batches map[string]*Batch
 }
 
 // Start begins the runner's look-out.
 func (r *Runner) Start() {
+	r.begun = make(chan struct{}, 1)
 	r.tomb.Go(r.watch)
 }
 
@@ -142,6 +144,7 @@
 		"service":    b.service,
 		"age_ms":     age.Milliseconds(),
 	})
+	signal(r.begun)
 	go r.drive(b)
 	go r.writeOut(b)
 }
@@ -297,22 +300,31 @@
 	return r.Ledger.EndClaimed(ctx, claim, time.Now())
 }
 
-// watch looks after all batches until the runner stops.
+// watch looks after all batches until the runner stops. Without open batches
+// nothing wakes it: an idle instance costs next to nothing.
 func (r *Runner) watch() error {
-	sub := r.Timer.Every(lookEvery)
-	defer sub.Close()
 	for {
 		select {
-		case <-sub.C:
-			r.look()
+		case <-r.begun:
 		case <-r.tomb.Dying():
 			return nil
 		}
+		sub := r.Timer.Every(lookEvery)
+		for r.look() {
+			select {
+			case <-sub.C:
+			case <-r.tomb.Dying():
+				sub.Close()
+				return nil
+			}
+		}
+		sub.Close()
 	}
 }
 
-// look moves streams that fell behind and forgets old batches.
-func (r *Runner) look() {
+// look moves streams that fell behind and forgets old batches. It reports
+// whether any batch is not over.
+func (r *Runner) look() bool {
 	now := r.Timer.Now()
 	r.mu.Lock()
 	list := make([]*Batch, 0, len(r.batches))
@@ -325,17 +337,21 @@
 		list = append(list, b)
 	}
 	r.mu.Unlock()
+	any := false
 	for _, b := range list {
-		r.lookAt(b, now)
+		if r.lookAt(b, now) {
+			any = true
+		}
 	}
+	return any
 }
 
-// lookAt looks at one batch.
-func (r *Runner) lookAt(b *Batch, now timer.Instant) {
+// lookAt looks at one batch and reports whether it is not over.
+func (r *Runner) lookAt(b *Batch, now timer.Instant) bool {
 	b.mu.Lock()
 	if b.over() || b.open == 0 && len(b.pending) == 0 {
 		b.mu.Unlock()
-		return
+		return false
 	}
 	if b.left(now) <= 0 && b.open > 0 {
 		r.Journal.Decision("give_up", log.Fields{
@@ -354,6 +370,7 @@
 	b.mu.Unlock()
 	signal(b.wake)
 	signal(b.write)
+	return true
 }
 
 // mayMove moves a stream to another engine if waiting costs more. The lock is
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -34,7 +34,7 @@
 	lapseAfter = 1500 * time.Millisecond
 	// inactivePause is how often an inactive mirror looks whether it should
 	// follow again.
-	inactivePause = 200 * time.Millisecond
+	inactivePause = 500 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -33,9 +33,9 @@
 	// leaseTTL is how long after its last renewal an instance is taken for
 	// dead. Its batches are taken over then; shorter would take them from
 	// instances that are only slow.
-	leaseTTL = 2 * time.Second
+	leaseTTL = 2200 * time.Millisecond
 	// renewEvery leaves room for two lost renewals.
-	renewEvery = 600 * time.Millisecond
+	renewEvery = 700 * time.Millisecond
 	// callTimeout bounds one call of the lease.
 	callTimeout = 900 * time.Millisecond
 	// viewSettle is how long instances are kept after an outage of the
--- a/internal/fleet/relay/space.go
+++ b/internal/fleet/relay/space.go
@@ -26,7 +26,7 @@
 	// relayWait is how long a watch waits at a watcher. It bounds how late a
 	// follower notices that its watcher fell silent; a change must be known
 	// everywhere within two seconds.
-	relayWait = 700 * time.Millisecond
+	relayWait = 900 * time.Millisecond
 	// relayTimeout is what an answer may take beyond its wait.
 	relayTimeout = 300 * time.Millisecond
 )
@@ -42,17 +42,22 @@
 	Poll(ctx context.Context, address string, q Query) (Reply, error)
 }
 
-// Query asks for the changes of a prefix after a revision.
+// Query asks for the changes of prefixes after revisions.
 type Query struct {
-	Prefix string
-	After  uint64
+	After  map[string]uint64
 	WaitMS int64
 }
 
 // Reply is the answer of a watcher. Stale says that it does not surely hear the
-// service, Behind that its copy does not reach back far enough.
+// service.
 type Reply struct {
-	Stale    bool
+	Stale bool
+	News  map[string]News
+}
+
+// News is what changed below one prefix. Behind says that the watcher's copy
+// does not reach back far enough.
+type News struct {
 	Behind   bool
 	Changes  []keyvalue.Change
 	Revision uint64
@@ -69,6 +74,7 @@
 	Hears func() bool
 
 	copies map[string]*Copy
+	follow follower
 }
 
 // Copy begins a copy of a prefix. It is called before anything runs.
@@ -124,31 +130,17 @@
 
 // Watch implements keyvalue.Space.
 func (s *Space) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
-	if s.copies[prefix] == nil {
+	if s.copies[prefix] == nil || len(s.ask()) == 0 {
 		return s.Space.Watch(ctx, prefix, after, wait)
 	}
-	asked := s.ask()
-	if len(asked) == 0 {
-		return s.Space.Watch(ctx, prefix, after, wait)
+	news, err := s.follow.next(ctx, s, prefix, after)
+	if errors.Is(err, errNoWatcher) {
+		return s.Space.Watch(ctx, prefix, after, min(wait, relayWait))
 	}
-	q := Query{
-		Prefix: prefix,
-		After:  after,
-		WaitMS: min(wait, relayWait).Milliseconds(),
+	if err == nil && news.Behind {
+		err = keyvalue.ErrCompacted
 	}
-	for _, m := range asked {
-		r, err := s.poll(ctx, m, q)
-		if err == nil && r.Behind {
-			return nil, 0, keyvalue.ErrCompacted
-		}
-		if err == nil {
-			return r.Changes, r.Revision, nil
-		}
-		// The time that the first one took is gone; the next one answers with
-		// what it has.
-		q.WaitMS = 0
-	}
-	return s.Space.Watch(ctx, prefix, after, min(wait, relayWait))
+	return news.Changes, news.Revision, err
 }
 
 var errStale = errors.New("the watcher does not surely hear the key-value service")
@@ -180,29 +172,66 @@
 
 // Poll answers one query.
 func (s *Server) Poll(q *Query, r *Reply) error {
-	c := s.space.copies[q.Prefix]
-	if c == nil || !s.space.Hears() || len(s.space.ask()) > 0 {
+	if !s.space.Hears() || len(s.space.ask()) > 0 {
 		r.Stale = true
 		return nil
 	}
-	changes, revision, next, ok := c.since(q.After)
-	if ok && len(changes) == 0 && q.WaitMS > 0 {
-		wait := s.space.Timer.Once(time.Duration(q.WaitMS) * time.Millisecond)
-		defer wait.Close()
-		select {
-		case <-next:
-		case <-wait.C:
-		}
+	news, waits := s.space.news(q)
+	if len(news) == 0 && q.WaitMS > 0 {
+		s.space.wait(time.Duration(q.WaitMS)*time.Millisecond, waits)
 		if !s.space.Hears() {
 			r.Stale = true
 			return nil
 		}
-		changes, revision, _, ok = c.since(q.After)
+		news, _ = s.space.news(q)
 	}
-	r.Changes, r.Revision, r.Behind = changes, revision, !ok
+	r.News = news
 	return nil
 }
 
+// news returns what changed, and the channels that tell of the next changes.
+func (s *Space) news(q *Query) (map[string]News, []<-chan struct{}) {
+	news := make(map[string]News)
+	var waits []<-chan struct{}
+	for prefix, after := range q.After {
+		c := s.copies[prefix]
+		if c == nil {
+			news[prefix] = News{
+				Behind: true,
+			}
+			continue
+		}
+		changes, revision, next, ok := c.since(after)
+		waits = append(waits, next)
+		if !ok || len(changes) > 0 {
+			news[prefix] = News{
+				Behind:   !ok,
+				Changes:  changes,
+				Revision: revision,
+			}
+		}
+	}
+	return news, waits
+}
+
+// wait waits for any of a few channels, two at most in practice.
+func (s *Space) wait(d time.Duration, waits []<-chan struct{}) {
+	sub := s.Timer.Once(d)
+	defer sub.Close()
+	var first, second <-chan struct{}
+	if len(waits) > 0 {
+		first = waits[0]
+	}
+	if len(waits) > 1 {
+		second = waits[1]
+	}
+	select {
+	case <-first:
+	case <-second:
+	case <-sub.C:
+	}
+}
+
 // PeerCalls implements Peers.
 type PeerCalls struct {
 	Client *peer.Client
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -137,14 +137,26 @@
 	o.mu.Unlock()
 	keep := o.Timer.Every(holdRenew)
 	defer keep.Close()
-	plan := o.Timer.Every(planEvery)
-	defer plan.Close()
+	var plan *timer.Subscription
+	defer func() {
+		if plan != nil {
+			plan.Close()
+		}
+	}()
 	o.keep(ctx)
 	for {
+		// Only the holder plans; the others would wake for nothing.
+		var due <-chan timer.Instant
+		if o.Holder.Holds() && plan == nil {
+			plan = o.Timer.Every(planEvery)
+		}
+		if plan != nil {
+			due = plan.C
+		}
 		select {
 		case <-keep.C:
 			o.keep(ctx)
-		case <-plan.C:
+		case <-due:
 			o.round(ctx)
 		case <-wake:
 			o.round(ctx)
--- a/internal/kernel/journal/journal.go
+++ b/internal/kernel/journal/journal.go
@@ -15,7 +15,7 @@
 )
 
 // FlushPeriod is how long a line may wait in the buffer before it is written.
-const FlushPeriod = 200 * time.Millisecond
+const FlushPeriod = 500 * time.Millisecond
 
 // bufferSize holds about a thousand decision lines.
 const bufferSize = 256 << 10
