schedule, upstream, weights: learn a slow pace at once; place a step before loads

Change: a pace over many events counts at once and fades when it is not measured; engines with the version before load half a second later; the last groups of a step are written at once.

--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -130,6 +130,8 @@
 		Whole:   b.whole,
 		Last:    b.open == 0,
 		Oldest:  now.Sub(b.since),
+		Left:    b.open,
+		Items:   len(b.sub.Items),
 	}
 }
 
--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -44,7 +44,9 @@
 // engines returns the engines that can serve the batch now. The lock is held.
 func (r *Runner) engines(b *Batch, now timer.Instant) []candidate {
 	var list []candidate
-	for _, u := range r.Book.Group(b.service).Upstreams {
+	group := r.Book.Group(b.service)
+	usual := group.Set.MedianPace()
+	for _, u := range group.Upstreams {
 		if !u.Usable(now) || u.Resting(now) {
 			continue
 		}
@@ -55,7 +57,7 @@
 			Engine: schedule.Engine{
 				Room:  u.Room(now),
 				Slots: max(1, u.Slots),
-				Pace:  u.Slowness(),
+				Pace:  u.Against(usual, now),
 				Near:  u.FailureDomain == r.FailureDomain,
 			},
 			u: u,
@@ -198,7 +200,8 @@
 	}
 	switch {
 	case err == nil, errors.Is(err, engine.ErrAttemptFailed), errors.Is(err, engine.ErrImpossible):
-		u.Succeeded(pace)
+		u.Measured(pace, now)
+		u.Succeeded(0)
 	case errors.Is(err, engine.ErrMisdirected):
 		u.MarkLeaving()
 		u.Ended()
@@ -208,7 +211,7 @@
 	case t.moving && t.stuck:
 		u.Failed(now)
 	case t.moving:
-		u.Paced(pace)
+		u.Measured(pace, now)
 		u.Ended()
 	case errors.Is(err, context.Canceled):
 		u.Ended()
--- a/internal/batch/schedule/schedule.go
+++ b/internal/batch/schedule/schedule.go
@@ -120,6 +120,8 @@
 	Last bool
 	// Oldest is how long the first of them has waited.
 	Oldest time.Duration
+	// Left is how many items are unfinished, Items how many there are.
+	Left, Items int
 }
 
 // The times of writing. Each write is a priced call of the key-value service,
@@ -127,6 +129,9 @@
 const (
 	writeWhole = 200 * time.Millisecond
 	writeRest  = 1200 * time.Millisecond
+	// endShare is from when on whole groups are written at once: with a twelfth
+	// of the items left a step waits for single items, which come one by one.
+	endShare = 12
 )
 
 // Write reports whether the finished results are written now.
@@ -134,7 +139,7 @@
 	switch {
 	case p.Results == 0:
 		return false
-	case p.Last:
+	case p.Last, p.Whole && p.Left*endShare <= p.Items:
 		return true
 	case p.Whole:
 		return p.Oldest >= writeWhole
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -29,6 +29,9 @@
 	// answer. The same count of orders goes with the second one, so only one
 	// of them can be carried out.
 	lostTimeout = 1500 * time.Millisecond
+	// placeTime is how long after a version was named the items of its step are
+	// being placed. Streams that run go on while their engine loads.
+	placeTime = 500 * time.Millisecond
 	// refusedPause is the pause after a refused order.
 	refusedPause = 500 * time.Millisecond
 )
@@ -92,6 +95,7 @@
 
 	mu    sync.Mutex
 	named map[string]uint64
+	since map[string]timer.Instant
 	last  map[string]*standing
 	wake  chan struct{}
 }
@@ -113,8 +117,12 @@
 	defer o.mu.Unlock()
 	if o.named == nil {
 		o.named = make(map[string]uint64)
+		o.since = make(map[string]timer.Instant)
+	}
+	if version > o.named[model] {
+		o.named[model] = version
+		o.since[model] = o.Timer.Now()
 	}
-	o.named[model] = max(o.named[model], version)
 	select {
 	case o.wakeChannel() <- struct{}{}:
 	default:
@@ -202,7 +210,11 @@
 		engines = append(engines, o.view(u, now))
 	}
 	sets := Assign(engines, models, o.named)
-	orders := Plan(engines, o.named, sets, AtOnce(len(engines)))
+	fresh := make(map[string]bool)
+	for model, at := range o.since {
+		fresh[model] = now.Sub(at) < placeTime
+	}
+	orders := Plan(engines, o.named, fresh, sets, AtOnce(len(engines)))
 	for _, order := range orders {
 		u := byID[order.Engine]
 		s := o.standing(u)
--- a/internal/fleet/weights/plan.go
+++ b/internal/fleet/weights/plan.go
@@ -108,8 +108,10 @@
 
 // Plan returns the orders to give now. Engines whose weights are too old for
 // the next step go first, then the idle ones, so that a step always finds
-// engines at work while others load.
-func Plan(engines []Engine, named map[string]uint64, sets map[string]string, atOnce int) []Order {
+// engines at work while others load. fresh are the models whose newest version
+// was named a moment ago: the items of that step are on their way, and an engine
+// that loads takes none, so those with the version before wait a little.
+func Plan(engines []Engine, named map[string]uint64, fresh map[string]bool, sets map[string]string, atOnce int) []Order {
 	type want struct {
 		Order
 		behind uint64
@@ -122,7 +124,11 @@
 			continue
 		}
 		model := sets[e.ID]
-		if v := named[model]; v > e.Versions[model] {
+		v := named[model]
+		if fresh[model] && v == e.Versions[model]+1 {
+			continue
+		}
+		if v > e.Versions[model] {
 			wants = append(wants, want{
 				Order: Order{
 					Engine:  e.ID,
--- a/internal/route/forward/patience.go
+++ b/internal/route/forward/patience.go
@@ -20,7 +20,7 @@
 	// hedgePace is how many times the usual pace an attempt may take before a
 	// second one begins; below that the second attempts of ordinary requests
 	// would cost more than they save.
-	hedgePace = 2.5
+	hedgePace = 2
 	// hedgeLeast keeps routes with a tight objective from doubling their load.
 	hedgeLeast = 30 * time.Millisecond
 	// slowLoser is how many times longer than the winner an attempt must have
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -56,6 +56,8 @@
 	ejects   atomic.Int32
 	outUntil atomic.Int64
 	since    atomic.Int64
+	// measured is when the pace was measured last.
+	measured atomic.Int64
 	// restsUntil is when a refusal is over.
 	restsUntil atomic.Int64
 	pace       atomic.Uint64
@@ -153,6 +155,40 @@
 	u.pace.Store(math.Float64bits(old + paceWeight*(now-old)))
 }
 
+// Measured notes a pace that was measured over many events of one request. It
+// counts at once: a stream that left a slow engine would otherwise meet it again
+// as the one with the most free slots.
+func (u *Upstream) Measured(pace time.Duration, now timer.Instant) {
+	if pace <= 0 {
+		return
+	}
+	old := math.Float64frombits(u.pace.Load())
+	if old == 0 {
+		old = pace.Seconds()
+	}
+	u.pace.Store(math.Float64bits(old + measuredWeight*(pace.Seconds()-old)))
+	u.measured.Store(int64(now))
+}
+
+const (
+	// measuredWeight is the weight of a pace measured over many events.
+	measuredWeight = 0.6
+	// paceHalfLife is how soon a pace that is no longer measured counts for
+	// half: an engine that was slow gets no work that would show its recovery.
+	paceHalfLife = 3 * time.Second
+)
+
+// Against returns the pace against a usual one in seconds, 1 if unknown. It
+// fades towards 1 while it is not measured.
+func (u *Upstream) Against(usual float64, now timer.Instant) float64 {
+	pace := u.Pace()
+	if usual <= 0 || pace <= 0 {
+		return 1
+	}
+	age := float64(now.Sub(timer.Instant(u.measured.Load()))) / float64(paceHalfLife)
+	return 1 + (pace/usual-1)*math.Exp2(-max(0, age))
+}
+
 // restTime is how long an upstream that refused gets no new work from this
 // instance: it is full, or loads weights for about a second.
 const restTime = 150 * time.Millisecond
@@ -174,14 +210,6 @@
 	return float64(u.slots(h)) - own - u.others(h, now)
 }
 
-// Slowness is the upstream's pace against the median of its set, 1 if unknown.
-func (u *Upstream) Slowness() float64 {
-	if s := math.Float64frombits(u.slowness.Load()); s > 0 {
-		return s
-	}
-	return 1
-}
-
 // Heard takes a report that came now.
 func (u *Upstream) Heard(r engine.Report, now timer.Instant) {
 	u.report.Store(&heard{
