weights: the order duty stays with an instance that starts again

Change: the duty lies in a key without a lease; its holder counts as gone when its own key has been missing for 1.5 s.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -76,6 +76,7 @@
 
 	self    atomic.Pointer[Member]
 	lease   uint64
+	number  atomic.Uint64
 	renewed atomic.Int64
 	lapsed  bool
 	mu      sync.Mutex
@@ -126,6 +127,12 @@
 	return r.duties[duty]
 }
 
+// Present reports whether an instance is in the view.
+func (r *Registry) Present(name string) bool {
+	_, ok := r.Find(name)
+	return ok
+}
+
 // Alive reports whether a life of an instance is in the view.
 func (r *Registry) Alive(name, incarnation string) bool {
 	m, ok := r.Find(name)
@@ -202,6 +209,7 @@
 		return err
 	}
 	r.lease = lease
+	r.number.Store(lease)
 	r.renewed.Store(int64(asked))
 	if r.lapsed && r.Lapsed != nil {
 		r.Lapsed()
@@ -213,8 +221,15 @@
 // Held reports whether this instance's lease surely stands: nobody takes it for
 // dead.
 func (r *Registry) Held() bool {
+	_, ok := r.Lease(leaseTTL)
+	return ok
+}
+
+// Lease returns the number of this instance's lease, and whether it was renewed
+// within a time.
+func (r *Registry) Lease(within time.Duration) (uint64, bool) {
 	at := r.renewed.Load()
-	return at != 0 && r.Timer.Now().Sub(timer.Instant(at)) < leaseTTL
+	return r.number.Load(), at != 0 && r.Timer.Now().Sub(timer.Instant(at)) < within
 }
 
 func (r *Registry) write(ctx context.Context, lease uint64) error {
--- a/internal/fleet/weights/holder.go
+++ b/internal/fleet/weights/holder.go
@@ -18,141 +18,160 @@
 
 // The times of holding.
 const (
-	// holdTTL is the lease of the holder.
-	holdTTL = 2 * time.Second
-	// holdRenew is how often it is renewed.
-	holdRenew = 600 * time.Millisecond
-	// holdTrust is how long after a renewal the holder believes in its lease.
-	// It is shorter than the lease, so that a holder that is cut off stops
-	// before another one can begin.
+	// keepEvery is how often the right is looked after.
+	keepEvery = 600 * time.Millisecond
+	// holdTrust is how long after the last renewal of its lease the holder
+	// gives orders. It is shorter than the lease, so that a holder that is cut
+	// off stops before another one can begin.
 	holdTrust = 1200 * time.Millisecond
+	// absence is how long the holder must be missing before another instance
+	// takes over. One that is started again goes on at once; and one whose
+	// lease was taken away has written itself again by then, or stopped.
+	absence = 1500 * time.Millisecond
+	// TurnWait is how long a new holder waits for orders of the one before:
+	// engines must not hear two holders within three seconds.
+	TurnWait = 3 * time.Second
 	// holdCall bounds one call.
 	holdCall = 900 * time.Millisecond
-	// TurnWait is how long a new holder waits for orders of the one before: as
-	// long as that one may still believe in a lease that was taken away, and
-	// the three seconds in which engines must not hear two holders.
-	TurnWait = holdTrust + 3200*time.Millisecond
 )
 
-// Holder holds the right to give orders, or waits for it.
+// Presence is what the holder needs to know of instances.
+type Presence interface {
+	// Lease returns the number of this instance's lease, zero if it has none,
+	// and whether it was renewed within the time.
+	Lease(within time.Duration) (uint64, bool)
+	// Duty returns who was seen to hold a duty last.
+	Duty(duty string) string
+	// Present reports whether an instance is in the view.
+	Present(name string) bool
+	// First returns the instance that should take over a duty.
+	First() string
+	// Synced reports whether the view was read.
+	Synced() bool
+}
+
+// Holder holds the right to give orders, or waits for it. The right lies in a
+// key without a lease: its holder is whoever it names, as long as that
+// instance's own key exists.
 type Holder struct {
-	Space   keyvalue.Space
-	Timer   timer.Service
-	Journal *journal.Journal
-	// Key is where the holder writes its name.
-	Key string
+	Space    keyvalue.Space
+	Presence Presence
+	Timer    timer.Service
+	Journal  *journal.Journal
+	// Key is where the holder writes its name, Sign where an instance shows
+	// that it lives.
+	Key  string
+	Sign func(name string) string
 	// Name is this instance's. A holder that restarts is the same one.
 	Name string
-	// Candidate reports whether this instance should try for the right. Each
-	// try is a priced call; if all instances tried all the time, that would be
-	// most of what the fleet asks.
-	Candidate func() bool
 
+	fence  uint64
 	lease  uint64
 	holds  atomic.Bool
-	fence  uint64
-	sure   timer.Instant
 	begins timer.Instant
-	seen   string
+	absent timer.Instant
 }
 
 // Fence returns the fencing token and whether orders may be given now.
 func (h *Holder) Fence() (uint64, bool) {
-	now := h.Timer.Now()
-	return h.fence, h.fence != 0 && now >= h.begins && now.Sub(h.sure) < holdTrust
+	lease, fresh := h.Presence.Lease(holdTrust)
+	return h.fence, h.fence != 0 && fresh && lease == h.lease && h.Timer.Now() >= h.begins
 }
 
 // Holds reports whether this instance is the holder, even if it has to wait.
 func (h *Holder) Holds() bool { return h.holds.Load() }
 
-// Keep renews the lease or tries to get it. It is called about every
-// holdRenew.
+// Keep looks after the right. It is called every keepEvery.
 func (h *Holder) Keep(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, holdCall)
 	defer cancel()
-	if h.fence != 0 {
-		return h.renew(ctx)
+	lease, fresh := h.Presence.Lease(holdTrust)
+	if h.fence != 0 && lease == h.lease {
+		return nil
 	}
-	if !h.Candidate() {
+	if !fresh || !h.Presence.Synced() || !h.candidate() {
 		return nil
 	}
-	return h.acquire(ctx)
+	return h.acquire(ctx, lease)
 }
 
-func (h *Holder) renew(ctx context.Context) error {
-	asked := h.Timer.Now()
-	err := h.Space.KeepAlive(ctx, h.lease)
-	if errors.Is(err, keyvalue.ErrLeaseGone) {
-		h.Journal.Trouble("order lease lost", err, log.Fields{
-			"fencing": h.fence,
-		})
-		h.lease, h.fence = 0, 0
-		h.holds.Store(false)
-		return nil
+// candidate reports whether this instance should try for the right: it had it,
+// or it comes first and the holder has been missing long enough. All others
+// don't ask; each try is a priced call.
+func (h *Holder) candidate() bool {
+	holder := h.Presence.Duty(Duty)
+	if holder == h.Name || h.fence != 0 {
+		return true
 	}
-	if err == nil {
-		h.sure = asked
+	if h.Presence.First() != h.Name {
+		h.absent = 0
+		return false
+	}
+	if holder == "" {
+		return true
+	}
+	now := h.Timer.Now()
+	if h.Presence.Present(holder) {
+		h.absent = 0
+		return false
 	}
-	return err
+	if h.absent == 0 {
+		h.absent = now
+	}
+	return now.Sub(h.absent) >= absence
 }
 
-// acquire takes the key if nobody holds it, or if an earlier life of this
-// instance does.
-func (h *Holder) acquire(ctx context.Context) error {
+// acquire takes the key if it names nobody, an earlier life of this instance,
+// or an instance that shows no sign of life.
+func (h *Holder) acquire(ctx context.Context, lease uint64) error {
 	item, err := h.Space.Get(ctx, h.Key)
 	if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
 		return err
 	}
-	own := string(item.Value) == h.Name
-	if item.Revision != 0 && !own {
-		return nil
-	}
-	if h.lease == 0 {
-		if h.lease, err = h.Space.Grant(ctx, holdTTL); err != nil {
-			h.lease = 0
-			return err
-		}
-	}
-	asked := h.Timer.Now()
-	rev, err := h.Space.Commit(ctx, keyvalue.Transaction{
+	before := string(item.Value)
+	tx := keyvalue.Transaction{
 		Expects: []keyvalue.Expect{
 			{Key: h.Key, Revision: item.Revision},
 		},
 		Writes: []keyvalue.Write{
-			{Key: h.Key, Value: []byte(h.Name), Lease: h.lease},
+			{Key: h.Key, Value: []byte(h.Name)},
 		},
-	})
+	}
+	if before != "" && before != h.Name {
+		tx.Expects = append(tx.Expects, keyvalue.Expect{
+			Key: h.Sign(before),
+		})
+	}
+	rev, err := h.Space.Commit(ctx, tx)
 	if errors.Is(err, keyvalue.ErrConflict) {
+		h.drop(err)
 		return nil
 	}
 	if err != nil {
-		// The lease is given up: whether the key hangs on it is not known, and
-		// it ends by itself.
-		h.lease = 0
 		return err
 	}
-	h.fence = rev
+	h.fence, h.lease = rev, lease
 	h.holds.Store(true)
-	h.sure = asked
+	h.absent = 0
 	h.begins = h.Timer.Now()
-	if !own {
+	if before != h.Name {
 		h.begins = h.begins.Add(TurnWait)
 	}
-	h.Journal.Event("order lease held", log.Fields{
+	h.Journal.Event("order duty held", log.Fields{
 		"fencing": rev,
-		"again":   own,
+		"before":  before,
 		"wait_ms": h.begins.Sub(h.Timer.Now()).Milliseconds(),
 	})
 	return nil
 }
 
-// Release gives the right back.
-func (h *Holder) Release(ctx context.Context) error {
-	if h.fence == 0 {
-		return nil
+// drop forgets a right that another instance took over.
+func (h *Holder) drop(err error) {
+	if h.fence != 0 {
+		h.Journal.Trouble("order duty lost", err, log.Fields{
+			"fencing": h.fence,
+		})
 	}
-	lease := h.lease
-	h.lease, h.fence = 0, 0
+	h.fence, h.lease = 0, 0
 	h.holds.Store(false)
-	return h.Space.Revoke(ctx, lease)
 }
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -143,7 +143,7 @@
 	o.last = make(map[string]*standing)
 	wake := o.wakeChannel()
 	o.mu.Unlock()
-	keep := o.Timer.Every(holdRenew)
+	keep := o.Timer.Every(keepEvery)
 	defer keep.Close()
 	var plan *timer.Subscription
 	defer func() {
@@ -176,7 +176,7 @@
 
 func (o *Orderer) keep(ctx context.Context) {
 	if err := o.Holder.Keep(ctx); err != nil {
-		o.Journal.Detail("order lease not renewed", log.Fields{
+		o.Journal.Detail("order duty not looked after", log.Fields{
 			"error": err.Error(),
 		})
 	}
