--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -35,7 +35,7 @@
 	// callTimeout bounds a call to the owner of a batch, its wait not counted.
 	callTimeout = 600 * time.Millisecond
 	// ledgerTimeout bounds a look into the ledger.
-	ledgerTimeout = 2 * time.Second
+	ledgerTimeout = 4 * time.Second
 	// endTimeout bounds the end of a batch.
 	endTimeout = 3 * time.Second
 	// hintTimeout bounds the news of an accepted batch to one instance.
@@ -71,6 +71,7 @@
 	doubt  atomic.Bool
 	mu     sync.Mutex
 	owners map[string]ledger.Owner
+	whole  shelf
 }
 
 // Submit accepts a batch. A nil error means that it is kept whole from now on.
@@ -250,8 +251,12 @@
 	return runner.PageOf(len(rec.Submission.Items), rec.Results, after), nil
 }
 
-// load reads a batch from the ledger.
+// load reads a batch from the ledger, or from memory if it was read whole: a
+// reader asks for one page after the other, and each would cost a listing.
 func (d *Desk) load(ctx context.Context, id string) (*ledger.Record, error) {
+	if rec := d.whole.find(id); rec != nil {
+		return rec, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
 	rec, err := d.Ledger.Load(ctx, id)
@@ -261,6 +266,7 @@
 	if err != nil {
 		return nil, problem.PlatformDown.Withf("batch %s: %w", id, err).WithRetryAfter(retryAway)
 	}
+	d.whole.keep(id, rec)
 	return rec, nil
 }
 
--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -119,20 +119,27 @@
 		// An instance that came back goes on with what it had.
 		return m.Incarnation != c.Owner.Incarnation && m.Incarnation == d.Ledger.Self.Incarnation
 	}
-	return First(d.Registry.Members(), c.Batch).Name == d.Registry.Self().Name
+	return d.Inherits(c.Owner.Instance)
 }
 
-// First returns the instance that ranks first for a batch, by a rendezvous
-// hash over those that are not leaving. The batches of a dead instance so
-// spread over all others. It returns a member without a name if there is none.
-func First(members []registry.Member, batch string) registry.Member {
+// Inherits reports whether this instance takes over what another one leaves. Only
+// one of all then looks into the ledger after a death; if all did, the looks
+// would grow with the square of the fleet.
+func (d *Desk) Inherits(name string) bool {
+	return name == d.Ledger.Self.Instance || First(d.Registry.Members(), name).Name == d.Ledger.Self.Instance
+}
+
+// First returns the instance that ranks first for a key, by a rendezvous hash
+// over those that are not leaving. It returns a member without a name if there
+// is none.
+func First(members []registry.Member, key string) registry.Member {
 	var best registry.Member
 	top := uint64(0)
 	for _, m := range members {
 		if m.Leaving {
 			continue
 		}
-		if score := member.Score(m.Name, batch); best.Name == "" || score > top {
+		if score := member.Score(m.Name, key); best.Name == "" || score > top {
 			best, top = m, score
 		}
 	}
--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -52,8 +52,9 @@
 	Next    int
 }
 
-// pageBytes bounds the text of one page.
-const pageBytes = 900 << 10
+// pageBytes bounds the text of one page: what the smallest link carries within
+// a tenth of a second.
+const pageBytes = 384 << 10
 
 // page returns the results from a position on. The lock is held.
 func (b *Batch) page(after int) Page {
--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -139,6 +139,10 @@
 	if e.Version != 0 && e.Version < b.sub.OldestVersion {
 		return errStale
 	}
+	if b.route.SingleVersion && len(t.versions) > 0 && e.Version != t.versions[0] {
+		// The text begins anew: a sample of two versions is of no use there.
+		return errStale
+	}
 	if !t.add(e, r.Timer.Now()) {
 		return errDisorder
 	}
--- a/internal/fleet/detour/call.go
+++ b/internal/fleet/detour/call.go
@@ -115,6 +115,14 @@
 	return fmt.Errorf("%w: %s", keyvalue.ErrLost, a.Text)
 }
 
+// limit returns how long the call may take on one way, given what others may.
+func (c Call) limit(others time.Duration) time.Duration {
+	if c.Kind == KindRange {
+		return listTimeout
+	}
+	return others
+}
+
 // At makes the call at a space.
 func (c Call) At(ctx context.Context, s keyvalue.Space) Answer {
 	var a Answer
@@ -169,7 +177,7 @@
 		a.Failure = FailureDown
 		return nil
 	}
-	limit := peerTimeout
+	limit := c.limit(peerTimeout)
 	if c.Kind == KindWatch {
 		limit += watchThrough
 	}
--- a/internal/fleet/detour/space.go
+++ b/internal/fleet/detour/space.go
@@ -19,6 +19,9 @@
 	// directTimeout is how long the direct way may take before another one is
 	// tried. A slow service takes 60 times its usual 4 ms.
 	directTimeout = 500 * time.Millisecond
+	// listTimeout is what a listing may take on either way: a large batch is
+	// some megabytes, and the links of small instances carry five in a second.
+	listTimeout = 2 * time.Second
 	// peerTimeout is how long one other instance may take.
 	peerTimeout = 400 * time.Millisecond
 	// badFor is how long the direct way is not tried first after a failure.
@@ -186,7 +189,7 @@
 func (s *Space) through(ctx context.Context, c Call) (Answer, error) {
 	var errs []error
 	for _, address := range s.some() {
-		call, cancel := context.WithTimeout(ctx, peerTimeout)
+		call, cancel := context.WithTimeout(ctx, c.limit(peerTimeout))
 		a, err := s.Peers.Call(call, address, c)
 		cancel()
 		if err != nil {
@@ -211,7 +214,7 @@
 
 // straight makes a call on the direct way.
 func (s *Space) straight(ctx context.Context, c Call) (Answer, error) {
-	call, cancel := context.WithTimeout(ctx, directTimeout)
+	call, cancel := context.WithTimeout(ctx, c.limit(directTimeout))
 	defer cancel()
 	a := c.At(call, s.Direct)
 	err := a.Err()
--- a/internal/fleet/peer/counter.go
+++ b/internal/fleet/peer/counter.go
@@ -26,6 +26,15 @@
 // calls on the connection behind it.
 const writeTimeout = 500 * time.Millisecond
 
+// slowLink is the fewest bytes a second that count as progress: a whole page of
+// results may take longer than writeTimeout on the link of a small instance.
+const slowLink = 1 << 20
+
+// timeoutOf returns how long a write of n bytes may take.
+func timeoutOf(n int) time.Duration {
+	return writeTimeout + time.Duration(n)*time.Second/slowLink
+}
+
 type countedConn struct {
 	net.Conn
 	counter *Counter
@@ -42,7 +51,7 @@
 
 // Write implements net.Conn.
 func (c *countedConn) Write(p []byte) (int, error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(timeoutOf(len(p)))); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -20,12 +20,12 @@
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
-// The keys of the registry. All lie below one prefix, so that one watch tells of
-// them.
+// Prefix is where the registry's keys lie, so that one watch tells of them.
+const Prefix = "egretbend/fleet/"
+
 const (
-	fleetPrefix    = "egretbend/fleet/"
-	instancePrefix = fleetPrefix + "instance/"
-	dutyPrefix     = fleetPrefix + "duty/"
+	instancePrefix = Prefix + "instance/"
+	dutyPrefix     = Prefix + "duty/"
 )
 
 // The times of a lease.
@@ -67,9 +67,11 @@
 	Space   keyvalue.Space
 	Timer   timer.Service
 	Journal *journal.Journal
-	// Gone is called after an instance left the view, and when the view is first
-	// known; nil is not called.
-	Gone func()
+	// Gone is called with the names of instances that left the view, and with
+	// this one's when the view is first known; nil is not called.
+	Gone func(names []string)
+	// Following says how the view is followed; nil follows Space itself.
+	Following func(m *mirror.Mirror)
 	// Lapsed is called when this instance holds a lease again after it had lost
 	// one: others may have taken it for dead meanwhile. nil is not called.
 	Lapsed func()
@@ -146,12 +148,15 @@
 func (r *Registry) Run(t *tomb.Tomb) error {
 	r.follow = &mirror.Mirror{
 		Space:   r.Space,
-		Prefix:  fleetPrefix,
+		Prefix:  Prefix,
 		Take:    r.take,
 		Timer:   r.Timer,
 		Journal: r.Journal,
 		Settle:  viewSettle,
 	}
+	if r.Following != nil {
+		r.Following(r.follow)
+	}
 	t.Go(func() error { return r.follow.Run(t) })
 	ctx := t.Context(context.Background())
 	sub := r.Timer.Every(renewEvery)
@@ -266,8 +271,9 @@
 // take applies changes of the view.
 func (r *Registry) take(changes []keyvalue.Change) {
 	r.mu.Lock()
-	gone := r.members == nil
+	var gone []string
 	if r.members == nil {
+		gone = append(gone, r.Self().Name)
 		r.members = make(map[string]Member)
 		r.duties = make(map[string]string)
 	}
@@ -279,7 +285,7 @@
 		name := strings.TrimPrefix(c.Key, instancePrefix)
 		if c.Removed {
 			delete(r.members, name)
-			gone = true
+			gone = append(gone, name)
 			continue
 		}
 		var m Member
@@ -297,8 +303,8 @@
 		"known":   len(r.Members()),
 		"changes": len(changes),
 	})
-	if gone && r.Gone != nil {
-		r.Gone()
+	if len(gone) > 0 && r.Gone != nil {
+		r.Gone(gone)
 	}
 }
 
--- a/internal/fleet/relay/space.go
+++ b/internal/fleet/relay/space.go
@@ -31,6 +31,10 @@
 	relayTimeout = 300 * time.Millisecond
 )
 
+// mostShared is how many prefixes are copied: the configuration, the list of
+// upstreams and the instances.
+const mostShared = 3
+
 // View tells which instances there are.
 type View interface {
 	Members() []registry.Member
@@ -214,20 +218,16 @@
 	return news, waits
 }
 
-// wait waits for any of a few channels, two at most in practice.
+// wait waits for any of the copies that are followed, mostShared at most.
 func (s *Space) wait(d time.Duration, waits []<-chan struct{}) {
 	sub := s.Timer.Once(d)
 	defer sub.Close()
-	var first, second <-chan struct{}
-	if len(waits) > 0 {
-		first = waits[0]
-	}
-	if len(waits) > 1 {
-		second = waits[1]
-	}
+	var c [mostShared]<-chan struct{}
+	copy(c[:], waits)
 	select {
-	case <-first:
-	case <-second:
+	case <-c[0]:
+	case <-c[1]:
+	case <-c[2]:
 	case <-sub.C:
 	}
 }
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -191,13 +191,30 @@
 	}
 	for name, service := range cfg.Services {
 		if service.Engine != nil {
-			o.serve(ctx, fence, name, service.Engine.Models)
+			o.serve(ctx, fence, name, service.Engine.Models, switchOf(cfg, name))
 		}
 	}
 }
 
+// switchOf returns how the streams at a service's engines are treated. Where a
+// route wants each sample from one version alone they end first; elsewhere they
+// go on, so that a load costs no sample.
+func switchOf(cfg *catalog.Configuration, service string) Switch {
+	for _, r := range cfg.Routes {
+		if !r.SingleVersion {
+			continue
+		}
+		for _, s := range r.Split {
+			if s.Service == service {
+				return Finish
+			}
+		}
+	}
+	return Continue
+}
+
 // serve gives the orders for the engines of one service.
-func (o *Orderer) serve(ctx context.Context, fence uint64, service string, models []string) {
+func (o *Orderer) serve(ctx context.Context, fence uint64, service string, models []string, how Switch) {
 	o.mu.Lock()
 	now := o.Timer.Now()
 	var engines []Engine
@@ -223,6 +240,7 @@
 		s.until = now.Add(loadTimeout)
 		c := Command{
 			Order:  order,
+			Switch: how,
 			Holder: o.Name,
 			Fence:  fence,
 			Seen:   s.seen,
