--- a/internal/batch/ledger/ledger.go
+++ b/internal/batch/ledger/ledger.go
@@ -65,6 +65,9 @@
 	// Chunks is how many chunks of results the holder of the claim has
 	// written or read.
 	Chunks int
+	// Found says that the claim was found in the ledger rather than made just
+	// now: results may stand there already.
+	Found bool
 }
 
 // Record is all that is stored of a batch.
@@ -144,6 +147,7 @@
 		Batch:    id,
 		Owner:    owner,
 		Revision: item.Revision,
+		Found:    true,
 	}, nil
 }
 
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -92,6 +92,9 @@
 	if err != nil {
 		return err
 	}
+	if claim.Found {
+		return r.Adopt(ctx, claim)
+	}
 	r.adopt(newBatch(sub, claim, nil, nil), route, "accept")
 	return nil
 }
--- a/internal/fleet/weights/holder.go
+++ b/internal/fleet/weights/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,8 @@
 	// takes over. One that is started again goes on at once; and one whose
 	// lease was taken away has written itself again by then, or stopped.
 	absence = 1500 * time.Millisecond
+	// lookGap is the longest time between two looks that belong together.
+	lookGap = 2 * keepEvery
 	// TurnWait is how long a new holder waits for orders of the one before:
 	// engines must not hear two holders within three seconds.
 	TurnWait = 3 * time.Second
@@ -70,6 +73,29 @@
 	holds  atomic.Bool
 	begins timer.Instant
 	absent timer.Instant
+	looked timer.Instant
+	// settled says that the stored value no longer tells of a wait.
+	settled bool
+}
+
+// waiting is the second word of the stored value while the holder has to wait
+// for orders of the one before it. A life of the same instance that starts
+// within that time has to wait as well.
+const waiting = "waiting"
+
+// valueOf returns the stored value, HolderOf its instance.
+func valueOf(name string, settled bool) []byte {
+	if settled {
+		return []byte(name)
+	}
+	return []byte(name + " " + waiting)
+}
+
+// HolderOf returns the instance that a stored value names, and whether it still
+// has to wait.
+func HolderOf(value string) (name string, waits bool) {
+	name, rest, _ := strings.Cut(value, " ")
+	return name, rest == waiting
 }
 
 // Fence returns the fencing token and whether orders may be given now.
@@ -86,7 +112,7 @@
 	ctx, cancel := context.WithTimeout(ctx, holdCall)
 	defer cancel()
 	lease, fresh := h.Presence.Lease(holdTrust)
-	if h.fence != 0 && lease == h.lease {
+	if h.fence != 0 && lease == h.lease && (h.settled || h.Timer.Now() < h.begins) {
 		return nil
 	}
 	if !fresh || !h.Presence.Synced() || !h.candidate() {
@@ -99,7 +125,7 @@
 // or it comes first and the holder has been missing long enough. All others
 // don't ask; each try is a priced call.
 func (h *Holder) candidate() bool {
-	holder := h.Presence.Duty(Duty)
+	holder, _ := HolderOf(h.Presence.Duty(Duty))
 	if holder == h.Name || h.fence != 0 {
 		return true
 	}
@@ -115,26 +141,32 @@
 		h.absent = 0
 		return false
 	}
-	if h.absent == 0 {
+	// What was seen before a pause of this instance says nothing of the time in
+	// between.
+	if h.absent == 0 || now.Sub(h.looked) > lookGap {
 		h.absent = now
 	}
+	h.looked = now
 	return now.Sub(h.absent) >= absence
 }
 
 // acquire takes the key if it names nobody, an earlier life of this instance,
-// or an instance that shows no sign of life.
+// or an instance that shows no sign of life; or renews it after a new lease or
+// at the end of the wait.
 func (h *Holder) acquire(ctx context.Context, lease uint64) error {
 	item, err := h.Space.Get(ctx, h.Key)
 	if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
 		return err
 	}
-	before := string(item.Value)
+	before, waits := HolderOf(string(item.Value))
+	begins := h.wait(before, waits)
+	settled := h.Timer.Now() >= begins
 	tx := keyvalue.Transaction{
 		Expects: []keyvalue.Expect{
 			{Key: h.Key, Revision: item.Revision},
 		},
 		Writes: []keyvalue.Write{
-			{Key: h.Key, Value: []byte(h.Name)},
+			{Key: h.Key, Value: valueOf(h.Name, settled)},
 		},
 	}
 	if before != "" && before != h.Name {
@@ -151,20 +183,32 @@
 		return err
 	}
 	h.fence, h.lease = rev, lease
+	h.begins, h.settled = begins, settled
 	h.holds.Store(true)
 	h.absent = 0
-	h.begins = h.Timer.Now()
-	if before != h.Name {
-		h.begins = h.begins.Add(TurnWait)
-	}
 	h.Journal.Event("order duty held", log.Fields{
 		"fencing": rev,
 		"before":  before,
-		"wait_ms": h.begins.Sub(h.Timer.Now()).Milliseconds(),
+		"wait_ms": max(0, begins.Sub(h.Timer.Now())).Milliseconds(),
 	})
 	return nil
 }
 
+// wait returns when orders may begin.
+func (h *Holder) wait(before string, waits bool) timer.Instant {
+	now := h.Timer.Now()
+	switch {
+	case before != h.Name:
+		return now.Add(TurnWait)
+	case h.fence != 0:
+		// This very life goes on; what it waits for stays the same.
+		return max(h.begins, now)
+	case waits:
+		return now.Add(TurnWait)
+	}
+	return now
+}
+
 // drop forgets a right that another instance took over.
 func (h *Holder) drop(err error) {
 	if h.fence != 0 {
@@ -172,6 +216,6 @@
 			"fencing": h.fence,
 		})
 	}
-	h.fence, h.lease = 0, 0
+	h.fence, h.lease, h.begins = 0, 0, 0
 	h.holds.Store(false)
 }
--- /dev/null
+++ b/internal/fleet/weights/plan_test.go
@@ -0,0 +1,87 @@
+package weights
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func engineOf(id string, load float64, versions map[string]uint64) Engine {
+	return Engine{
+		ID:       id,
+		Versions: versions,
+		Load:     load,
+	}
+}
+
+// Three trainers share nine engines. If every engine loaded the weights of all
+// of them, two loads in three would serve nobody, and engines would hardly do
+// anything else. Engines stay with their model while versions move on, also
+// when orders are behind.
+func TestEnginesStayWithTheirModel(t *testing.T) {
+	is := is.New(t)
+	models := []string{"m0", "m1", "m2"}
+	var engines []Engine
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+		engines = append(engines, engineOf(id, 0, map[string]uint64{"m0": 1, "m1": 1, "m2": 1}))
+	}
+	named := map[string]uint64{"m0": 2, "m1": 2, "m2": 2}
+	sets := Assign(engines, models, named)
+	size := map[string]int{}
+	for i, e := range engines {
+		size[sets[e.ID]]++
+		engines[i].Versions = map[string]uint64{"m0": 1, "m1": 1, "m2": 1, sets[e.ID]: 2}
+	}
+	is.Equal(size, map[string]int{"m0": 3, "m1": 3, "m2": 3})
+	// Nobody gave orders for a while: all sets are three versions behind.
+	named = map[string]uint64{"m0": 5, "m1": 6, "m2": 5}
+	is.Equal(Assign(engines, models, named), sets)
+	// An engine is lost: the others stay where they are.
+	after := Assign(engines[1:], models, named)
+	for id, model := range after {
+		is.Equal(sets[id], model)
+	}
+	// A whole set is lost: the others share what is left.
+	var left []Engine
+	for _, e := range engines {
+		if sets[e.ID] != "m1" {
+			left = append(left, e)
+		}
+	}
+	size = map[string]int{}
+	for _, model := range Assign(left, models, named) {
+		size[model]++
+	}
+	is.Equal(size, map[string]int{"m0": 2, "m1": 2, "m2": 2})
+}
+
+// A version is named and its step is handed in at the same moment. Engines with
+// the version before can serve it, and one that loads takes no new item, so they
+// wait; those that are too old for the step load at once.
+func TestOldEnginesLoadFirst(t *testing.T) {
+	is := is.New(t)
+	engines := []Engine{
+		engineOf("idle", 0, map[string]uint64{"m": 4}),
+		engineOf("old", 0.9, map[string]uint64{"m": 3}),
+		engineOf("busy", 0.5, map[string]uint64{"m": 4}),
+	}
+	named := map[string]uint64{"m": 5}
+	sets := map[string]string{"idle": "m", "old": "m", "busy": "m"}
+	fresh := Plan(engines, named, map[string]bool{"m": true}, sets, 2)
+	is.Equal(len(fresh), 1)
+	is.Equal(fresh[0].Engine, "old")
+	later := Plan(engines, named, nil, sets, 2)
+	is.Equal(len(later), 2)
+	is.Equal(later[0].Engine, "old")
+	is.Equal(later[1].Engine, "idle")
+	engines[1].Loading = true
+	is.Equal(len(Plan(engines, named, nil, sets, 1)), 0) // no more than may load at once
+}
+
+// Loads slow each other down beyond a fifth of the engines.
+func TestAtOnce(t *testing.T) {
+	is := is.New(t)
+	for n, want := range map[int]int{1: 1, 9: 2, 11: 2, 44: 9, 48: 10} {
+		is.Equal(AtOnce(n), want)
+	}
+}
