--- a/internal/fleet/weights/holder.go
+++ b/internal/fleet/weights/holder.go
@@ -159,6 +159,12 @@
 		return err
 	}
 	before, waits := HolderOf(string(item.Value))
+	if h.fence != 0 && before != h.Name {
+		// Another instance has the right. This one waits for its absence like
+		// any other before it tries again.
+		h.drop(errTaken)
+		return nil
+	}
 	begins := h.wait(before, waits)
 	settled := h.Timer.Now() >= begins
 	tx := keyvalue.Transaction{
@@ -209,6 +215,8 @@
 	return now
 }
 
+var errTaken = errors.New("another instance has taken over the duty")
+
 // drop forgets a right that another instance took over.
 func (h *Holder) drop(err error) {
 	if h.fence != 0 {
