weights: a new holder waits out what the one before may believe

Found by the proof: an absence measured over looks 0.9 s apart missed that the holder had been back; orders of two holders came 2.9 s apart. Now the wait does not rest on the absence.

--- a/internal/fleet/weights/holder.go
+++ b/internal/fleet/weights/holder.go
@@ -26,14 +26,14 @@
 	// off stops before another one can begin.
 	holdTrust = 1200 * time.Millisecond
 	// absence is how long the holder must be missing before another instance
-	// takes over. One that is started again goes on at once; and one whose
-	// lease was taken away has written itself again by then, or stopped.
+	// takes over. One that is started again goes on at once.
 	absence = 1500 * time.Millisecond
 	// lookGap is the longest time between two looks that belong together.
 	lookGap = 2 * keepEvery
-	// TurnWait is how long a new holder waits for orders of the one before:
-	// engines must not hear two holders within three seconds.
-	TurnWait = 3 * time.Second
+	// TurnWait is how long a new holder waits for orders of the one before.
+	// Engines must not hear two holders within three seconds, and a holder
+	// whose lease was taken away believes in it for holdTrust at most.
+	TurnWait = 3*time.Second + holdTrust
 	// holdCall bounds one call.
 	holdCall = 900 * time.Millisecond
 )
--- a/internal/standin/space/space.go
+++ b/internal/standin/space/space.go
@@ -123,6 +123,9 @@
 
 // end removes a lease with its keys. The lock is held.
 func (s *Space) end(id uint64) {
+	if s.leases[id] == nil {
+		return
+	}
 	delete(s.leases, id)
 	for key, item := range s.items {
 		if item.Lease == id {
