--- a/internal/fleet/weights/holder.go
+++ b/internal/fleet/weights/holder.go
@@ -166,6 +166,10 @@
 		return nil
 	}
 	begins := h.wait(before, waits)
+	if item.Revision == 0 {
+		// The key is never removed: nobody has given an order yet.
+		begins = h.Timer.Now()
+	}
 	settled := h.Timer.Now() >= begins
 	tx := keyvalue.Transaction{
 		Expects: []keyvalue.Expect{
