--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -20,6 +20,8 @@
 	service string
 	ctx     context.Context
 	cancel  context.CancelFunc
+	// begun is when this process began with it.
+	begun timer.Instant
 	// gives is when unfinished items are given up.
 	gives timer.Instant
 
--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -257,7 +257,20 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.finish(t, t.result(score), r.Timer.Now())
+	now := r.Timer.Now()
+	r.Metrics.item(now.Sub(b.begun))
+	r.Journal.Decision("item", log.Fields{
+		"request_id": t.item.ID,
+		"batch":      b.sub.ID,
+		"group":      t.item.Group,
+		"upstream":   t.upstream.ID,
+		"attempts":   t.attempts,
+		"moves":      t.moves,
+		"events":     t.last,
+		"versions":   t.versions,
+		"age_ms":     now.Sub(b.begun).Milliseconds(),
+	})
+	b.finish(t, t.result(score), now)
 }
 
 // writeOut writes finished results and lists them.
--- a/internal/batch/runner/metrics.go
+++ b/internal/batch/runner/metrics.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -9,6 +11,7 @@
 	batches  prometheus.Counter
 	attempts *prometheus.CounterVec
 	moves    prometheus.Counter
+	items    prometheus.Histogram
 }
 
 // NewMetrics registers the runner's counters.
@@ -27,7 +30,12 @@
 			Help: "Streams moved to another engine.",
 		}),
 	}
-	reg.MustRegister(m.batches, m.attempts, m.moves)
+	m.items = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "egretbend_item_seconds",
+		Help:    "Time from the beginning of a batch to a finished item.",
+		Buckets: prometheus.ExponentialBuckets(0.1, 2, 9),
+	})
+	reg.MustRegister(m.batches, m.attempts, m.moves, m.items)
 	return m
 }
 
@@ -43,6 +51,12 @@
 	}
 }
 
+func (m *Metrics) item(age time.Duration) {
+	if m != nil {
+		m.items.Observe(age.Seconds())
+	}
+}
+
 func (m *Metrics) attempt(err error) {
 	if m == nil {
 		return
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -125,6 +125,7 @@
 		after = defaultGiveUp
 	}
 	age := time.Since(b.sub.Submitted())
+	b.begun = r.Timer.Now()
 	b.gives = r.Timer.Now().Add(after - min(max(0, age), after))
 	r.mu.Lock()
 	if r.batches == nil {
--- a/internal/entry/command/command_test.go
+++ b/internal/entry/command/command_test.go
@@ -91,3 +91,23 @@
 	is.Equal(code, ExitFailed)
 	is.True(strings.Contains(errOut, "try another one"))
 }
+
+// A trainer asks why its batch was late, an hour later and with the instance
+// gone. Its log still tells: the lines that name the id, in order of time.
+func TestWhyReadsLogs(t *testing.T) {
+	is := is.New(t)
+	log := filepath.Join(t.TempDir(), "gent-a-1.log")
+	is.NoErr(os.WriteFile(log, []byte(
+		"timestamp=2026-12-03T02:43:08Z level=info decision=end request_id=batch-1\n"+
+			"timestamp=2026-12-03T02:43:07Z level=info decision=accept request_id=batch-1\n"+
+			"timestamp=2026-12-03T02:43:07Z level=info decision=item batch=batch-1 request_id=item-1\n"+
+			"timestamp=2026-12-03T02:43:07Z level=info decision=accept request_id=batch-12\n"), 0o600))
+	code, out, _ := run("why", "batch-1", "--log", log)
+	is.Equal(code, ExitDone)
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	is.Equal(len(lines), 3)
+	is.True(strings.Contains(lines[0], "decision=accept"))
+	is.True(strings.Contains(lines[2], "decision=end"))
+	code, _, _ = run("why", "batch-1", "--log", log+".gone")
+	is.Equal(code, ExitInput)
+}
--- a/internal/entry/command/fleet.go
+++ b/internal/entry/command/fleet.go
@@ -119,13 +119,18 @@
 }
 
 func (a *app) whyCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:     "why REQUEST|SAMPLE",
-		Short:   "Show the decisions in the life of a request or sample",
-		Long:    "Show what the instances remember of a request id, or of a sample written step/group/index.",
-		Example: "  egretbend why 00c5a3f09d1e77aa\n  egretbend why 12/g3/0",
+	var logs []string
+	cmd := &cobra.Command{
+		Use:   "why REQUEST|SAMPLE",
+		Short: "Show the decisions in the life of a request or sample",
+		Long: "Show what the instances remember of a request id, or of a sample written step/group/index; " +
+			"or with --log what their logs say of it, - for standard input.",
+		Example: "  egretbend why 00c5a3f09d1e77aa\n  egretbend why 12/g3/0\n  egretbend why 7c41e09b52d6a3f8 --log gent-a-1.log",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(logs) > 0 {
+				return a.whyFromLogs(args[0], logs, cmd.InOrStdin())
+			}
 			var list []journal.Record
 			if err := a.get(cmd.Context(), "/v1/decisions/"+url.PathEscape(args[0]), &list); err != nil {
 				return err
@@ -139,6 +144,8 @@
 			return nil
 		},
 	}
+	cmd.Flags().StringArrayVar(&logs, "log", nil, "log file of an instance, - for standard input; may be repeated")
+	return cmd
 }
 
 func (a *app) printDecision(d journal.Record) {
--- a/internal/fleet/detour/call.go
+++ b/internal/fleet/detour/call.go
@@ -109,12 +109,33 @@
 			Items: a.Compared,
 		}
 	}
-	if err, ok := failures[a.Failure]; ok {
-		return fmt.Errorf("%w: %s", err, a.Text)
+	err, ok := failures[a.Failure]
+	if !ok {
+		err = keyvalue.ErrLost
 	}
-	return fmt.Errorf("%w: %s", keyvalue.ErrLost, a.Text)
+	return &travelled{
+		kind: err,
+		text: a.Text,
+	}
+}
+
+// travelled is an error that was told by another instance.
+type travelled struct {
+	kind error
+	text string
 }
 
+// Error implements error.
+func (t *travelled) Error() string {
+	if t.text == "" {
+		return t.kind.Error()
+	}
+	return t.text
+}
+
+// Unwrap returns the kind of error.
+func (t *travelled) Unwrap() error { return t.kind }
+
 // limit returns how long the call may take on one way, given what others may.
 func (c Call) limit(others time.Duration) time.Duration {
 	if c.Kind == KindRange {
--- a/internal/kernel/journal/journal.go
+++ b/internal/kernel/journal/journal.go
@@ -1,7 +1,6 @@
 package journal
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"sync"
@@ -26,26 +25,58 @@
 	out      *buffer
 	instance string
 	memory   memory
+	forgets  bool
 }
 
-// buffer keeps lines together so that a request costs no write system call.
+// Forget keeps the journal from remembering decisions, where nobody can ask for
+// them: they take some megabytes. It is called before the first one.
+func (j *Journal) Forget() { j.forgets = true }
+
+// buffer keeps lines together so that a request costs no write system call, and
+// drops lines when the reader of the log does not keep up: a full pipe would
+// otherwise hold every request that logs.
 type buffer struct {
-	mu sync.Mutex
-	w  *bufio.Writer
+	mu      sync.Mutex
+	lines   []byte
+	spare   []byte
+	dropped int
+
+	writing sync.Mutex
+	w       io.Writer
 }
 
-// Write implements io.Writer.
+// Write implements io.Writer. It takes one whole line and never waits for the
+// reader.
 func (b *buffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.w.Write(p)
+	if len(b.lines)+len(p) > bufferSize {
+		b.dropped++
+		return len(p), nil
+	}
+	b.lines = append(b.lines, p...)
+	return len(p), nil
 }
 
-// Flush writes what is buffered.
+// Flush writes what is buffered, and how many lines were dropped.
 func (b *buffer) Flush() error {
+	b.writing.Lock()
+	defer b.writing.Unlock()
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.w.Flush()
+	lines, dropped := b.lines, b.dropped
+	b.lines, b.spare, b.dropped = b.spare[:0], nil, 0
+	b.mu.Unlock()
+	if dropped > 0 {
+		lines = fmt.Appendf(lines, "level=warn message=\"log lines dropped\" lines=%d\n", dropped)
+	}
+	var err error
+	if len(lines) > 0 {
+		_, err = b.w.Write(lines)
+	}
+	b.mu.Lock()
+	b.spare = lines
+	b.mu.Unlock()
+	return err
 }
 
 // Open returns a journal that writes to w from the named level up. Every line
@@ -56,7 +87,7 @@
 		return nil, fmt.Errorf("log level %q: %w; use debug, info, warn or error", level, err)
 	}
 	out := &buffer{
-		w: bufio.NewWriterSize(w, bufferSize),
+		w: w,
 	}
 	logger := &log.Logger{
 		Handler: logfmt.New(out),
@@ -96,7 +127,9 @@
 	if j == nil || j.log == nil {
 		return
 	}
-	j.memory.add(what, fields)
+	if !j.forgets {
+		j.memory.add(what, fields)
+	}
 	j.log.WithFields(fields).WithField("decision", what).Info("decision")
 }
 
--- /dev/null
+++ b/internal/kernel/journal/journal_test.go
@@ -0,0 +1,55 @@
+package journal
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+)
+
+// stuck is the reader of a log that does not keep up.
+type stuck struct {
+	bytes.Buffer
+	goOn chan struct{}
+}
+
+// Write implements io.Writer.
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.goOn
+	return s.Buffer.Write(p)
+}
+
+// Whoever reads the log stops reading. Requests must go on: lines are dropped,
+// and the log says how many.
+func TestStuckReaderHoldsNobody(t *testing.T) {
+	is := is.New(t)
+	w := &stuck{
+		goOn: make(chan struct{}),
+	}
+	j, err := Open(w, "info", "gent-a-1")
+	is.NoErr(err)
+	j.Event("first", log.Fields{})
+	flushed := make(chan error, 1)
+	go func() { flushed <- j.Flush() }()
+	done := make(chan struct{})
+	go func() {
+		for range 10000 {
+			j.Decision("route", log.Fields{
+				"request_id": "7c41e09b52d6a3f8",
+			})
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("a decision waits for the reader")
+	}
+	close(w.goOn)
+	is.NoErr(<-flushed)
+	is.NoErr(j.Flush())
+	is.True(strings.Contains(w.String(), "log lines dropped"))
+}
