registry, desk: batches run on instances with about the most processor

Ruled out: slots (a third was used). Change: homes and heirs are chosen among those with 0.6 of the largest share. Small sites have instances of one size; nothing changes there.

--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -130,15 +130,12 @@
 }
 
 // First returns the instance that ranks first for a key, by a rendezvous hash
-// over those that are not leaving. It returns a member without a name if there
-// is none.
+// over those that are able to run a batch. It returns a member without a name if
+// there is none.
 func First(members []registry.Member, key string) registry.Member {
 	var best registry.Member
 	top := uint64(0)
-	for _, m := range members {
-		if m.Leaving {
-			continue
-		}
+	for _, m := range registry.Able(members) {
 		if score := member.Score(m.Name, key); best.Name == "" || score > top {
 			best, top = m, score
 		}
--- /dev/null
+++ b/internal/fleet/registry/able_test.go
@@ -0,0 +1,27 @@
+package registry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Instances of very different sizes share a deployment. A step of two hundred
+// streams on the smallest takes longer than it may; it runs on one of the large
+// ones, as long as that is not leaving.
+func TestSmallInstancesRunNoBatches(t *testing.T) {
+	is := is.New(t)
+	members := []Member{
+		{Name: "small", Cores: 0.134},
+		{Name: "large", Cores: 0.8},
+		{Name: "large-leaving", Cores: 0.8, Leaving: true},
+		{Name: "fair", Cores: 0.5},
+	}
+	var names []string
+	for _, m := range Able(members) {
+		names = append(names, m.Name)
+	}
+	is.Equal(names, []string{"large", "fair"})
+	is.Equal(len(Able(members[:1])), 1)                 // the only one there is
+	is.Equal(len(Able([]Member{{Name: "unknown"}})), 1) // one that does not tell
+}
