--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -95,10 +95,21 @@
 			"request_id": sub.ID,
 			"home":       home.Name,
 		})
+		return d.afterHome(d.Accept(ctx, sub, route))
 	}
 	return d.Accept(ctx, sub, route)
 }
 
+// afterHome takes back a "not run" that this instance can't vouch for: the home
+// of the batch did not say what became of it, and may have stored it.
+func (d *Desk) afterHome(err error) error {
+	if err == nil || problem.From(err).Kind.Outcome != problem.NotRun {
+		return err
+	}
+	e := problem.From(err)
+	return problem.ChangeUnknown.With(err).WithOutcome(problem.Unknown).WithRetryAfter(e.RetryAfter)
+}
+
 // homeKey is what the instance of a batch is chosen by.
 func homeKey(sub *submission.Submission) string {
 	if sub.Model != "" {
--- /dev/null
+++ b/internal/batch/desk/desk_test.go
@@ -0,0 +1,147 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/batch/runner"
+	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/fleet/registry"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/standin/space"
+)
+
+// silent is another instance whose answers never come.
+type silent struct{}
+
+var errSilent = errors.New("no answer")
+
+func (silent) Read(context.Context, string, string, int, time.Duration) (runner.Page, error) {
+	return runner.Page{}, errSilent
+}
+func (silent) Body(context.Context, string, string, string) ([]byte, bool, error) {
+	return nil, false, errSilent
+}
+func (silent) End(context.Context, string, string) error                    { return errSilent }
+func (silent) Hint(context.Context, string, string, ledger.Owner) error     { return errSilent }
+func (silent) Adopt(context.Context, string, string) error                  { return errSilent }
+func (silent) Submit(context.Context, string, *submission.Submission) error { return errSilent }
+
+// newDesk returns the desk of instance "me", beside an instance "other" that does
+// not answer, over a service with faults.
+func newDesk(t *testing.T, fault func(space.Call) space.Fault) (*Desk, *space.Space) {
+	clock := timer.Real{}
+	store := &space.Space{
+		Timer: clock,
+		Fault: fault,
+	}
+	r := &registry.Registry{
+		Space: store,
+		Timer: clock,
+	}
+	r.SetSelf(registry.Member{Name: "me", Incarnation: "1"})
+	l := &ledger.Ledger{
+		Space: store,
+		Self:  ledger.Owner{Instance: "me", Incarnation: "1"},
+		Pause: func(time.Duration) {},
+	}
+	run := &runner.Runner{
+		Ledger: l,
+		Book:   &catalog.Book{Timer: clock},
+		Holder: &catalog.Holder{},
+		Timer:  clock,
+	}
+	run.Start()
+	t.Cleanup(run.Stop)
+	return &Desk{
+		Runner:   run,
+		Ledger:   l,
+		Registry: r,
+		Peers:    silent{},
+		Timer:    clock,
+		Leaving:  func() bool { return false },
+		Config:   &catalog.Holder{},
+	}, store
+}
+
+// A batch is handed on to the instance that should run it, which may store it
+// and does not answer; then the key-value service is away. Whoever then told the
+// trainer "not run" would see the batch run all the same.
+func TestUnknownAtHomeIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDesk(t, func(space.Call) space.Fault { return space.Down })
+	err := d.afterHome(d.Accept(context.Background(), &submission.Submission{ID: "b"}, catalog.Route{}))
+	is.True(err != nil)
+	is.Equal(problem.From(err).Kind.Outcome, problem.Unknown)
+}
+
+// A caller asks for a batch that nobody knows, and for one while the ledger can't
+// be read. Only the first may be told that there is none.
+func TestNoSuchBatchOnlyIfSure(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDesk(t, nil)
+	_, err := d.Read(context.Background(), "nothing", 0, 0)
+	is.True(problem.Is(err, problem.NotFound))
+	away, _ := newDesk(t, func(space.Call) space.Fault { return space.Down })
+	_, err = away.Read(context.Background(), "nothing", 0, 0)
+	is.True(problem.Is(err, problem.PlatformDown))
+}
+
+// The owner of a batch does not answer. Its results are read from the ledger, and
+// the batch can be ended there.
+func TestLedgerStandsInForASilentOwner(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	d, store := newDesk(t, nil)
+	owner := &ledger.Ledger{
+		Space: store,
+		Self:  ledger.Owner{Instance: "other", Incarnation: "1"},
+		Pause: func(time.Duration) {},
+	}
+	claim, err := owner.Accept(ctx, &submission.Submission{
+		ID:    "b",
+		Items: []submission.Item{{ID: "x", Path: "/x", Body: []byte("bx")}, {ID: "y", Path: "/y", Body: []byte("by")}},
+	})
+	is.NoErr(err)
+	_, err = owner.Append(ctx, claim, []submission.Result{{Item: "x", State: submission.Completed}}, nil)
+	is.NoErr(err)
+	page, err := d.Read(ctx, "b", 0, 0)
+	is.NoErr(err)
+	is.Equal(page.Total, 2)
+	is.Equal(len(page.Results), 1)
+	body, err := d.Body(ctx, "b", "y")
+	is.NoErr(err)
+	is.Equal(string(body), "by")
+	_, err = d.Body(ctx, "b", "x") // listed already
+	is.True(problem.Is(err, problem.NotFound))
+	is.NoErr(d.End(ctx, "b"))
+	is.NoErr(d.End(ctx, "b")) // may be repeated
+	_, err = owner.Append(ctx, claim, []submission.Result{{Item: "y"}}, nil)
+	is.True(errors.Is(err, ledger.ErrFenced))
+}
+
+// An instance dies. Exactly one of the others looks after its batches: if all
+// did, each death would cost a listing at every instance.
+func TestOneHeir(t *testing.T) {
+	is := is.New(t)
+	var members []registry.Member
+	for i := range 20 {
+		members = append(members, registry.Member{Name: fmt.Sprint("i", i), Cores: 0.3})
+	}
+	heir := First(members, "dead")
+	is.True(heir.Name != "")
+	for i, m := range members {
+		if m.Name == heir.Name {
+			members[i].Leaving = true
+		}
+	}
+	is.True(First(members, "dead").Name != heir.Name) // one that leaves inherits nothing
+}
--- /dev/null
+++ b/internal/batch/ledger/append.go
@@ -0,0 +1,101 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+)
+
+// Append writes the next chunk of results, and the progress of long items beside
+// it, and returns the claim with it. It returns ErrFenced when the batch has
+// another owner or is ended. Any other error leaves the chunk to be written
+// again with the very same results.
+func (l *Ledger) Append(ctx context.Context, c Claim, results []submission.Result, progress []submission.Progress) (Claim, error) {
+	tx, chunk, err := c.write(results, progress)
+	if err != nil {
+		return c, err
+	}
+	_, err = l.Space.Commit(ctx, tx)
+	if err = stood(err, chunk); err != nil {
+		return c, err
+	}
+	c.Chunks++
+	return c, nil
+}
+
+// write returns the transaction for the next chunk.
+func (c Claim) write(results []submission.Result, progress []submission.Progress) (keyvalue.Transaction, keyvalue.Write, error) {
+	data, err := json.Marshal(results)
+	if err != nil {
+		return keyvalue.Transaction{}, keyvalue.Write{}, err
+	}
+	chunk := keyvalue.Write{
+		Key:   chunkKey(c.Batch, c.Chunks),
+		Value: data,
+	}
+	tx := keyvalue.Transaction{
+		Expects: []keyvalue.Expect{
+			{Key: openPrefix + c.Batch, Revision: c.Revision},
+			{Key: chunk.Key},
+		},
+		Writes: []keyvalue.Write{chunk},
+	}
+	if len(progress) == 0 {
+		return tx, chunk, nil
+	}
+	partial, err := json.Marshal(progress)
+	if err != nil {
+		return tx, chunk, err
+	}
+	// Progress that does not fit is made again.
+	if len(partial) <= partBytes {
+		tx.Writes = append(tx.Writes, keyvalue.Write{
+			Key:   progressKey(c.Batch),
+			Value: partial,
+		})
+	}
+	return tx, chunk, nil
+}
+
+// stood returns the outcome of writing a chunk: it may stand from an earlier
+// try whose answer was lost.
+func stood(err error, chunk keyvalue.Write) error {
+	var conflict *keyvalue.ConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	if string(conflict.Item(chunk.Key).Value) != string(chunk.Value) {
+		return ErrFenced
+	}
+	return nil
+}
+
+// HandOver makes another process the owner of a batch, with the last results
+// and the progress of this one. It returns ErrFenced when the batch has another
+// owner already or is ended.
+func (l *Ledger) HandOver(ctx context.Context, c Claim, to Owner, results []submission.Result, progress []submission.Progress) error {
+	tx, _, err := c.write(results, progress)
+	if err != nil {
+		return err
+	}
+	if len(results) == 0 {
+		tx.Expects = tx.Expects[:1]
+		tx.Writes = tx.Writes[1:]
+	}
+	owner, err := json.Marshal(to)
+	if err != nil {
+		return err
+	}
+	tx.Writes = append(tx.Writes, keyvalue.Write{
+		Key:   openPrefix + c.Batch,
+		Value: owner,
+	})
+	_, err = l.Space.Commit(ctx, tx)
+	if errors.Is(err, keyvalue.ErrConflict) {
+		return ErrFenced
+	}
+	return err
+}
