--- a/internal/batch/ledger/ledger.go
+++ b/internal/batch/ledger/ledger.go
@@ -330,16 +330,18 @@
 	return rec, err
 }
 
-// Forget removes all that is stored of a batch, once nobody may ask for it.
+// Forget removes all that is stored of a batch, once nobody may ask for it. The
+// mark of its end goes last: what a failure leaves is found by it again.
 func (l *Ledger) Forget(ctx context.Context, id string) error {
 	listing, err := l.Space.Range(ctx, batchPrefix+id+"/", keyvalue.Stale)
 	if err != nil {
 		return err
 	}
-	keys := []string{endedPrefix + id}
+	var keys []string
 	for _, item := range listing.Items {
 		keys = append(keys, item.Key)
 	}
+	keys = append(keys, endedPrefix+id)
 	for len(keys) > 0 {
 		n := min(len(keys), keyvalue.MaxEntries)
 		if _, err := l.Space.Commit(ctx, keyvalue.Transaction{
