--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -68,16 +68,12 @@
 	lost     timer.Instant
 	regained timer.Instant
 	missing  map[string]timer.Instant
-	heard    atomic.Int64
 	synced   atomic.Bool
 }
 
 // Synced reports whether a listing has been taken.
 func (m *Mirror) Synced() bool { return m.synced.Load() }
 
-// Age returns the time since the service was last heard.
-func (m *Mirror) Age() time.Duration { return m.Timer.Now().Sub(timer.Instant(m.heard.Load())) }
-
 // Run follows until t dies.
 func (m *Mirror) Run(t *tomb.Tomb) error {
 	m.known = make(map[string]uint64)
@@ -155,13 +151,11 @@
 }
 
 // hear notes that the service answered.
-func (m *Mirror) hear() timer.Instant {
+func (m *Mirror) hear() {
 	now := m.Timer.Now()
-	m.heard.Store(int64(now))
 	if m.outage && now.Sub(m.lost) >= lapseAfter {
 		m.regained = now
 	}
-	return now
 }
 
 // list takes the whole prefix and works out what is gone.
