--- a/internal/fleet/weights/doc.go
+++ b/internal/fleet/weights/doc.go
@@ -1,6 +1,6 @@
 // Package weights moves engines to the versions that trainers name.
 //
-//	orders := weights.Plan(engines, named, sets, atOnce)
+//	orders := weights.Plan(engines, named, fresh, sets, atOnce)
 //
 // One instance at a time, the holder of a key in the key-value service, gives
 // the orders; the revision at which it took the key is its fencing token. Each
