--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -34,6 +34,9 @@
 	submitPause = 150 * time.Millisecond
 	// callTimeout bounds a call to the owner of a batch, its wait not counted.
 	callTimeout = 600 * time.Millisecond
+	// keeperTimeout bounds a call to the instance that reads a batch from the
+	// ledger, which lists some megabytes.
+	keeperTimeout = 1500 * time.Millisecond
 	// ledgerTimeout bounds a look into the ledger.
 	ledgerTimeout = 4 * time.Second
 	// endTimeout bounds the end of a batch.
@@ -48,6 +51,8 @@
 // the instance does not run the batch.
 type Peers interface {
 	Read(ctx context.Context, address, id string, after int, wait time.Duration) (runner.Page, error)
+	// Stored reads a batch that no living instance runs as far as is known.
+	Stored(ctx context.Context, address, id, item string, after int) (runner.Page, []byte, bool, error)
 	Body(ctx context.Context, address, id, item string) ([]byte, bool, error)
 	End(ctx context.Context, address, id string) error
 	Hint(ctx context.Context, address, id string, owner ledger.Owner) error
@@ -210,13 +215,19 @@
 	}
 }
 
-// owner returns who runs a batch, by the hints or else by the ledger. It
-// returns ledger.ErrUnknown for a batch that is not open.
-func (d *Desk) owner(ctx context.Context, id string) (ledger.Owner, error) {
+// hinted returns the instance that runs a batch by the hints, if it is another
+// one that lives.
+func (d *Desk) hinted(id string) (ledger.Owner, bool) {
 	d.mu.Lock()
 	owner, ok := d.owners[id]
 	d.mu.Unlock()
-	if ok && d.Registry.Alive(owner.Instance, owner.Incarnation) {
+	return owner, ok && owner != d.Ledger.Self && d.Registry.Alive(owner.Instance, owner.Incarnation)
+}
+
+// owner returns who runs a batch, by the hints or else by the ledger. It
+// returns ledger.ErrUnknown for a batch that is not open.
+func (d *Desk) owner(ctx context.Context, id string) (ledger.Owner, error) {
+	if owner, ok := d.hinted(id); ok {
 		return owner, nil
 	}
 	claim, err := d.Ledger.Find(ctx, id)
@@ -229,24 +240,29 @@
 
 // other returns the owner's address if it is another live instance.
 func (d *Desk) other(ctx context.Context, id string) (ledger.Owner, bool) {
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
 	owner, err := d.owner(ctx, id)
 	return owner, err == nil && owner != d.Ledger.Self
 }
 
-// Read returns results from a position on.
-func (d *Desk) Read(ctx context.Context, id string, after int, wait time.Duration) (runner.Page, error) {
+// here returns results of a batch that surely runs at this instance.
+func (d *Desk) here(ctx context.Context, id string, after int, wait time.Duration) (runner.Page, error) {
 	page, err := d.Runner.Read(ctx, id, after, wait)
 	if err == nil && len(page.Results) == 0 && (d.doubt.Load() || !d.Registry.Held()) {
 		// Another instance may have listed more meanwhile.
 		err = runner.ErrNotHere
 	}
+	return page, err
+}
+
+// Read returns results from a position on.
+func (d *Desk) Read(ctx context.Context, id string, after int, wait time.Duration) (runner.Page, error) {
+	page, err := d.here(ctx, id, after, wait)
 	if !errors.Is(err, runner.ErrNotHere) {
 		return page, err
 	}
-	find, cancel := context.WithTimeout(ctx, ledgerTimeout)
-	owner, ok := d.other(find, id)
-	cancel()
-	if ok {
+	if owner, ok := d.hinted(id); ok {
 		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
 		page, err = d.Peers.Read(call, owner.Address, id, after, wait)
 		cancel()
@@ -255,11 +271,48 @@
 		}
 		d.forget(id, owner)
 	}
+	if keeper, ok := d.keeper(id); ok {
+		call, cancel := context.WithTimeout(ctx, keeperTimeout)
+		page, _, _, err := d.Peers.Stored(call, keeper.PeerAddress, id, "", after)
+		cancel()
+		if err == nil {
+			return page, nil
+		}
+	}
+	return d.readStored(ctx, id, after)
+}
+
+// readStored reads results at the owner by the ledger, or from the ledger.
+func (d *Desk) readStored(ctx context.Context, id string, after int) (runner.Page, error) {
+	if rec := d.whole.find(id); rec != nil {
+		return pageOf(rec, after), nil
+	}
+	if owner, ok := d.other(ctx, id); ok {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		page, err := d.Peers.Read(call, owner.Address, id, after, 0)
+		cancel()
+		if err == nil {
+			return page, nil
+		}
+		d.forget(id, owner)
+	}
 	rec, err := d.load(ctx, id)
 	if err != nil {
 		return runner.Page{}, err
 	}
-	return runner.PageOf(len(rec.Submission.Items), rec.Results, after), nil
+	return pageOf(rec, after), nil
+}
+
+func pageOf(rec *ledger.Record, after int) runner.Page {
+	return runner.PageOf(len(rec.Submission.Items), rec.Results, after)
+}
+
+// keeper returns the instance that reads a batch from the ledger on behalf of
+// all, if it is another one. A batch is read page by page, each at another
+// instance, and each would list it as a whole.
+func (d *Desk) keeper(id string) (registry.Member, bool) {
+	m := First(d.Registry.Members(), id)
+	return m, m.Name != "" && m.Name != d.Ledger.Self.Instance
 }
 
 // load reads a batch from the ledger, or from memory if it was read whole: a
@@ -277,7 +330,9 @@
 	if err != nil {
 		return nil, problem.PlatformDown.Withf("batch %s: %w", id, err).WithRetryAfter(retryAway)
 	}
-	d.whole.keep(id, rec)
+	if rec.Ended || len(rec.Results) >= len(rec.Submission.Items) {
+		d.whole.keep(id, rec)
+	}
 	return rec, nil
 }
 
@@ -297,16 +352,37 @@
 }
 
 func (d *Desk) bodyElsewhere(ctx context.Context, id, item string) ([]byte, bool, error) {
-	find, cancel := context.WithTimeout(ctx, ledgerTimeout)
-	owner, ok := d.other(find, id)
-	cancel()
-	if ok {
+	if owner, ok := d.hinted(id); ok {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		if body, ok, err := d.Peers.Body(call, owner.Address, id, item); err == nil {
+		body, ok, err := d.Peers.Body(call, owner.Address, id, item)
+		cancel()
+		if err == nil {
+			return body, ok, nil
+		}
+	}
+	if keeper, ok := d.keeper(id); ok {
+		call, cancel := context.WithTimeout(ctx, keeperTimeout)
+		_, body, ok, err := d.Peers.Stored(call, keeper.PeerAddress, id, item, 0)
+		cancel()
+		if err == nil {
 			return body, ok, nil
 		}
 	}
+	return d.bodyStored(ctx, id, item)
+}
+
+// bodyStored reads a body at the owner by the ledger, or from the ledger.
+func (d *Desk) bodyStored(ctx context.Context, id, item string) ([]byte, bool, error) {
+	if d.whole.find(id) == nil {
+		if owner, ok := d.other(ctx, id); ok {
+			call, cancel := context.WithTimeout(ctx, callTimeout)
+			body, ok, err := d.Peers.Body(call, owner.Address, id, item)
+			cancel()
+			if err == nil {
+				return body, ok, nil
+			}
+		}
+	}
 	rec, err := d.load(ctx, id)
 	if err != nil {
 		return nil, false, err
--- a/internal/batch/desk/desk_test.go
+++ b/internal/batch/desk/desk_test.go
@@ -27,6 +27,9 @@
 func (silent) Read(context.Context, string, string, int, time.Duration) (runner.Page, error) {
 	return runner.Page{}, errSilent
 }
+func (silent) Stored(context.Context, string, string, string, int) (runner.Page, []byte, bool, error) {
+	return runner.Page{}, nil, false, errSilent
+}
 func (silent) Body(context.Context, string, string, string) ([]byte, bool, error) {
 	return nil, false, errSilent
 }
--- a/internal/batch/desk/peers.go
+++ b/internal/batch/desk/peers.go
@@ -53,11 +53,29 @@
 
 // Read answers with results of a batch that runs here.
 func (s *Server) Read(c *Call, r *Reply) error {
-	page, err := s.desk.Runner.Read(context.Background(), c.Batch, c.After, min(c.Wait, MaxWait))
+	page, err := s.desk.here(context.Background(), c.Batch, c.After, min(c.Wait, MaxWait))
 	r.Page = page
 	return r.notHere(err)
 }
 
+// Stored answers with results, or with the body of an item if the call names
+// one, of a batch that is in the ledger.
+func (s *Server) Stored(c *Call, r *Reply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), keeperTimeout)
+	defer cancel()
+	var err error
+	if c.Item == "" {
+		if r.Page, err = s.desk.here(ctx, c.Batch, c.After, 0); errors.Is(err, runner.ErrNotHere) {
+			r.Page, err = s.desk.readStored(ctx, c.Batch, c.After)
+		}
+		return err
+	}
+	if r.Body, r.Found, err = s.desk.Runner.Body(c.Batch, c.Item); errors.Is(err, runner.ErrNotHere) {
+		r.Body, r.Found, err = s.desk.bodyStored(ctx, c.Batch, c.Item)
+	}
+	return err
+}
+
 // Body answers with the body of an item of a batch that runs here.
 func (s *Server) Body(c *Call, r *Reply) error {
 	body, ok, err := s.desk.Runner.Body(c.Batch, c.Item)
@@ -130,6 +148,19 @@
 	return r.Page, nil
 }
 
+// Stored implements Peers.
+func (p *PeerCalls) Stored(ctx context.Context, address, id, item string, after int) (runner.Page, []byte, bool, error) {
+	r, err := p.call(ctx, address, "Stored", Call{
+		Batch: id,
+		Item:  item,
+		After: after,
+	})
+	if err != nil {
+		return runner.Page{}, nil, false, err
+	}
+	return r.Page, r.Body, r.Found, nil
+}
+
 // Body implements Peers.
 func (p *PeerCalls) Body(ctx context.Context, address, id, item string) ([]byte, bool, error) {
 	r, err := p.call(ctx, address, "Body", Call{
--- a/internal/batch/desk/shelf.go
+++ b/internal/batch/desk/shelf.go
@@ -6,11 +6,11 @@
 	"github.com/egretbend/egretbend/internal/batch/ledger"
 )
 
-// shelfSize is how many whole batches are kept, some megabytes at most.
-const shelfSize = 3
+// shelfSize is how many batches are kept, of about a megabyte each.
+const shelfSize = 6
 
-// shelf keeps the last batches that were read whole from the ledger. Nothing of
-// them changes any more. Its zero value is empty.
+// shelf keeps the last batches that were read from the ledger when nothing of them
+// changed any more. Its zero value is empty.
 type shelf struct {
 	mu   sync.Mutex
 	ids  [shelfSize]string
@@ -30,11 +30,8 @@
 	return nil
 }
 
-// keep takes a batch all of whose items are listed.
+// keep takes a batch that is ended, or all of whose items are listed.
 func (s *shelf) keep(id string, rec *ledger.Record) {
-	if len(rec.Results) < len(rec.Submission.Items) {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ids[s.next], s.recs[s.next] = id, rec
--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -64,7 +64,9 @@
 // sweep takes over the batches without a live owner for which this instance
 // ranks first, and drops those that it has lost.
 func (d *Desk) sweep(ctx context.Context, f keyvalue.Freshness) error {
-	if !d.Registry.Synced() || d.Leaving() {
+	if !d.Registry.Synced() || d.Leaving() || !d.Registry.Able() && len(d.Runner.Claims()) == 0 {
+		// Only able instances inherit; a look of all others would find nothing
+		// for them.
 		return nil
 	}
 	doubt := d.doubt.Load()
--- a/internal/batch/ledger/ledger.go
+++ b/internal/batch/ledger/ledger.go
@@ -76,6 +76,8 @@
 	Results    []submission.Result
 	Progress   []submission.Progress
 	Chunks     int
+	// Ended says that nothing of the batch changes any more.
+	Ended bool
 }
 
 // Ledger reads and writes batches on behalf of one process.
@@ -87,6 +89,7 @@
 }
 
 func partKey(id string, n int) string  { return fmt.Sprintf("%s%s/part/%02d", batchPrefix, id, n) }
+func endKey(id string) string          { return batchPrefix + id + "/end" }
 func progressKey(id string) string     { return batchPrefix + id + "/progress" }
 func chunkKey(id string, n int) string { return fmt.Sprintf("%s%s/result/%06d", batchPrefix, id, n) }
 
@@ -204,6 +207,9 @@
 		},
 		Writes: []keyvalue.Write{
 			{Key: endedPrefix + id, Value: at},
+			// It comes first in a listing of the batch: what is listed after it
+			// is all there will ever be.
+			{Key: endKey(id), Value: at},
 		},
 		Removes: []string{openPrefix + id},
 	})
@@ -310,6 +316,10 @@
 			spec = append(spec, item.Value...)
 			continue
 		}
+		if item.Key == endKey(id) {
+			rec.Ended = true
+			continue
+		}
 		if item.Key == progressKey(id) {
 			if err := json.Unmarshal(item.Value, &rec.Progress); err != nil {
 				return nil, fmt.Errorf("progress of batch %s: %w", id, err)
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -36,6 +37,15 @@
 	leaseTTL = 2200 * time.Millisecond
 	// renewEvery leaves room for two lost renewals.
 	renewEvery = 700 * time.Millisecond
+	// smallTTL and smallEvery are for instances that run no batches and that
+	// nobody hears the service from. Their death costs a caller one more
+	// attempt; a renewal costs a tenth of a call, and there are hundreds of
+	// them.
+	smallTTL   = 6 * time.Second
+	smallEvery = 2 * time.Second
+	// viewWait is how long an instance waits for the view before it writes
+	// itself: the view says which of the two it is.
+	viewWait = 500 * time.Millisecond
 	// callTimeout bounds one call of the lease.
 	callTimeout = 900 * time.Millisecond
 	// viewSettle is how long instances are kept after an outage of the
@@ -103,6 +113,7 @@
 
 	self    atomic.Pointer[Member]
 	lease   uint64
+	ttl     atomic.Int64
 	number  atomic.Uint64
 	renewed atomic.Int64
 	lapsed  bool
@@ -110,7 +121,7 @@
 	members map[string]Member
 	duties  map[string]string
 	view    atomic.Pointer[[]Member]
-	follow  *mirror.Mirror
+	follow  atomic.Pointer[mirror.Mirror]
 }
 
 // SetSelf says who this instance is. It is called before Run.
@@ -137,16 +148,20 @@
 	return Member{}, false
 }
 
-// First returns the name of the first instance that is not leaving.
+// First returns the name of the first able instance.
 func (r *Registry) First() string {
-	for _, m := range r.Members() {
-		if !m.Leaving {
-			return m.Name
-		}
+	for _, m := range Able(r.Members()) {
+		return m.Name
 	}
 	return ""
 }
 
+// Able reports whether this instance is among the able ones as far as is known.
+func (r *Registry) Able() bool {
+	name := r.Self().Name
+	return slices.ContainsFunc(Able(r.Members()), func(m Member) bool { return m.Name == name })
+}
+
 // Duty returns the name of the instance that holds a duty, or nothing.
 func (r *Registry) Duty(duty string) string {
 	r.mu.Lock()
@@ -167,11 +182,14 @@
 }
 
 // Synced reports whether the view was read from the service.
-func (r *Registry) Synced() bool { return r.follow != nil && r.follow.Synced() }
+func (r *Registry) Synced() bool {
+	m := r.follow.Load()
+	return m != nil && m.Synced()
+}
 
 // Run writes this instance and follows the others until t dies.
 func (r *Registry) Run(t *tomb.Tomb) error {
-	r.follow = &mirror.Mirror{
+	follow := &mirror.Mirror{
 		Space:   r.Space,
 		Prefix:  Prefix,
 		Take:    r.take,
@@ -180,25 +198,46 @@
 		Settle:  viewSettle,
 	}
 	if r.Following != nil {
-		r.Following(r.follow)
+		r.Following(follow)
 	}
-	t.Go(func() error { return r.follow.Run(t) })
+	r.follow.Store(follow)
+	t.Go(func() error { return follow.Run(t) })
+	r.AwaitView(t, viewWait)
 	ctx := t.Context(context.Background())
-	sub := r.Timer.Every(renewEvery)
-	defer sub.Close()
 	failing := false
-	for {
+	for t.Alive() {
 		err := r.renew(ctx)
 		if t.Alive() && (err != nil) != failing {
 			failing = err != nil
 			r.logLease(err)
 		}
-		select {
-		case <-sub.C:
-		case <-t.Dying():
-			return nil
-		}
+		timer.Wait(r.Timer, r.pause(err), t.Dying())
+	}
+	return nil
+}
+
+// AwaitView waits for the view to be read, for a time at the most.
+func (r *Registry) AwaitView(t *tomb.Tomb, most time.Duration) {
+	const look = 20 * time.Millisecond
+	for waited := time.Duration(0); waited < most && !r.Synced() && t.Alive(); waited += look {
+		timer.Wait(r.Timer, look, t.Dying())
+	}
+}
+
+// pause returns the time until the next renewal.
+func (r *Registry) pause(err error) time.Duration {
+	if err == nil && time.Duration(r.ttl.Load()) == smallTTL {
+		return smallEvery
+	}
+	return renewEvery
+}
+
+// wants returns how long this instance's lease should last.
+func (r *Registry) wants() time.Duration {
+	if r.Synced() && !r.Able() {
+		return smallTTL
 	}
+	return leaseTTL
 }
 
 func (r *Registry) logLease(err error) {
@@ -219,7 +258,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked := r.Timer.Now()
-	if r.lease != 0 {
+	ttl := r.wants()
+	// One that became able begins a shorter lease; its key moves over to it.
+	if r.lease != 0 && ttl >= time.Duration(r.ttl.Load()) {
 		err := r.Space.KeepAlive(ctx, r.lease)
 		if err == nil {
 			r.renewed.Store(int64(asked))
@@ -231,7 +272,7 @@
 		r.renewed.Store(0)
 		r.lapsed = true
 	}
-	lease, err := r.Space.Grant(ctx, leaseTTL)
+	lease, err := r.Space.Grant(ctx, ttl)
 	if err != nil {
 		return err
 	}
@@ -239,6 +280,7 @@
 		return err
 	}
 	r.lease = lease
+	r.ttl.Store(int64(ttl))
 	r.number.Store(lease)
 	r.renewed.Store(int64(asked))
 	if r.lapsed && r.Lapsed != nil {
@@ -251,7 +293,7 @@
 // Held reports whether this instance's lease surely stands: nobody takes it for
 // dead.
 func (r *Registry) Held() bool {
-	_, ok := r.Lease(leaseTTL)
+	_, ok := r.Lease(time.Duration(r.ttl.Load()))
 	return ok
 }
 
--- a/internal/fleet/relay/copy.go
+++ b/internal/fleet/relay/copy.go
@@ -11,9 +11,10 @@
 // times. Who is further behind takes the whole prefix.
 const keptChanges = 256
 
-// Copy holds the last changes of a prefix, for those who ask this instance.
+// Copy holds a prefix and its last changes, for those who ask this instance.
 type Copy struct {
 	mu       sync.Mutex
+	items    map[string]keyvalue.Item
 	changes  []keyvalue.Change
 	begun    bool
 	reaches  uint64
@@ -25,6 +26,7 @@
 func (c *Copy) Take(changes []keyvalue.Change, revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.keep(changes)
 	if !c.begun {
 		c.begun = true
 		c.reaches = revision
@@ -41,6 +43,32 @@
 	}
 }
 
+// keep applies changes to the items. The lock is held.
+func (c *Copy) keep(changes []keyvalue.Change) {
+	if c.items == nil {
+		c.items = make(map[string]keyvalue.Item)
+	}
+	for _, change := range changes {
+		if change.Removed {
+			delete(c.items, change.Key)
+			continue
+		}
+		c.items[change.Key] = change.Item
+	}
+}
+
+// listing returns the whole prefix as far as it is known here; ok is false
+// before it was read.
+func (c *Copy) listing() (l keyvalue.Listing, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l.Revision = c.revision
+	for _, item := range c.items {
+		l.Items = append(l.Items, item)
+	}
+	return l, c.begun
+}
+
 // wake wakes all who wait. The lock is held.
 func (c *Copy) wake() {
 	if c.changed != nil {
--- a/internal/fleet/relay/follower.go
+++ b/internal/fleet/relay/follower.go
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	cursors map[string]uint64
 	news    map[string]News
+	// listed are the revisions up to which prefixes were heard.
+	listed  map[string]uint64
 	running bool
 	// waited says that a mirror waits for the query under way.
 	waited bool
@@ -82,6 +84,23 @@
 	}
 }
 
+// hear notes up to which revision a prefix was heard.
+func (f *follower) hear(prefix string, revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listed == nil {
+		f.listed = make(map[string]uint64)
+	}
+	f.listed[prefix] = max(f.listed[prefix], revision)
+}
+
+// heard returns up to which revision a prefix was heard.
+func (f *follower) heard(prefix string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.listed[prefix], f.cursors[prefix])
+}
+
 // drop forgets buffered changes up to a revision. The lock is held.
 func (f *follower) drop(prefix string, after uint64) {
 	n, ok := f.news[prefix]
--- a/internal/fleet/relay/space.go
+++ b/internal/fleet/relay/space.go
@@ -16,9 +16,9 @@
 
 // How watchers are chosen and asked.
 const (
-	// followers is how many instances hear from one watcher: 24 answers a
-	// second at most, some milliseconds of processor time.
-	followers = 16
+	// followers is how many instances hear from one watcher: some fifty answers
+	// a second at most, a hundredth of a large instance's processor.
+	followers = 24
 	// spareWatchers stand by, so that the death of one leaves no gap.
 	spareWatchers = 1
 	// askedWatchers is how many are asked before the service itself.
@@ -29,6 +29,10 @@
 	relayWait = 900 * time.Millisecond
 	// relayTimeout is what an answer may take beyond its wait.
 	relayTimeout = 300 * time.Millisecond
+	// listTimeout is what a whole prefix may take: a configuration of two
+	// thousand routes is half a megabyte, a tenth of a second on the smallest
+	// link.
+	listTimeout = 800 * time.Millisecond
 )
 
 // mostShared is how many prefixes are copied: the configuration, the list of
@@ -44,6 +48,7 @@
 // Peers asks other instances for changes.
 type Peers interface {
 	Poll(ctx context.Context, address string, q Query) (Reply, error)
+	List(ctx context.Context, address, prefix string) (Whole, error)
 }
 
 // Query asks for the changes of prefixes after revisions.
@@ -67,8 +72,15 @@
 	Revision uint64
 }
 
-// Space is a keyvalue.Space whose watches of copied prefixes go to watchers.
-// Listings go to the service: they are rare, and a copy may be behind.
+// Whole is a prefix as a watcher knows it. Stale says that the watcher does not
+// surely hear the service.
+type Whole struct {
+	Stale   bool
+	Listing keyvalue.Listing
+}
+
+// Space is a keyvalue.Space whose watches and listings of copied prefixes go to
+// watchers. Nobody takes a listing that is behind what it has heard already.
 type Space struct {
 	keyvalue.Space
 	Registry View
@@ -98,18 +110,20 @@
 	}
 }
 
-// Watchers returns the instances that follow the service, of those given: a
-// share of all by a rendezvous hash, so that views that differ a little agree on
-// nearly all of them.
+// Watchers returns the instances that follow the service, of those given: some
+// of the able ones by a rendezvous hash, so that views that differ a little agree
+// on nearly all of them. Able instances show that they live more often, and have
+// the processor and the link for many followers.
 func Watchers(members []registry.Member) []registry.Member {
-	var list []registry.Member
+	staying := 0
 	for _, m := range members {
 		if !m.Leaving {
-			list = append(list, m)
+			staying++
 		}
 	}
-	n := (len(list)+followers-1)/followers + spareWatchers
-	return rank(list, "watch")[:min(n, len(list))]
+	able := registry.Able(members)
+	n := (staying+followers-1)/followers + spareWatchers
+	return rank(able, "watch")[:min(n, len(able))]
 }
 
 // rank orders members by their rendezvous hash with a key.
@@ -134,9 +148,16 @@
 
 // Watch implements keyvalue.Space.
 func (s *Space) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
-	if s.copies[prefix] == nil || len(s.ask()) == 0 {
+	if s.copies[prefix] == nil {
 		return s.Space.Watch(ctx, prefix, after, wait)
 	}
+	if len(s.ask()) == 0 {
+		changes, revision, err := s.Space.Watch(ctx, prefix, after, wait)
+		if err == nil {
+			s.follow.hear(prefix, revision)
+		}
+		return changes, revision, err
+	}
 	news, err := s.follow.next(ctx, s, prefix, after)
 	if errors.Is(err, errNoWatcher) {
 		return s.Space.Watch(ctx, prefix, after, min(wait, relayWait))
@@ -147,6 +168,26 @@
 	return news.Changes, news.Revision, err
 }
 
+// Range implements keyvalue.Space.
+func (s *Space) Range(ctx context.Context, prefix string, f keyvalue.Freshness) (keyvalue.Listing, error) {
+	if s.copies[prefix] != nil {
+		for _, m := range s.ask() {
+			call, cancel := context.WithTimeout(ctx, listTimeout)
+			whole, err := s.Peers.List(call, m.PeerAddress, prefix)
+			cancel()
+			if err == nil && !whole.Stale && whole.Listing.Revision >= s.follow.heard(prefix) {
+				s.follow.hear(prefix, whole.Listing.Revision)
+				return whole.Listing, nil
+			}
+		}
+	}
+	listing, err := s.Space.Range(ctx, prefix, f)
+	if err == nil && s.copies[prefix] != nil {
+		s.follow.hear(prefix, listing.Revision)
+	}
+	return listing, err
+}
+
 var errStale = errors.New("the watcher does not surely hear the key-value service")
 
 func (s *Space) poll(ctx context.Context, m registry.Member, q Query) (Reply, error) {
@@ -193,6 +234,19 @@
 	return nil
 }
 
+// List answers with a whole prefix.
+func (s *Server) List(prefix *string, w *Whole) error {
+	c := s.space.copies[*prefix]
+	if c == nil || !s.space.Hears() || len(s.space.ask()) > 0 {
+		w.Stale = true
+		return nil
+	}
+	var ok bool
+	w.Listing, ok = c.listing()
+	w.Stale = !ok
+	return nil
+}
+
 // news returns what changed, and the channels that tell of the next changes.
 func (s *Space) news(q *Query) (map[string]News, []<-chan struct{}) {
 	news := make(map[string]News)
@@ -243,3 +297,10 @@
 	err := p.Client.Call(ctx, address, receiver+".Poll", &q, &r)
 	return r, err
 }
+
+// List implements Peers.
+func (p *PeerCalls) List(ctx context.Context, address, prefix string) (Whole, error) {
+	var w Whole
+	err := p.Client.Call(ctx, address, receiver+".List", &prefix, &w)
+	return w, err
+}
