--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -56,6 +56,8 @@
 	Body(ctx context.Context, address, id, item string) ([]byte, bool, error)
 	End(ctx context.Context, address, id string) error
 	Hint(ctx context.Context, address, id string, owner ledger.Owner) error
+	// Runs reports whether an instance says that it runs the batch.
+	Runs(ctx context.Context, address, id string) bool
 	Adopt(ctx context.Context, address, id string) error
 	Submit(ctx context.Context, address string, sub *submission.Submission) error
 }
--- a/internal/batch/desk/desk_test.go
+++ b/internal/batch/desk/desk_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"gopkg.in/tomb.v2"
 
 	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/batch/runner"
@@ -15,6 +17,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/registry"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/standin/space"
 )
@@ -35,6 +38,7 @@
 }
 func (silent) End(context.Context, string, string) error                    { return errSilent }
 func (silent) Hint(context.Context, string, string, ledger.Owner) error     { return errSilent }
+func (silent) Runs(context.Context, string, string) bool                    { return false }
 func (silent) Adopt(context.Context, string, string) error                  { return errSilent }
 func (silent) Submit(context.Context, string, *submission.Submission) error { return errSilent }
 
@@ -148,3 +152,63 @@
 	}
 	is.True(First(members, "dead").Name != heir.Name) // one that leaves inherits nothing
 }
+
+// lively is another instance that still runs its batches.
+type lively struct {
+	silent
+	asked chan struct{}
+}
+
+func (l lively) Runs(context.Context, string, string) bool {
+	select {
+	case l.asked <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// The key-value service takes the lease of a living instance away. Its batches
+// were taken over at once, and what it had made of them was made again: its
+// trainer waited four seconds longer. The heir asks the owner first, and waits
+// for its new lease; an owner that never shows itself is replaced all the same.
+func TestLivingOwnerKeepsItsBatch(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	d, store := newDesk(t, nil)
+	peers := lively{
+		asked: make(chan struct{}, 1),
+	}
+	d.Peers = peers
+	owner := &ledger.Ledger{
+		Space: store,
+		Self:  ledger.Owner{Instance: "other", Incarnation: "1", Address: "other"},
+		Pause: func(time.Duration) {},
+	}
+	claim, err := owner.Accept(ctx, &submission.Submission{ID: "b", Items: []submission.Item{{ID: "x", Path: "/x"}}})
+	is.NoErr(err)
+	began := time.Now()
+	is.True(!d.lives(claim)) // it never came back
+	is.True(time.Since(began) >= ownerPause)
+
+	var tb tomb.Tomb
+	tb.Go(func() error { return d.Registry.Run(&tb) })
+	defer func() { tb.Kill(nil); _ = tb.Wait() }()
+	go func() {
+		<-peers.asked
+		value, err := json.Marshal(registry.Member{Name: "other", Incarnation: "1"})
+		if err == nil {
+			_, err = store.Commit(ctx, keyvalue.Transaction{
+				Writes: []keyvalue.Write{
+					{Key: registry.Key("other"), Value: value},
+				},
+			})
+		}
+		if err != nil {
+			panic(err)
+		}
+	}()
+	d.Registry.AwaitView(&tb, time.Second)
+	is.True(d.lives(claim))
+	d.Peers = silent{}
+	is.True(!d.lives(claim)) // a dead one is not waited for
+}
--- a/internal/batch/desk/peers.go
+++ b/internal/batch/desk/peers.go
@@ -91,6 +91,12 @@
 	return r.notHere(s.desk.Runner.End(ctx, c.Batch))
 }
 
+// Runs answers whether a batch runs here.
+func (s *Server) Runs(c *Call, r *Reply) error {
+	r.Found = s.desk.Runner.Has(c.Batch)
+	return nil
+}
+
 // Adopt begins a batch that was handed over to this instance.
 func (s *Server) Adopt(c *Call, _ *Reply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -181,6 +187,15 @@
 	return err
 }
 
+// Runs implements Peers.
+func (p *PeerCalls) Runs(ctx context.Context, address, id string) bool {
+	r, err := p.call(ctx, address, "Runs", Call{
+		Batch: id,
+	})
+	// No answer is an answer here: the instance is dead or cut off.
+	return err == nil && r.Found
+}
+
 // Adopt implements Peers.
 func (p *PeerCalls) Adopt(ctx context.Context, address, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -28,6 +28,13 @@
 	// sweepAgain is the pause after a look that failed although an instance is
 	// known to be gone.
 	sweepAgain = 300 * time.Millisecond
+	// ownerTimeout bounds the question to an owner whose lease has ended, whether
+	// it runs a batch; a dead one refuses at once, one without power is silent.
+	ownerTimeout = 250 * time.Millisecond
+	// ownerAsks and ownerPause are how long an owner that lives has to show
+	// itself again. A new lease takes one renewal, some tenths of a second.
+	ownerAsks  = 4
+	ownerPause = 400 * time.Millisecond
 	// sweepTimeout bounds one look, and one take-over.
 	sweepTimeout = 2 * time.Second
 )
@@ -145,8 +152,34 @@
 	return best
 }
 
+// lives reports whether the owner of a batch turns out to be alive though its
+// lease has ended: the service took the lease away, or turned the instance away
+// for longer than it lasts. What it has of the batch would be made again. It gets
+// a moment to show itself again, by way of the others if need be.
+func (d *Desk) lives(c ledger.Claim) bool {
+	if c.Owner.Instance == d.Ledger.Self.Instance || c.Owner.Address == "" {
+		return false
+	}
+	for range ownerAsks {
+		ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
+		runs := d.Peers.Runs(ctx, c.Owner.Address, c.Batch)
+		cancel()
+		if !runs {
+			return false
+		}
+		timer.Wait(d.Timer, ownerPause, nil)
+		if d.Registry.Alive(c.Owner.Instance, c.Owner.Incarnation) {
+			return true
+		}
+	}
+	return false
+}
+
 // takeOver makes this instance the owner of a batch and goes on with it.
 func (d *Desk) takeOver(seen ledger.Claim) {
+	if d.lives(seen) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), sweepTimeout)
 	defer cancel()
 	claim := seen
--- a/internal/batch/ledger/append.go
+++ b/internal/batch/ledger/append.go
@@ -58,6 +58,23 @@
 	return tx, chunk, nil
 }
 
+// resultOverhead is what a result takes beside its text in the stored form: its
+// names, versions and score.
+const resultOverhead = 256
+
+// Fitting returns how many of the first of some results make one chunk: as many
+// as fit one value, and one at least.
+func Fitting(results []submission.Result) int {
+	size := 0
+	for i, r := range results {
+		size += len(r.Text) + resultOverhead
+		if size > partBytes && i > 0 {
+			return i
+		}
+	}
+	return len(results)
+}
+
 // eventOverhead is what an event takes beside its text in the stored form.
 const eventOverhead = 4
 
--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -43,6 +43,9 @@
 	readable timer.Instant
 	listed   []submission.Result
 	pending  []submission.Result
+	// sending says that a write is under way, sent when it was sent first.
+	sending bool
+	sent    timer.Instant
 	// since is when the first pending result came.
 	since   timer.Instant
 	whole   bool
@@ -56,6 +59,16 @@
 	write   chan struct{}
 }
 
+// doubtAfter is how long a write may take before its results may have been read
+// elsewhere: a reader that saw them there must not find them missing here.
+const doubtAfter = 300 * time.Millisecond
+
+// unsure reports whether the ledger may show more than is listed here: a write
+// was sent and not answered. The lock is held.
+func (b *Batch) unsure(now timer.Instant) bool {
+	return b.sending && now.Sub(b.sent) > doubtAfter
+}
+
 // waiter is a read that waits for results. It has a size, so that each has an
 // address of its own.
 type waiter struct{ _ byte }
--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -342,25 +342,29 @@
 	b.writing.Lock()
 	defer b.writing.Unlock()
 	b.mu.Lock()
-	if b.over() {
-		b.mu.Unlock()
-		return false
-	}
 	due := b.due(r.Timer.Now())
-	if !schedule.Write(due) {
+	if b.over() || !schedule.Write(due) {
+		going := !b.over()
 		b.mu.Unlock()
-		return true
+		return going
 	}
-	results, claim := b.pending, b.claim
+	results := b.pending
+	b.pending, b.whole = nil, false
 	var progress []submission.Progress
 	if !due.Ends() {
 		// The trainer waits for results that end its step; half a megabyte
 		// beside them would hold them up by some ten milliseconds.
 		progress = b.progress(progressEvents)
 	}
-	b.pending, b.whole = nil, false
 	b.mu.Unlock()
-	return r.append(b, claim, results, progress)
+	for len(results) > 0 {
+		n := ledger.Fitting(results)
+		if !r.append(b, results[:n], progress) {
+			return false
+		}
+		results, progress = results[n:], nil
+	}
+	return true
 }
 
 // append writes one chunk, again and again while the service is away, and
@@ -368,7 +372,11 @@
 // a batch does not cut a write short: a chunk that was stored without this
 // process knowing would show in the ledger and not here, so that a result that
 // was read once would be missing in the next answer.
-func (r *Runner) append(b *Batch, claim ledger.Claim, results []submission.Result, progress []submission.Progress) bool {
+func (r *Runner) append(b *Batch, results []submission.Result, progress []submission.Progress) bool {
+	b.mu.Lock()
+	claim := b.claim
+	b.sending, b.sent = true, r.Timer.Now()
+	b.mu.Unlock()
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 		next, err := r.Ledger.Append(ctx, claim, results, progress)
@@ -376,6 +384,7 @@
 		if err == nil {
 			b.mu.Lock()
 			b.claim = next
+			b.sending = false
 			b.list(results, r.Timer.Now())
 			b.mu.Unlock()
 			return true
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -262,6 +262,10 @@
 			return Page{}, ErrNotHere
 		}
 		p, changed, ended := b.page(after), b.changed, b.ended
+		if len(p.Results) == 0 && b.unsure(r.Timer.Now()) {
+			b.mu.Unlock()
+			return Page{}, ErrNotHere
+		}
 		if len(p.Results) > 0 || wait <= 0 || ended || p.Next >= p.Total {
 			b.mu.Unlock()
 			return p, nil
@@ -273,7 +277,7 @@
 		select {
 		case <-changed:
 		case <-done:
-			return p, nil
+			wait = 0
 		case <-ctx.Done():
 			return p, ctx.Err()
 		case <-r.tomb.Dying():
--- a/internal/batch/runner/runner_test.go
+++ b/internal/batch/runner/runner_test.go
@@ -274,6 +274,56 @@
 	return s.Space.Commit(ctx, tx)
 }
 
+// forgetful is a key-value service that does what it is told to and whose answers
+// are lost until it is told otherwise.
+type forgetful struct {
+	*space.Space
+	mu   sync.Mutex
+	lost int
+}
+
+// Commit implements keyvalue.Space.
+func (f *forgetful) Commit(ctx context.Context, tx keyvalue.Transaction) (uint64, error) {
+	rev, err := f.Space.Commit(ctx, tx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(tx.Writes) > 0 && strings.Contains(tx.Writes[0].Key, "/result/") && f.lost > 0 {
+		f.lost--
+		return 0, keyvalue.ErrLost
+	}
+	return rev, err
+}
+
+// The answers to the writes of results are lost, though the results stand in the
+// ledger. A reader saw them there by way of another instance, and asked the owner
+// next: it found nothing at a position that it had read.
+func TestOwnerInDoubtSendsReadersToTheLedger(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, func(_ context.Context, _ *catalog.Upstream, g Generation, emit func(Event) error) error {
+		return events(0, 1, 5, emit)
+	})
+	b.runner.Ledger.Space = &forgetful{
+		Space: b.store,
+		lost:  20,
+	}
+	is.NoErr(b.submit("x"))
+	unsure := false
+	for range 5000 {
+		rec, err := b.runner.Ledger.Load(context.Background(), "b")
+		is.NoErr(err)
+		page, err := b.runner.Read(context.Background(), "b", 0, 0)
+		if err == nil && len(page.Results) > 0 {
+			break
+		}
+		if len(rec.Results) > 0 && errors.Is(err, ErrNotHere) {
+			unsure = true
+		}
+		time.Sleep(time.Millisecond)
+	}
+	is.True(unsure)
+	is.Equal(len(b.results(1)), 1) // it settles
+}
+
 // A trainer ends its batch while the last results are on their way to the
 // ledger. A write that was cut then stood in the ledger and not in memory, and a
 // reader saw one result more at one instance than at the next.
--- a/internal/fleet/detour/call.go
+++ b/internal/fleet/detour/call.go
@@ -72,6 +72,7 @@
 	FailureBusy
 	FailureDown
 	FailureLost
+	FailureInvalid
 )
 
 var failures = map[Failure]error{
@@ -80,6 +81,7 @@
 	FailureCompacted: keyvalue.ErrCompacted,
 	FailureBusy:      keyvalue.ErrBusy,
 	FailureDown:      keyvalue.ErrDown,
+	FailureInvalid:   keyvalue.ErrInvalid,
 }
 
 // failureOf returns the failure of an error. What is not known may have been
@@ -144,6 +146,15 @@
 	return others
 }
 
+// passes returns how long what the call carries takes on its way.
+func (c Call) passes() time.Duration {
+	size := 0
+	for _, w := range c.Transaction.Writes {
+		size += len(w.Value)
+	}
+	return time.Duration(size) * time.Second / peerBytes
+}
+
 // At makes the call at a space.
 func (c Call) At(ctx context.Context, s keyvalue.Space) Answer {
 	var a Answer
@@ -198,7 +209,7 @@
 		a.Failure = FailureDown
 		return nil
 	}
-	limit := c.limit(peerTimeout)
+	limit := c.limit(peerTimeout) + c.passes()
 	if c.Kind == KindWatch {
 		limit += watchThrough
 	}
--- a/internal/fleet/detour/space.go
+++ b/internal/fleet/detour/space.go
@@ -26,8 +26,12 @@
 	peerTimeout = 400 * time.Millisecond
 	// badFor is how long the direct way is not tried first after a failure.
 	badFor = time.Second
-	// triesThrough is how many other instances are tried for one call.
-	triesThrough = 2
+	// peerBytes is what another instance passes on in a second: a tenth of the
+	// link of an able one, over which other work goes as well.
+	peerBytes = 2 << 20
+	// triesThrough is how many other instances are tried for one call. The
+	// service may turn a third of them away; those say so at once.
+	triesThrough = 4
 	// watchSlack is how much longer than asked a direct watch may take.
 	watchSlack = 3 * time.Second
 	// watchThrough is how long a watch waits at another instance. Short waits
@@ -189,7 +193,7 @@
 func (s *Space) through(ctx context.Context, c Call) (Answer, error) {
 	var errs []error
 	for _, address := range s.some() {
-		call, cancel := context.WithTimeout(ctx, c.limit(peerTimeout))
+		call, cancel := context.WithTimeout(ctx, c.limit(peerTimeout)+c.passes())
 		a, err := s.Peers.Call(call, address, c)
 		cancel()
 		if err != nil {
@@ -214,7 +218,7 @@
 
 // straight makes a call on the direct way.
 func (s *Space) straight(ctx context.Context, c Call) (Answer, error) {
-	call, cancel := context.WithTimeout(ctx, c.limit(directTimeout))
+	call, cancel := context.WithTimeout(ctx, c.limit(directTimeout)+c.passes())
 	defer cancel()
 	a := c.At(call, s.Direct)
 	err := a.Err()
--- a/internal/fleet/detour/space_test.go
+++ b/internal/fleet/detour/space_test.go
@@ -37,7 +37,7 @@
 	return &Space{
 		Direct: direct,
 		Peers:  peers,
-		Others: func() []string { return []string{"one", "two", "three"} },
+		Others: func() []string { return []string{"one", "two", "three", "four", "five"} },
 		Timer:  clock,
 	}, peers
 }
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -102,9 +102,11 @@
 
 // standing is what is known of the orders to one engine.
 type standing struct {
-	u       *catalog.Upstream
-	order   Order
-	seen    uint64
+	u     *catalog.Upstream
+	order Order
+	seen  uint64
+	// asked says that seen is what the engine said, or follows from it.
+	asked   bool
 	until   timer.Instant
 	loading bool
 	// learnt are the versions that the engine told itself.
@@ -291,9 +293,44 @@
 	return merged
 }
 
+// acquaint asks an engine for its count of orders before this life's first one to
+// it. A holder that takes over, or starts again, would otherwise send each engine
+// an order with a wrong count: each is refused, and after a loss of power the
+// step that waits for new weights waits half a second longer. It reports false
+// if the engine has the version already.
+func (o *Orderer) acquaint(ctx context.Context, u *catalog.Upstream, s *standing, c *Command) bool {
+	o.mu.Lock()
+	asked := s.asked
+	o.mu.Unlock()
+	if asked {
+		return true
+	}
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	state, err := o.Engines.State(call, u)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil {
+		// The order itself shows what is wrong.
+		return true
+	}
+	s.asked = true
+	s.seen = state.Orders
+	s.learnt = newest(s.learnt, state.Versions)
+	c.Seen = state.Orders
+	if s.learnt[c.Model] >= c.Version {
+		s.loading = false
+		return false
+	}
+	return true
+}
+
 // give sends one order and notes its outcome.
 func (o *Orderer) give(ctx context.Context, u *catalog.Upstream, s *standing, c Command) {
 	sent := o.Timer.Now()
+	if !o.acquaint(ctx, u, s, &c) {
+		return
+	}
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	err := o.Engines.Order(call, u, c)
 	cancel()
@@ -318,11 +355,13 @@
 		s.loading = false
 	case errors.Is(err, ErrCount):
 		outcome = "other_count"
+		s.until = now.Add(refusedPause)
 		if asked == nil {
 			s.learnt = state.Versions
 			s.seen = state.Orders
+			s.asked = true
+			s.loading = state.Busy
 		}
-		s.until = now.Add(refusedPause)
 	case errors.Is(err, ErrRefused):
 		outcome = "refused"
 		s.until = now.Add(refusedPause)
--- a/internal/outside/keyvalue/store.go
+++ b/internal/outside/keyvalue/store.go
@@ -46,6 +46,9 @@
 	ErrDown = errors.New("the key-value service can't be reached")
 	// ErrLost means that the call may have taken effect.
 	ErrLost = errors.New("the answer of the key-value service was lost")
+	// ErrInvalid means that the service refuses the call as it is, and did
+	// nothing.
+	ErrInvalid = errors.New("the key-value service refuses such a call")
 )
 
 // Adapters holds the known ways to reach a key-value service; each opens a
