mirror, registry, desk: heirs of instances whose keys lapsed in an outage

Readers who met the outage were told to come back in two seconds, and saw listed results late. Change: keys that are missing after an outage make suspects; the heir asks the owner and goes on without it if it is silent. A read waits for a write in doubt as for any result, and is told to come back in 0.3 s.

--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -43,6 +43,10 @@
 	endTimeout = 3 * time.Second
 	// hintTimeout bounds the news of an accepted batch to one instance.
 	hintTimeout = 300 * time.Millisecond
+	// retryRead tells readers when to come back: the results of a step are listed
+	// as soon as the service is back, and a trainer stands still until it reads
+	// them.
+	retryRead = 300 * time.Millisecond
 	// retryAway tells callers when to come back while the service is away.
 	retryAway = 2 * time.Second
 )
@@ -330,7 +334,7 @@
 		return nil, problem.NotFound.Withf("no batch %s", id)
 	}
 	if err != nil {
-		return nil, problem.PlatformDown.Withf("batch %s: %w", id, err).WithRetryAfter(retryAway)
+		return nil, problem.PlatformDown.Withf("batch %s: %w", id, err).WithRetryAfter(retryRead)
 	}
 	if rec.Ended || len(rec.Results) >= len(rec.Submission.Items) {
 		d.whole.keep(id, rec)
--- a/internal/batch/desk/desk_test.go
+++ b/internal/batch/desk/desk_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -212,3 +213,59 @@
 	d.Peers = silent{}
 	is.True(!d.lives(claim)) // a dead one is not waited for
 }
+
+// An instance is removed for good while the key-value service is away. When the
+// service is back, its batches waited for another three seconds, as long as the
+// view keeps instances whose keys lapsed in the outage. Their heir need not wait
+// for that: it asks the owner.
+func TestSuspectsBatchesHaveAnHeir(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var down atomic.Bool
+	d, store := newDesk(t, func(space.Call) space.Fault {
+		if down.Load() {
+			return space.Down
+		}
+		return space.None
+	})
+	value, err := json.Marshal(registry.Member{Name: "other", Incarnation: "1"})
+	is.NoErr(err)
+	lease, err := store.Grant(ctx, time.Hour)
+	is.NoErr(err)
+	_, err = store.Commit(ctx, keyvalue.Transaction{
+		Writes: []keyvalue.Write{
+			{Key: registry.Key("other"), Value: value, Lease: lease},
+		},
+	})
+	is.NoErr(err)
+	var tb tomb.Tomb
+	tb.Go(func() error { return d.Registry.Run(&tb) })
+	defer func() { tb.Kill(nil); _ = tb.Wait() }()
+	until := func(what func() bool) bool {
+		for range 4000 {
+			if what() {
+				return true
+			}
+			time.Sleep(time.Millisecond)
+		}
+		return false
+	}
+	claim := ledger.Claim{Batch: "b", Owner: ledger.Owner{Instance: "other", Incarnation: "1"}}
+	is.True(until(func() bool { return d.Registry.Present("other") }))
+	is.True(!d.orphan(claim))
+	cut, err := store.Grant(ctx, time.Hour)
+	is.NoErr(err)
+	_, err = store.Commit(ctx, keyvalue.Transaction{
+		Writes: []keyvalue.Write{
+			{Key: "elsewhere", Lease: cut},
+		},
+	})
+	is.NoErr(err)
+	down.Store(true)
+	store.Lapse(cut)            // ends the watches that wait
+	time.Sleep(2 * time.Second) // longer than an entry may be late
+	store.Lapse(lease)
+	down.Store(false)
+	is.True(until(func() bool { return d.orphan(claim) }))
+	is.True(d.Registry.Present("other")) // the view still keeps it
+}
--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -124,7 +125,7 @@
 	if c.Owner == d.Ledger.Self {
 		return !d.Runner.Has(c.Batch)
 	}
-	if m, ok := d.Registry.Find(c.Owner.Instance); ok {
+	if m, ok := d.Registry.Find(c.Owner.Instance); ok && !d.Registry.Suspected(c.Owner.Instance) {
 		// An instance that came back goes on with what it had.
 		return m.Incarnation != c.Owner.Incarnation && m.Incarnation == d.Ledger.Self.Incarnation
 	}
@@ -135,7 +136,13 @@
 // one of all then looks into the ledger after a death; if all did, the looks
 // would grow with the square of the fleet.
 func (d *Desk) Inherits(name string) bool {
-	return name == d.Ledger.Self.Instance || First(d.Registry.Members(), name).Name == d.Ledger.Self.Instance
+	heir := First(without(d.Registry.Members(), name), name)
+	return name == d.Ledger.Self.Instance || heir.Name == d.Ledger.Self.Instance
+}
+
+// without returns the members but the one called name.
+func without(members []registry.Member, name string) []registry.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m registry.Member) bool { return m.Name == name })
 }
 
 // First returns the instance that ranks first for a key, by a rendezvous hash
@@ -168,7 +175,7 @@
 			return false
 		}
 		timer.Wait(d.Timer, ownerPause, nil)
-		if d.Registry.Alive(c.Owner.Instance, c.Owner.Incarnation) {
+		if d.Registry.Alive(c.Owner.Instance, c.Owner.Incarnation) && !d.Registry.Suspected(c.Owner.Instance) {
 			return true
 		}
 	}
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -262,7 +262,7 @@
 			return Page{}, ErrNotHere
 		}
 		p, changed, ended := b.page(after), b.changed, b.ended
-		if len(p.Results) == 0 && b.unsure(r.Timer.Now()) {
+		if len(p.Results) == 0 && wait <= 0 && b.unsure(r.Timer.Now()) {
 			b.mu.Unlock()
 			return Page{}, ErrNotHere
 		}
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -58,6 +58,9 @@
 	// Seen hears of each change with the revision up to which all is known, for
 	// a copy that others may ask; nil is not called.
 	Seen func(changes []keyvalue.Change, revision uint64)
+	// Suspect is called with keys that are missing after an outage and are kept
+	// for a while; nil is not called.
+	Suspect func(keys []string)
 	// Active says whether to follow at all; nil means always.
 	Active func() bool
 
@@ -198,6 +201,7 @@
 // just after an outage is put off.
 func (m *Mirror) apply(changes []keyvalue.Change) {
 	var seen, news []keyvalue.Change
+	var suspects []string
 	slices.SortStableFunc(changes, func(a, b keyvalue.Change) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, c := range changes {
 		if !strings.HasPrefix(c.Key, m.Prefix) || c.Revision <= m.known[c.Key] {
@@ -207,6 +211,7 @@
 		if c.Removed && m.settling() {
 			if _, waits := m.missing[c.Key]; !waits {
 				m.missing[c.Key] = m.Timer.Now().Add(m.Settle)
+				suspects = append(suspects, c.Key)
 			}
 			continue
 		}
@@ -224,6 +229,9 @@
 	if len(news) > 0 {
 		m.Take(news)
 	}
+	if len(suspects) > 0 && m.Suspect != nil {
+		m.Suspect(suspects)
+	}
 }
 
 // settling reports whether a removal may only tell of an outage: entries that
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -23,9 +23,10 @@
 	tomb  tomb.Tomb
 	down  atomic.Bool
 
-	mu   sync.Mutex
-	held map[string]string
-	took chan struct{}
+	mu       sync.Mutex
+	held     map[string]string
+	suspects []string
+	took     chan struct{}
 }
 
 func newBench(t *testing.T, settle time.Duration) *bench {
@@ -49,6 +50,11 @@
 		Take:   b.take,
 		Timer:  b.clock,
 		Settle: settle,
+		Suspect: func(keys []string) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.suspects = append(b.suspects, keys...)
+		},
 	}
 	b.tomb.Go(func() error { return m.Run(&b.tomb) })
 	t.Cleanup(func() {
@@ -140,8 +146,9 @@
 	is.NoErr(b.put("p/b", "1", 0))
 	is.True(b.reaches("p/b", "1")) // the mirror is back
 	b.mu.Lock()
-	kept := b.held["p/a"]
+	kept, suspects := b.held["p/a"], b.suspects
 	b.mu.Unlock()
 	is.Equal(kept, "1")
-	is.True(b.reaches("p/a", "")) // and gone after the pause
+	is.Equal(suspects, []string{"p/a"}) // who can ask its owner need not wait
+	is.True(b.reaches("p/a", ""))       // and gone after the pause
 }
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -119,9 +119,11 @@
 	lapsed  bool
 	mu      sync.Mutex
 	members map[string]Member
-	duties  map[string]string
-	view    atomic.Pointer[[]Member]
-	follow  atomic.Pointer[mirror.Mirror]
+	// suspects are members whose keys are missing after an outage.
+	suspects map[string]bool
+	duties   map[string]string
+	view     atomic.Pointer[[]Member]
+	follow   atomic.Pointer[mirror.Mirror]
 }
 
 // SetSelf says who this instance is. It is called before Run.
@@ -169,6 +171,34 @@
 	return r.duties[duty]
 }
 
+// Suspected reports whether an instance that is in the view has no key after an
+// outage of the service: it may be dead, or about to write itself again.
+func (r *Registry) Suspected(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.suspects[name]
+}
+
+// suspect notes members whose keys are missing. Their batches may be taken over
+// if they don't answer, before the view gives them up.
+func (r *Registry) suspect(keys []string) {
+	var names []string
+	r.mu.Lock()
+	if r.suspects == nil {
+		r.suspects = make(map[string]bool)
+	}
+	for _, key := range keys {
+		if name, ok := strings.CutPrefix(key, instancePrefix); ok {
+			r.suspects[name] = true
+			names = append(names, name)
+		}
+	}
+	r.mu.Unlock()
+	if len(names) > 0 && r.Gone != nil {
+		r.Gone(names)
+	}
+}
+
 // Present reports whether an instance is in the view.
 func (r *Registry) Present(name string) bool {
 	_, ok := r.Find(name)
@@ -196,6 +226,7 @@
 		Timer:   r.Timer,
 		Journal: r.Journal,
 		Settle:  viewSettle,
+		Suspect: r.suspect,
 	}
 	if r.Following != nil {
 		r.Following(follow)
@@ -350,6 +381,7 @@
 			continue
 		}
 		name := strings.TrimPrefix(c.Key, instancePrefix)
+		delete(r.suspects, name)
 		if c.Removed {
 			delete(r.members, name)
 			gone = append(gone, name)
