--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -47,8 +47,10 @@
 	// as soon as the service is back, and a trainer stands still until it reads
 	// them.
 	retryRead = 300 * time.Millisecond
-	// retryAway tells callers when to come back while the service is away.
-	retryAway = 2 * time.Second
+	// retryAway tells trainers when to come back while the service is away. A batch
+	// that is here when the service comes back is accepted at once; two seconds
+	// between two tries cost one in the mean.
+	retryAway = 700 * time.Millisecond
 )
 
 // Peers calls other instances. Read, Body and End return runner.ErrNotHere if
@@ -83,6 +85,8 @@
 	mu     sync.Mutex
 	owners map[string]ledger.Owner
 	whole  shelf
+	// failed tells of take-overs that failed.
+	failed chan struct{}
 }
 
 // Submit accepts a batch. A nil error means that it is kept whole from now on.
--- a/internal/batch/desk/desk_test.go
+++ b/internal/batch/desk/desk_test.go
@@ -269,3 +269,48 @@
 	is.True(until(func() bool { return d.orphan(claim) }))
 	is.True(d.Registry.Present("other")) // the view still keeps it
 }
+
+// All instances start again after a loss of power, and one finds the batches of
+// its earlier life before it knows the configuration, or while the service fails
+// it once more. Its next look came four seconds later, and the trainer stood
+// still for as long.
+func TestFailedTakeOverIsTriedAgainSoon(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var failing atomic.Bool
+	d, _ := newDesk(t, func(c space.Call) space.Fault {
+		if c == space.Range && failing.CompareAndSwap(true, false) {
+			return space.Down
+		}
+		return space.None
+	})
+	claim, err := d.Ledger.Accept(ctx, &submission.Submission{
+		ID:          "b",
+		SubmittedMS: time.Now().UnixMilli(),
+		Items:       []submission.Item{{ID: "x", Path: "/x"}},
+	})
+	is.NoErr(err)
+	is.Equal(claim.Owner, d.Ledger.Self)
+	var tb tomb.Tomb
+	gone := make(chan struct{}, 1)
+	tb.Go(func() error { return d.Registry.Run(&tb) })
+	tb.Go(func() error { return d.Run(&tb, gone) })
+	defer func() { tb.Kill(nil); _ = tb.Wait() }()
+	d.Registry.AwaitView(&tb, time.Second)
+	gone <- struct{}{}
+	time.Sleep(2 * gatherTime)
+	is.True(!d.Runner.Has("b")) // without a configuration
+	failing.Store(true)         // the listing, or the load of the batch
+	began := time.Now()
+	cfg := catalog.Configuration{Version: 1}.WithIndex()
+	d.Config.Take(cfg)
+	d.Runner.Holder.Take(cfg)
+	for range 4000 {
+		if d.Runner.Has("b") {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	is.True(d.Runner.Has("b"))
+	is.True(time.Since(began) < sweepEvery/2)
+}
--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -52,6 +52,9 @@
 	for {
 		select {
 		case <-next.C:
+		case <-d.again():
+			f = keyvalue.Fresh
+			timer.Wait(d.Timer, sweepAgain, t.Dying())
 		case <-gone:
 			f = keyvalue.Fresh
 			timer.Wait(d.Timer, gatherTime, t.Dying())
@@ -69,6 +72,19 @@
 	}
 }
 
+// again returns a channel that tells of take-overs that failed.
+func (d *Desk) again() chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failed == nil {
+		d.failed = make(chan struct{}, 1)
+	}
+	return d.failed
+}
+
+// errNotReady means that this instance can't take over batches yet.
+var errNotReady = errors.New("no configuration yet")
+
 // sweep takes over the batches without a live owner for which this instance
 // ranks first, and drops those that it has lost.
 func (d *Desk) sweep(ctx context.Context, f keyvalue.Freshness) error {
@@ -77,6 +93,9 @@
 		// for them.
 		return nil
 	}
+	if d.Config.Current() == nil {
+		return errNotReady
+	}
 	doubt := d.doubt.Load()
 	if doubt {
 		f = keyvalue.Fresh
@@ -209,6 +228,11 @@
 			"request_id": seen.Batch,
 			"owner":      seen.Owner.Instance,
 		})
+		// The next look by itself is seconds away; the step would stand still.
+		select {
+		case d.again() <- struct{}{}:
+		default:
+		}
 		return
 	}
 	d.Hint(claim.Batch, claim.Owner)
--- /dev/null
+++ b/internal/load/storm/storm_test.go
@@ -0,0 +1,29 @@
+package storm
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A failure is told by its seed. The seed must bring the same faults again, and
+// leave the calm in which recovery is judged.
+func TestPlan(t *testing.T) {
+	is := is.New(t)
+	a, b := Plan(7, time.Minute, 5, 6), Plan(7, time.Minute, 5, 6)
+	is.Equal(a, b)
+	is.True(len(a) > 8)
+	is.True(Plan(8, time.Minute, 5, 6)[0] != a[0])
+	seen := map[Kind]bool{}
+	for seed := range uint64(40) {
+		for _, f := range Plan(seed, time.Minute, 5, 6) {
+			seen[f.Kind] = true
+			is.True(f.At+f.For+Calm <= time.Minute)
+			is.True(f.Target < 6)
+		}
+	}
+	is.Equal(len(seen), len(Kinds()))
+	is.Equal(LeaseEnds.String(), "lease_ends")
+	is.Equal(Kind(99).String(), "kind 99")
+}
