standin, link, storm: a soak with storms of faults

New: egretplay soak runs trainers, clients and an operator against real processes while faults come in storms drawn from a seed: processes killed, stopped, paused and reloaded; the store away, slow, forgetful, losing answers or doing writes late; leases taken away; links to the store, to engines and from clients shut, silent, slow or reset; configurations. It checks ten promises from outside, prints a line of JSON and draws a picture.

--- a/cmd/egretplay/main.go
+++ b/cmd/egretplay/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"time"
@@ -16,6 +17,17 @@
 )
 
 func main() {
+	cmd := playCommand()
+	cmd.AddCommand(soakCommand())
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintf(os.Stderr, "egretplay: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+var errBroken = errors.New("a promise was broken; see the notes")
+
+func playCommand() *cobra.Command {
 	plan := standin.Plan{}
 	cmd := &cobra.Command{
 		Use:           "egretplay",
@@ -24,27 +36,35 @@
 		SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error {
 			report, err := standin.Play(context.Background(), plan)
-			line, jerr := json.Marshal(report)
-			if jerr != nil {
-				return jerr
+			if perr := printLine(report); perr != nil {
+				return perr
 			}
-			fmt.Println(string(line))
 			if err == nil && report.Failed {
-				err = fmt.Errorf("something was lost, doubled or mixed up; see the notes")
+				err = errBroken
 			}
 			return err
 		},
 	}
+	planFlags(cmd, &plan)
+	cmd.Flags().BoolVar(&plan.Kill, "kill", true, "end an instance in the middle and start it again")
+	return cmd
+}
+
+func planFlags(cmd *cobra.Command, plan *standin.Plan) {
 	flags := cmd.Flags()
 	flags.StringVar(&plan.Binary, "binary", "bin/egretbend", "program of the instances")
 	flags.IntVar(&plan.Instances, "instances", 5, "how many instances")
 	flags.IntVar(&plan.Groups, "groups", 6, "groups of four items in a step")
 	flags.IntVar(&plan.Breaks, "breaks", 100, "runs of a thousand that are cut off in the middle")
 	flags.BoolVar(&plan.Keep, "keep", false, "keep settings and logs, and name their folder")
-	flags.BoolVar(&plan.Kill, "kill", true, "end an instance in the middle and start it again")
 	flags.DurationVar(&plan.Length, "length", 12*time.Second, "how long trainers and clients work")
-	if err := cmd.Execute(); err != nil {
-		fmt.Fprintf(os.Stderr, "egretplay: %v\n", err)
-		os.Exit(1)
+}
+
+func printLine(report any) error {
+	line, err := json.Marshal(report)
+	if err != nil {
+		return err
 	}
+	_, err = fmt.Println(string(line))
+	return err
 }
--- /dev/null
+++ b/cmd/egretplay/soak.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/egretbend/egretbend/platform/standin"
+)
+
+// soakCommand runs the soak with one seed, or with several fresh ones.
+func soakCommand() *cobra.Command {
+	plan := standin.SoakPlan{}
+	var seeds int
+	var folder, defect string
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Play with storms of faults, and check what is promised",
+		Long: "Play trainers, clients and an operator against real processes while faults come in storms: links that are slow, silent " +
+			"or reset, processes that are killed, paused and stopped, a key-value service that is away, slow, forgetful or loses " +
+			"answers. One seed gives the same faults each time. The last line of each run is JSON.",
+		Example:       "  egretplay soak --seed 7\n  egretplay soak --seeds 5 --folder run",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			plan.Defect = standin.Defect(defect)
+			plan.Progress = func(line string) { fmt.Fprintln(os.Stderr, line) }
+			var broken error
+			for i := range max(1, seeds) {
+				if seeds > 0 {
+					plan.Seed = rand.Uint64()
+				}
+				fmt.Fprintf(os.Stderr, "soak %d, seed %d\n", i+1, plan.Seed)
+				report, err := standin.Soak(cmd.Context(), plan)
+				if err == nil && report.Failed {
+					err = fmt.Errorf("seed %d: %w", plan.Seed, errBroken)
+				}
+				broken = errors.Join(broken, err, printLine(report), draw(folder, report))
+			}
+			return broken
+		},
+	}
+	planFlags(cmd, &plan.Plan)
+	flags := cmd.Flags()
+	flags.Lookup("length").DefValue = "35s"
+	plan.Length = 35 * time.Second
+	flags.Uint64Var(&plan.Seed, "seed", 1, "seed of the faults")
+	flags.IntVar(&seeds, "seeds", 0, "how many fresh seeds to run instead")
+	flags.StringVar(&folder, "folder", "", "where to draw a picture of each run")
+	flags.StringVar(&defect, "defect", "", "bring about something wrong, to see that it is found")
+	return cmd
+}
+
+// draw writes the picture of a run.
+func draw(folder string, report standin.SoakReport) error {
+	if folder == "" {
+		return nil
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	f, err := os.Create(filepath.Join(folder, fmt.Sprintf("soak-%d.svg", report.Seed)))
+	if err != nil {
+		return err
+	}
+	return errors.Join(report.Plot(f), f.Close())
+}
--- a/internal/load/fleet/fleet.go
+++ b/internal/load/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
 	"github.com/egretbend/egretbend/internal/kernel/setting"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/load/port"
 	"github.com/egretbend/egretbend/internal/load/scenario"
 )
 
@@ -41,7 +42,7 @@
 	peers     map[string]string
 	turns     map[string]int
 	crashed   map[string]bool
-	ports     ports
+	ports     port.Block
 }
 
 // Start starts all processes, puts the configuration in force and waits until
@@ -100,7 +101,7 @@
 			},
 		},
 	} {
-		address, err := f.ports.free()
+		address, err := f.ports.Free()
 		if err != nil {
 			return err
 		}
@@ -151,7 +152,7 @@
 }
 
 func (f *Fleet) startUpstream(kind, name string, details any) error {
-	address, err := f.ports.free()
+	address, err := f.ports.Free()
 	if err != nil {
 		return err
 	}
@@ -178,10 +179,10 @@
 	peers := make([]string, n)
 	for i := range n {
 		var err error
-		if listen[i], err = f.ports.free(); err != nil {
+		if listen[i], err = f.ports.Free(); err != nil {
 			return err
 		}
-		if peers[i], err = f.ports.free(); err != nil {
+		if peers[i], err = f.ports.Free(); err != nil {
 			return err
 		}
 	}
@@ -321,5 +322,5 @@
 			}
 		}
 	}
-	f.ports.release()
+	f.ports.Release()
 }
--- a/internal/load/fleet/port.go
+++ b/internal/load/port/port.go
@@ -1,4 +1,4 @@
-package fleet
+package port
 
 import (
 	"errors"
@@ -9,9 +9,9 @@
 )
 
 // The ports that are given out lie below those that the system gives to
-// outgoing connections, and come from a block that one fleet has for itself:
+// outgoing connections, and come from a block that one run has for itself:
 // between the moment a port is found free and the moment its process listens
-// there, a connection or another fleet could take it otherwise.
+// there, a connection or another run could take it otherwise.
 const (
 	portFirst  = 10_000
 	blockSize  = 500
@@ -20,17 +20,17 @@
 
 var errNoPort = errors.New("no free port was found; end other experiments on this machine")
 
-// ports gives out the ports of one block. The block's first port is held as
-// long as the block is in use.
-type ports struct {
+// Block gives out the ports of one block. The block's first port is held as long
+// as the block is in use. Its zero value works.
+type Block struct {
 	mu   sync.Mutex
 	held net.Listener
 	next int
 	last int
 }
 
-// free returns a loopback address that is free now and not given out yet.
-func (p *ports) free() (string, error) {
+// Free returns a loopback address that is free now and not given out yet.
+func (p *Block) Free() (string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.held == nil && !p.take() {
@@ -50,7 +50,7 @@
 }
 
 // take holds a block that nobody else has.
-func (p *ports) take() bool {
+func (p *Block) take() bool {
 	for _, n := range rand.Perm(blockCount) {
 		first := portFirst + n*blockSize
 		ln, err := net.Listen("tcp", loopback(first))
@@ -64,8 +64,8 @@
 	return false
 }
 
-// release gives the block back.
-func (p *ports) release() {
+// Release gives the block back.
+func (p *Block) Release() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.held != nil {
