schedule, runner: long texts go where memory is left, and are not put off

Change: engines cost more by what their streams are expected to need beyond their memory; estimates are cut to the bound of the output; items that bear on the end of their step are of a more urgent class than short ones.

--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -254,7 +254,7 @@
 		}
 		t := &task{
 			item:   item,
-			tokens: max(item.ExpectedTokens, known[item.ID]),
+			tokens: max(item.Estimate(), known[item.ID]),
 		}
 		if _, ok := known[item.ID]; ok {
 			b.again[item.Group] = true
--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -44,6 +44,7 @@
 // engines returns the engines that can serve the batch now. The lock is held.
 func (r *Runner) engines(b *Batch, now timer.Instant) []candidate {
 	var list []candidate
+	memory := r.memory(b.service)
 	group := r.Book.Group(b.service)
 	usual := group.Set.MedianPace()
 	for _, u := range group.Upstreams {
@@ -59,6 +60,9 @@
 				Slots: max(1, u.Slots),
 				Pace:  u.Against(usual, now),
 				Near:  u.FailureDomain == r.FailureDomain,
+
+				Memory:   memory,
+				Reserved: u.Reserved(),
 			},
 			u: u,
 		})
@@ -66,6 +70,16 @@
 	return list
 }
 
+// memory returns the memory of an engine of a service, in tokens; 0 if unknown.
+func (r *Runner) memory(service string) int64 {
+	if cfg := r.Holder.Current(); cfg != nil {
+		if s := cfg.Services[service]; s.Engine != nil {
+			return int64(s.Engine.Tokens)
+		}
+	}
+	return 0
+}
+
 // plainOf returns what a choice needs to know of the engines.
 func plainOf(list []candidate) []schedule.Engine {
 	plain := make([]schedule.Engine, len(list))
@@ -95,6 +109,7 @@
 			return
 		}
 		plain[at].Room--
+		plain[at].Reserved += t.needs()
 		b.queue = b.queue[1:]
 		r.begin(b, t, list[at].u, now)
 	}
@@ -124,6 +139,7 @@
 	return schedule.Need{
 		Lasts:  time.Duration(left * float64(r.usual(b))),
 		Waited: now.Sub(b.begun),
+		Memory: t.needs(),
 	}
 }
 
@@ -140,6 +156,8 @@
 	t.moving = false
 	t.stuck = false
 	t.attempts++
+	t.reserved = t.needs()
+	u.Reserve(t.reserved)
 	u.Begin()
 	g := Generation{
 		Batch:  b.sub,
@@ -148,6 +166,7 @@
 		After:  t.last,
 		Oldest: b.sub.OldestVersion,
 		Left:   b.left(now),
+		Urgent: !r.needOf(b, t, now).Short() || b.again[t.item.Group],
 		Heard:  func(report engine.Report) { u.Heard(report, r.Timer.Now()) },
 	}
 	go func() {
@@ -187,6 +206,7 @@
 func (r *Runner) attempted(b *Batch, t *task, u *catalog.Upstream, err error) {
 	now := r.Timer.Now()
 	b.mu.Lock()
+	u.Reserve(-t.reserved)
 	r.account(t, u, err, now)
 	r.Metrics.attempt(err)
 	if t.phase == finished || b.over() {
@@ -290,7 +310,7 @@
 	defer b.mu.Unlock()
 	now := r.Timer.Now()
 	r.Metrics.item(now.Sub(b.begun))
-	r.lengths.Finished(t.item.ExpectedTokens, t.last)
+	r.lengths.Finished(t.item.Estimate(), t.last)
 	r.Journal.Decision("item", log.Fields{
 		"request_id": t.item.ID,
 		"batch":      b.sub.ID,
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -41,6 +41,8 @@
 	Oldest uint64
 	// Left is how long the item may still take.
 	Left time.Duration
+	// Urgent items bear on the end of their step.
+	Urgent bool
 	// Heard takes the engine's load, if it tells.
 	Heard func(engine.Report)
 }
@@ -60,6 +62,8 @@
 	attempts int
 
 	upstream *catalog.Upstream
+	// reserved is the memory that the attempt was counted with, in tokens.
+	reserved int64
 	cancel   context.CancelFunc
 	// left is the engine that the item moved away from last.
 	left  *catalog.Upstream
@@ -90,6 +94,9 @@
 	return pace, true
 }
 
+// needs returns the memory that the whole item is expected to take, in tokens.
+func (t *task) needs() int64 { return int64(t.item.PromptTokens + t.tokens) }
+
 // add takes an event if it is the next one.
 func (t *task) add(e Event, now timer.Instant) bool {
 	if e.Number != t.last+1 {
--- a/internal/batch/schedule/place.go
+++ b/internal/batch/schedule/place.go
@@ -14,6 +14,10 @@
 	Pace float64
 	// Near engines are in the own failure domain.
 	Near bool
+	// Memory is what an engine has for prompts and texts in tokens, 0 if
+	// unknown; Reserved is what the streams there are expected to need in the
+	// end.
+	Memory, Reserved int64
 }
 
 // The weights of a choice, as parts of an engine's pace.
@@ -25,6 +29,11 @@
 	// farCosts is what a text from another failure domain costs against one
 	// from the own: little, but nothing else differs between equal engines.
 	farCosts = 0.02
+	// overCosts is for each time the memory of an engine that its streams are
+	// expected to need beyond it. When memory runs out an engine puts streams
+	// off, and a long text stands still for a second and more; an engine of an
+	// older kind costs 0.3.
+	overCosts = 0.5
 )
 
 // Cost is the time that an event of one more item takes at the engine, against
@@ -45,6 +54,8 @@
 	Lasts time.Duration
 	// Waited is how long it could have begun already.
 	Waited time.Duration
+	// Memory is what the item is expected to need in the end, in tokens.
+	Memory int64
 }
 
 // The limits of short items.
@@ -74,7 +85,7 @@
 func Pick(engines []Engine, n Need) int {
 	best := -1
 	for i, e := range engines {
-		if e.Room < 1 || n.short() && n.Waited < shortWait && e.crowded() {
+		if e.Room < 1 || n.Short() && n.Waited < shortWait && e.crowded() {
 			continue
 		}
 		if best < 0 || n.cost(e) < n.cost(engines[best]) {
@@ -84,14 +95,24 @@
 	return best
 }
 
-func (n Need) short() bool { return n.Lasts > 0 && n.Lasts < shortLasts }
+// Short reports whether the item is known to end long before its step.
+func (n Need) Short() bool { return n.Lasts > 0 && n.Lasts < shortLasts }
 
 // cost is what the item costs at an engine; lower is better.
 func (n Need) cost(e Engine) float64 {
-	if n.short() && e.Pace > olderPace && e.Pace < slowPace {
-		return e.Cost() - e.Pace
+	cost := e.Cost() + overCosts*n.over(e)
+	if n.Short() && e.Pace > olderPace && e.Pace < slowPace {
+		return cost - e.Pace
 	}
-	return e.Cost()
+	return cost
+}
+
+// over returns by how much of its memory an engine would be over it.
+func (n Need) over(e Engine) float64 {
+	if e.Memory <= 0 {
+		return 0
+	}
+	return max(0, float64(e.Reserved+n.Memory)/float64(e.Memory)-1)
 }
 
 // crowded reports whether short items stay away from a fast engine.
--- a/internal/batch/schedule/place_test.go
+++ b/internal/batch/schedule/place_test.go
@@ -72,6 +72,25 @@
 	is.Equal(Pick(engines, short), 0)
 }
 
+// An engine that is short of memory puts streams off. The longest texts of a step
+// then stood still at the fast engines for a second and more, while older ones had
+// memory to spare.
+func TestLongItemsFindMemory(t *testing.T) {
+	is := is.New(t)
+	engines := []Engine{
+		{Room: 8, Slots: 12, Pace: 1, Memory: 41_000, Reserved: 36_000},
+		{Room: 12, Slots: 12, Pace: 1.3, Memory: 41_000, Reserved: 4_000},
+	}
+	long := Need{Lasts: 6 * time.Second, Memory: 11_000}
+	is.Equal(Pick(engines, long), 0) // a little over is what estimates are off by
+	engines[0].Reserved = 60_000
+	is.Equal(Pick(engines, long), 1)
+	engines[1].Reserved = 60_000
+	is.Equal(Pick(engines, long), 0) // none has memory: the faster one
+	engines[0].Memory, engines[1].Memory = 0, 0
+	is.Equal(Pick(engines, long), 0) // nobody told
+}
+
 // running is an item of the simulated step.
 type running struct {
 	length, made float64
--- a/internal/batch/schedule/schedule.go
+++ b/internal/batch/schedule/schedule.go
@@ -16,7 +16,7 @@
 	tokens := make([]int, len(items))
 	for i := range order {
 		order[i] = i
-		tokens[i] = max(items[i].ExpectedTokens, least[items[i].ID])
+		tokens[i] = max(items[i].Estimate(), least[items[i].ID])
 	}
 	sort.SliceStable(order, func(a, b int) bool { return tokens[order[a]] > tokens[order[b]] })
 	return order
--- a/internal/batch/submission/submission.go
+++ b/internal/batch/submission/submission.go
@@ -24,8 +24,20 @@
 	Model  string            `json:"model,omitempty"`
 	// ExpectedTokens is the caller's estimate of the output, 0 if unknown. It
 	// is right at the median and often far off.
-	ExpectedTokens int     `json:"expected_tokens,omitempty"`
-	Reward         *Reward `json:"reward,omitempty"`
+	ExpectedTokens int `json:"expected_tokens,omitempty"`
+	// PromptTokens and MostTokens are the tokens of the prompt, and the most of
+	// the output; 0 if unknown.
+	PromptTokens int     `json:"prompt_tokens,omitempty"`
+	MostTokens   int     `json:"most_tokens,omitempty"`
+	Reward       *Reward `json:"reward,omitempty"`
+}
+
+// Estimate returns the estimate of the output, within its bound.
+func (i Item) Estimate() int {
+	if i.MostTokens > 0 {
+		return min(i.ExpectedTokens, i.MostTokens)
+	}
+	return i.ExpectedTokens
 }
 
 // Submission is a batch as it was handed in.
--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -30,8 +30,16 @@
 type Upstream struct {
 	*upstream.Upstream
 	listed atomic.Pointer[Listed]
+	// reserved is the memory that streams of this instance will need, in tokens.
+	reserved atomic.Int64
 }
 
+// Reserve counts memory that a stream will need; a negative number gives it back.
+func (u *Upstream) Reserve(tokens int64) { u.reserved.Add(tokens) }
+
+// Reserved returns the memory that streams of this instance will need, in tokens.
+func (u *Upstream) Reserved() int64 { return u.reserved.Load() }
+
 // Listed returns what the list says.
 func (u *Upstream) Listed() *Listed { return u.listed.Load() }
 
