--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -47,10 +47,12 @@
 	sending bool
 	sent    timer.Instant
 	// since is when the first pending result came.
-	since   timer.Instant
-	whole   bool
-	open    int
-	ended   bool
+	since timer.Instant
+	whole bool
+	open  int
+	ended bool
+	// endKept says that the end stands in the ledger: callers repeat it.
+	endKept bool
 	lost    bool
 	changed chan struct{}
 	// waiting are the reads that wait for results, and since when.
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -324,6 +324,10 @@
 		return ErrNotHere
 	}
 	b.mu.Lock()
+	if b.endKept {
+		b.mu.Unlock()
+		return nil
+	}
 	already, open := b.ended, b.open
 	b.ended = true
 	b.tell()
@@ -351,5 +355,11 @@
 			"age_ms":      r.Timer.Now().Sub(b.begun).Milliseconds(),
 		})
 	}
-	return r.Ledger.EndClaimed(ctx, claim, time.Now())
+	if err := r.Ledger.EndClaimed(ctx, claim, time.Now()); err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.endKept = true
+	return nil
 }
--- a/internal/batch/runner/runner_test.go
+++ b/internal/batch/runner/runner_test.go
@@ -351,6 +351,10 @@
 	is.NoErr(err)
 	is.Equal(len(page.Results), len(rec.Results))
 	is.Equal(len(page.Results), 1)
+	// Trainers repeat the end; it stands, and costs no further call.
+	calls := b.store.Calls(space.Commit)
+	is.NoErr(b.runner.End(context.Background(), "b"))
+	is.Equal(b.store.Calls(space.Commit), calls)
 }
 
 // An instance is told to stop while its items run. Another one goes on with
