desk, runner, registry, platform: one idea a file

desk/read.go, runner/choose.go, runner/write.go, runner/move.go, registry/lease.go, registry/member.go, platform/assemble.go. Moved, not changed.

--- /dev/null
+++ b/internal/batch/desk/read.go
@@ -0,0 +1,157 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/batch/runner"
+	"github.com/egretbend/egretbend/internal/fleet/registry"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+)
+
+// here returns results of a batch that surely runs at this instance.
+func (d *Desk) here(ctx context.Context, id string, after int, wait time.Duration) (runner.Page, error) {
+	page, err := d.Runner.Read(ctx, id, after, wait)
+	if err == nil && len(page.Results) == 0 && (d.doubt.Load() || !d.Registry.Held()) {
+		// Another instance may have listed more meanwhile.
+		err = runner.ErrNotHere
+	}
+	return page, err
+}
+
+// Read returns results from a position on.
+func (d *Desk) Read(ctx context.Context, id string, after int, wait time.Duration) (runner.Page, error) {
+	page, err := d.here(ctx, id, after, wait)
+	if !errors.Is(err, runner.ErrNotHere) {
+		return page, err
+	}
+	if owner, ok := d.hinted(id); ok {
+		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		page, err = d.Peers.Read(call, owner.Address, id, after, wait)
+		cancel()
+		if err == nil {
+			return page, nil
+		}
+		d.forget(id, owner)
+	}
+	if keeper, ok := d.keeper(id); ok {
+		call, cancel := context.WithTimeout(ctx, keeperTimeout)
+		page, _, _, err := d.Peers.Stored(call, keeper.PeerAddress, id, "", after)
+		cancel()
+		if err == nil {
+			return page, nil
+		}
+	}
+	return d.readStored(ctx, id, after)
+}
+
+// readStored reads results at the owner by the ledger, or from the ledger.
+func (d *Desk) readStored(ctx context.Context, id string, after int) (runner.Page, error) {
+	if rec := d.whole.find(id); rec != nil {
+		return pageOf(rec, after), nil
+	}
+	if owner, ok := d.other(ctx, id); ok {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		page, err := d.Peers.Read(call, owner.Address, id, after, 0)
+		cancel()
+		if err == nil {
+			return page, nil
+		}
+		d.forget(id, owner)
+	}
+	rec, err := d.load(ctx, id)
+	if err != nil {
+		return runner.Page{}, err
+	}
+	return pageOf(rec, after), nil
+}
+
+func pageOf(rec *ledger.Record, after int) runner.Page {
+	return runner.PageOf(len(rec.Submission.Items), rec.Results, after)
+}
+
+// keeper returns the instance that reads a batch from the ledger on behalf of
+// all, if it is another one. A batch is read page by page, each at another
+// instance, and each would list it as a whole.
+func (d *Desk) keeper(id string) (registry.Member, bool) {
+	m := First(d.Registry.Members(), id)
+	return m, m.Name != "" && m.Name != d.Ledger.Self.Instance
+}
+
+// load reads a batch from the ledger, or from memory if it was read whole: a
+// reader asks for one page after the other, and each would cost a listing.
+func (d *Desk) load(ctx context.Context, id string) (*ledger.Record, error) {
+	if rec := d.whole.find(id); rec != nil {
+		return rec, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	rec, err := d.Ledger.Load(ctx, id)
+	if errors.Is(err, ledger.ErrUnknown) {
+		return nil, problem.NotFound.Withf("no batch %s", id)
+	}
+	if err != nil {
+		return nil, problem.PlatformDown.Withf("batch %s: %w", id, err).WithRetryAfter(retryRead)
+	}
+	if rec.Ended || len(rec.Results) >= len(rec.Submission.Items) {
+		d.whole.keep(id, rec)
+	}
+	return rec, nil
+}
+
+// Body returns the body of an item that is not listed yet.
+func (d *Desk) Body(ctx context.Context, id, item string) ([]byte, error) {
+	body, ok, err := d.Runner.Body(id, item)
+	if errors.Is(err, runner.ErrNotHere) {
+		body, ok, err = d.bodyElsewhere(ctx, id, item)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		return nil, problem.NotFound.Withf("batch %s has no unlisted item %s", id, item)
+	}
+	return body, nil
+}
+
+func (d *Desk) bodyElsewhere(ctx context.Context, id, item string) ([]byte, bool, error) {
+	if owner, ok := d.hinted(id); ok {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		body, ok, err := d.Peers.Body(call, owner.Address, id, item)
+		cancel()
+		if err == nil {
+			return body, ok, nil
+		}
+	}
+	if keeper, ok := d.keeper(id); ok {
+		call, cancel := context.WithTimeout(ctx, keeperTimeout)
+		_, body, ok, err := d.Peers.Stored(call, keeper.PeerAddress, id, item, 0)
+		cancel()
+		if err == nil {
+			return body, ok, nil
+		}
+	}
+	return d.bodyStored(ctx, id, item)
+}
+
+// bodyStored reads a body at the owner by the ledger, or from the ledger.
+func (d *Desk) bodyStored(ctx context.Context, id, item string) ([]byte, bool, error) {
+	if d.whole.find(id) == nil {
+		if owner, ok := d.other(ctx, id); ok {
+			call, cancel := context.WithTimeout(ctx, callTimeout)
+			body, ok, err := d.Peers.Body(call, owner.Address, id, item)
+			cancel()
+			if err == nil {
+				return body, ok, nil
+			}
+		}
+	}
+	rec, err := d.load(ctx, id)
+	if err != nil {
+		return nil, false, err
+	}
+	body, ok := runner.BodyOf(rec.Submission, rec.Results, item)
+	return body, ok, nil
+}
--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/apex/log"
 
-	"github.com/egretbend/egretbend/internal/batch/ledger"
-	"github.com/egretbend/egretbend/internal/batch/schedule"
 	"github.com/egretbend/egretbend/internal/batch/submission"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
@@ -35,65 +32,6 @@
 	}
 }
 
-// candidate is an engine that may take an item.
-type candidate struct {
-	schedule.Engine
-	u *catalog.Upstream
-}
-
-// engines returns the engines that can serve the batch now. The lock is held.
-func (r *Runner) engines(b *Batch, now timer.Instant) []candidate {
-	var list []candidate
-	memory := r.memory(b.service)
-	group := r.Book.Group(b.service)
-	usual := group.Set.MedianPace()
-	for _, u := range group.Upstreams {
-		if !u.Usable(now) || u.Resting(now) {
-			continue
-		}
-		if b.sub.Model != "" && u.ModelVersion(b.sub.Model) < b.sub.OldestVersion {
-			continue
-		}
-		list = append(list, candidate{
-			Engine: schedule.Engine{
-				Room:  u.Room(now),
-				Slots: max(1, u.Slots),
-				Pace:  u.Against(usual, now),
-				Near:  u.FailureDomain == r.FailureDomain,
-
-				Memory:   memory,
-				Reserved: u.Reserved(),
-			},
-			u: u,
-		})
-	}
-	return list
-}
-
-// memory returns the memory of an engine of a service, in tokens; 0 if unknown.
-func (r *Runner) memory(service string) int64 {
-	if cfg := r.Holder.Current(); cfg != nil {
-		if s := cfg.Services[service]; s.Engine != nil {
-			return int64(s.Engine.Tokens)
-		}
-	}
-	return 0
-}
-
-// plainOf returns what a choice needs to know of the engines.
-func plainOf(list []candidate) []schedule.Engine {
-	plain := make([]schedule.Engine, len(list))
-	for i, c := range list {
-		plain[i] = c.Engine
-	}
-	return plain
-}
-
-// usual returns the usual time between two events at the batch's engines.
-func (r *Runner) usual(b *Batch) time.Duration {
-	return time.Duration(r.Book.Group(b.service).Set.MedianPace() * float64(time.Second))
-}
-
 // pump begins as many items as there is room for. The lock is held.
 func (r *Runner) pump(b *Batch) {
 	if b.over() || len(b.queue) == 0 {
@@ -115,34 +53,6 @@
 	}
 }
 
-// pickBut picks an engine other than the one that the item has just left, if
-// there is any.
-func pickBut(plain []schedule.Engine, list []candidate, left *catalog.Upstream, n schedule.Need) int {
-	for i := range list {
-		if left == nil || list[i].u != left {
-			continue
-		}
-		room := plain[i].Room
-		plain[i].Room = 0
-		at := schedule.Pick(plain, n)
-		plain[i].Room = room
-		if at >= 0 {
-			return at
-		}
-	}
-	return schedule.Pick(plain, n)
-}
-
-// needOf describes a task that is to begin. The lock is held.
-func (r *Runner) needOf(b *Batch, t *task, now timer.Instant) schedule.Need {
-	left := max(0, r.lengths.Events(t.tokens)-float64(t.last))
-	return schedule.Need{
-		Lasts:  time.Duration(left * float64(r.usual(b))),
-		Waited: now.Sub(b.begun),
-		Memory: t.needs(),
-	}
-}
-
 // begin starts one attempt. The lock is held.
 func (r *Runner) begin(b *Batch, t *task, u *catalog.Upstream, now timer.Instant) {
 	ctx, cancel := context.WithCancel(b.ctx)
@@ -325,107 +235,6 @@
 	b.finish(t, t.result(score), now)
 }
 
-// writeOut writes finished results and lists them.
-func (r *Runner) writeOut(b *Batch) {
-	for {
-		select {
-		case <-b.write:
-		case <-b.ctx.Done():
-			return
-		case <-r.tomb.Dying():
-			return
-		}
-		if !r.writeDue(b) {
-			return
-		}
-		b.mu.Lock()
-		done := b.open == 0 && len(b.pending) == 0
-		b.mu.Unlock()
-		if done {
-			r.Journal.Decision("complete", log.Fields{
-				"request_id": b.sub.ID,
-				"chunks":     b.claim.Chunks,
-				"age_ms":     time.Since(b.sub.Submitted()).Milliseconds(),
-			})
-			return
-		}
-	}
-}
-
-// progressEvents is how many events make the progress of an item worth storing:
-// a shorter text is soon made again.
-const progressEvents = 12
-
-// writeDue writes the finished results if that is due. It reports false when
-// there is nothing more to write here.
-func (r *Runner) writeDue(b *Batch) bool {
-	b.writing.Lock()
-	defer b.writing.Unlock()
-	b.mu.Lock()
-	due := b.due(r.Timer.Now())
-	if b.over() || !schedule.Write(due) {
-		going := !b.over()
-		b.mu.Unlock()
-		return going
-	}
-	results := b.pending
-	b.pending, b.whole = nil, false
-	var progress []submission.Progress
-	if !due.Ends() {
-		// The trainer waits for results that end its step; half a megabyte
-		// beside them would hold them up by some ten milliseconds.
-		progress = b.progress(progressEvents)
-	}
-	b.mu.Unlock()
-	for len(results) > 0 {
-		n := ledger.Fitting(results)
-		if !r.append(b, results[:n], progress) {
-			return false
-		}
-		results, progress = results[n:], nil
-	}
-	return true
-}
-
-// append writes one chunk, again and again while the service is away, and
-// lists it. It reports false when nothing more is to be written here. The end of
-// a batch does not cut a write short: a chunk that was stored without this
-// process knowing would show in the ledger and not here, so that a result that
-// was read once would be missing in the next answer.
-func (r *Runner) append(b *Batch, results []submission.Result, progress []submission.Progress) bool {
-	b.mu.Lock()
-	claim := b.claim
-	b.sending, b.sent = true, r.Timer.Now()
-	b.mu.Unlock()
-	for {
-		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-		next, err := r.Ledger.Append(ctx, claim, results, progress)
-		cancel()
-		if err == nil {
-			b.mu.Lock()
-			b.claim = next
-			b.sending = false
-			b.list(results, r.Timer.Now())
-			b.mu.Unlock()
-			return true
-		}
-		b.mu.Lock()
-		over := b.over()
-		b.mu.Unlock()
-		if over || errors.Is(err, ledger.ErrFenced) {
-			r.Lose(b.sub.ID, err)
-			return false
-		}
-		r.Journal.Trouble("results not written", err, log.Fields{
-			"request_id": b.sub.ID,
-			"results":    len(results),
-		})
-		if !timer.Wait(r.Timer, writePause, r.tomb.Dying()) {
-			return false
-		}
-	}
-}
-
 // Lose drops a batch that another process took over or ended.
 func (r *Runner) Lose(id string, err error) {
 	b := r.find(id)
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -60,43 +59,6 @@
 // its name.
 func DutyKey(duty string) string { return dutyPrefix + duty }
 
-// Member is one instance.
-type Member struct {
-	Name string `json:"name"`
-	// Incarnation tells the lives of an instance apart.
-	Incarnation   string `json:"incarnation"`
-	PeerAddress   string `json:"peer_address"`
-	EntryAddress  string `json:"entry_address,omitempty"`
-	FailureDomain string `json:"failure_domain"`
-	Region        string `json:"region"`
-	// Cores is the processor share of the instance.
-	Cores   float64 `json:"cores,omitempty"`
-	Leaving bool    `json:"leaving,omitempty"`
-}
-
-// ableShare is how much of the largest instance's processor share one must have
-// to count as able.
-const ableShare = 0.6
-
-// Able returns the members that are not leaving and have about the most
-// processor there is. A step of two hundred streams is seconds of work for the
-// smallest instances, longer than the step may take.
-func Able(members []Member) []Member {
-	most := 0.0
-	for _, m := range members {
-		if !m.Leaving {
-			most = max(most, m.Cores)
-		}
-	}
-	var able []Member
-	for _, m := range members {
-		if !m.Leaving && m.Cores >= ableShare*most {
-			able = append(able, m)
-		}
-	}
-	return able
-}
-
 // Registry writes this instance and follows the others.
 type Registry struct {
 	Space   keyvalue.Space
@@ -255,100 +217,6 @@
 	}
 }
 
-// pause returns the time until the next renewal.
-func (r *Registry) pause(err error) time.Duration {
-	if err == nil && time.Duration(r.ttl.Load()) == smallTTL {
-		return smallEvery
-	}
-	return renewEvery
-}
-
-// wants returns how long this instance's lease should last.
-func (r *Registry) wants() time.Duration {
-	if r.Synced() && !r.Able() {
-		return smallTTL
-	}
-	return leaseTTL
-}
-
-func (r *Registry) logLease(err error) {
-	if err != nil {
-		r.Journal.Trouble("lease not renewed", err, log.Fields{
-			"lease": r.lease,
-		})
-		return
-	}
-	r.Journal.Event("lease held", log.Fields{
-		"lease": r.lease,
-	})
-}
-
-// renew keeps the lease, or begins another one and writes this instance under
-// it.
-func (r *Registry) renew(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	asked := r.Timer.Now()
-	ttl := r.wants()
-	// One that became able begins a shorter lease; its key moves over to it.
-	if r.lease != 0 && ttl >= time.Duration(r.ttl.Load()) {
-		err := r.Space.KeepAlive(ctx, r.lease)
-		if err == nil {
-			r.renewed.Store(int64(asked))
-		}
-		if !errors.Is(err, keyvalue.ErrLeaseGone) {
-			return err
-		}
-		r.lease = 0
-		r.renewed.Store(0)
-		r.lapsed = true
-	}
-	lease, err := r.Space.Grant(ctx, ttl)
-	if err != nil {
-		return err
-	}
-	if err := r.write(ctx, lease); err != nil {
-		return err
-	}
-	r.lease = lease
-	r.ttl.Store(int64(ttl))
-	r.number.Store(lease)
-	r.renewed.Store(int64(asked))
-	if r.lapsed && r.Lapsed != nil {
-		r.Lapsed()
-	}
-	r.lapsed = false
-	return nil
-}
-
-// Held reports whether this instance's lease surely stands: nobody takes it for
-// dead.
-func (r *Registry) Held() bool {
-	_, ok := r.Lease(time.Duration(r.ttl.Load()))
-	return ok
-}
-
-// Lease returns the number of this instance's lease, and whether it was renewed
-// within a time.
-func (r *Registry) Lease(within time.Duration) (uint64, bool) {
-	at := r.renewed.Load()
-	return r.number.Load(), at != 0 && r.Timer.Now().Sub(timer.Instant(at)) < within
-}
-
-func (r *Registry) write(ctx context.Context, lease uint64) error {
-	self := r.Self()
-	value, err := json.Marshal(self)
-	if err != nil {
-		return err
-	}
-	_, err = r.Space.Commit(ctx, keyvalue.Transaction{
-		Writes: []keyvalue.Write{
-			{Key: Key(self.Name), Value: value, Lease: lease},
-		},
-	})
-	return err
-}
-
 // Leave tells all others that this instance takes no new work.
 func (r *Registry) Leave(ctx context.Context) error {
 	self := r.Self()
