certificate, peer, setting: instances check each other by TLS, if the settings say so

security.peer_certificate, peer_private_key and peer_authority, all three or none. Each side shows its certificate and takes only those of the fleet's authority; names are not compared, as instances call each other by address. A renewed certificate works from the next connection on. The pair of files that are reloaded moves from door to kernel/certificate.

--- a/internal/entry/door/part.go
+++ b/internal/entry/door/part.go
@@ -16,6 +16,7 @@
 
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
 	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/kernel/certificate"
 	"github.com/egretbend/egretbend/internal/kernel/part"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/rollout/runner"
@@ -112,17 +113,14 @@
 	}
 	security := l.host.Settings.Security
 	if security.Certificate != "" {
-		certs := &certificates{
+		pair := &certificate.Pair{
 			Certificate: security.Certificate,
 			PrivateKey:  security.PrivateKey,
 		}
-		if _, err := certs.Get(nil); err != nil {
+		if _, err := pair.Get(); err != nil {
 			return err
 		}
-		ln = tls.NewListener(ln, &tls.Config{
-			MinVersion:     tls.VersionTLS12,
-			GetCertificate: certs.Get,
-		})
+		ln = tls.NewListener(ln, certificate.Door(pair))
 	}
 	t.Go(func() error {
 		err := l.server.Serve(ln)
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/rpc"
@@ -17,6 +18,8 @@
 type Client struct {
 	// Bytes counts what is sent and received; nil counts nothing.
 	Bytes *Counter
+	// TLS is how calls are secured; nil calls in plain text.
+	TLS *tls.Config
 
 	mu    sync.Mutex
 	conns map[string]*conn
@@ -80,8 +83,7 @@
 		return cn, nil
 	}
 	c.mu.Unlock()
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", address)
+	nc, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -93,6 +95,17 @@
 	return cn, nil
 }
 
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	if c.TLS == nil {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", address)
+	}
+	d := tls.Dialer{
+		Config: c.TLS,
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 func (c *Client) add(address string, cn *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/peer/part.go
+++ b/internal/fleet/peer/part.go
@@ -1,11 +1,13 @@
 package peer
 
 import (
+	"crypto/tls"
 	"net"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"gopkg.in/tomb.v2"
 
+	"github.com/egretbend/egretbend/internal/kernel/certificate"
 	"github.com/egretbend/egretbend/internal/kernel/part"
 )
 
@@ -35,8 +37,13 @@
 		}, func() float64 { return float64(bytes.Received.Load()) }),
 	)
 	part.Put(h, bytes)
+	secured, err := security(h)
+	if err != nil {
+		return nil, err
+	}
 	part.Put(h, &Client{
 		Bytes: bytes,
+		TLS:   secured,
 	})
 	part.Put(h, &Server{
 		Bytes: bytes,
@@ -44,6 +51,22 @@
 	return part.Idle{}, nil
 }
 
+// security returns how peers talk by the settings; nil is plain text.
+func security(h *part.Host) (*tls.Config, error) {
+	s := h.Settings.Security
+	if s.PeerCertificate == "" {
+		return nil, nil
+	}
+	pair := &certificate.Pair{
+		Certificate: s.PeerCertificate,
+		PrivateKey:  s.PeerPrivateKey,
+	}
+	if _, err := pair.Get(); err != nil {
+		return nil, err
+	}
+	return certificate.Fleet(pair, s.PeerAuthority), nil
+}
+
 // listener opens the peer address after all receivers are registered.
 type listener struct {
 	address string
@@ -65,6 +88,9 @@
 	if err != nil {
 		return err
 	}
+	if l.client.TLS != nil {
+		ln = tls.NewListener(ln, l.client.TLS)
+	}
 	t.Go(func() error { return l.server.Serve(t, ln) })
 	return nil
 }
--- a/internal/entry/door/certificates.go
+++ b/internal/kernel/certificate/pair.go
@@ -1,4 +1,4 @@
-package door
+package certificate
 
 import (
 	"crypto/tls"
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// certificates loads a certificate and loads it again when its file changes,
-// so that one can be renewed without a restart. Its zero value needs paths.
-type certificates struct {
+// Pair is a certificate with its key in files. It is loaded again when its file
+// changes, so that one can be renewed without a restart.
+type Pair struct {
 	Certificate string
 	PrivateKey  string
 
@@ -19,10 +19,10 @@
 	modified time.Time
 }
 
-// Get returns the certificate for a handshake. When the new files can't be
+// Get returns the certificate. When the new files can't be
 // read, for example because only one of them is written yet, the old
 // certificate stays in use.
-func (c *certificates) Get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+func (c *Pair) Get() (*tls.Certificate, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	info, err := os.Stat(c.Certificate)
--- a/internal/entry/door/certificates_test.go
+++ b/internal/kernel/certificate/pair_test.go
@@ -1,4 +1,4 @@
-package door
+package certificate
 
 import (
 	"crypto/ecdsa"
@@ -50,14 +50,14 @@
 func TestCertificateIsReloaded(t *testing.T) {
 	is := is.New(t)
 	folder := t.TempDir()
-	c := &certificates{
+	c := &Pair{
 		Certificate: filepath.Join(folder, "cert.pem"),
 		PrivateKey:  filepath.Join(folder, "key.pem"),
 	}
-	_, err := c.Get(nil)
+	_, err := c.Get()
 	is.True(err != nil) // there is none yet
 	serial := func() int64 {
-		cert, err := c.Get(nil)
+		cert, err := c.Get()
 		is.NoErr(err)
 		return cert.Leaf.SerialNumber.Int64()
 	}
--- a/internal/kernel/setting/instance.go
+++ b/internal/kernel/setting/instance.go
@@ -36,6 +36,10 @@
 	TrainerKey  string `json:"trainer_key" default:"" doc:"bearer token for the trainers' doors; empty leaves them open"`
 	Certificate string `json:"certificate" default:"" doc:"PEM file of the doors' certificate; reloaded when it changes"`
 	PrivateKey  string `json:"private_key" default:"" doc:"PEM file of the certificate's key"`
+	// Peer files let instances check each other.
+	PeerCertificate string `json:"peer_certificate" default:"" doc:"PEM file of the certificate shown to other instances; reloaded when it changes"`
+	PeerPrivateKey  string `json:"peer_private_key" default:"" doc:"PEM file of the peer certificate's key"`
+	PeerAuthority   string `json:"peer_authority" default:"" doc:"PEM file of the authority that signs the peer certificates; read at each handshake"`
 }
 
 // Check implements Checker.
@@ -58,6 +62,11 @@
 	if (s.Security.Certificate == "") != (s.Security.PrivateKey == "") {
 		faults.add("security.certificate", "certificate and private_key together", s.Security.Certificate, "set both or neither")
 	}
+	peers := s.Security.PeerCertificate != ""
+	if peers != (s.Security.PeerPrivateKey != "") || peers != (s.Security.PeerAuthority != "") {
+		faults.add("security.peer_certificate", "peer_certificate, peer_private_key and peer_authority together",
+			s.Security.PeerCertificate, "set all three or none")
+	}
 	if s.Security.PlainText {
 		return
 	}
@@ -65,9 +74,9 @@
 		faults.add("listen", "a loopback address, as no certificate is set", s.Listen,
 			"set security.certificate and private_key, or security.plain_text to true")
 	}
-	if !loopback(s.PeerListen) {
+	if !peers && !loopback(s.PeerListen) {
 		faults.add("peer_listen", "a loopback address, as peers talk in plain text", s.PeerListen,
-			"set security.plain_text to true on a network that only instances share")
+			"set security.peer_certificate, or security.plain_text to true on a network that only instances share")
 	}
 }
 
