schedule, runner: nothing is listed just before the end of a step

Cause, by reads and listings of a traced step: a read was answered, and before it was taken from those that wait the next result was listed as well; it answered the next read in 9 ms, and the trainer paused for half a second while its step became whole 0.1 s later. Single results were also listed when the end was near, for reads that would have been repeated at once anyhow. Change: reads that a listing answers no longer wait; near the end of a step nothing is listed that does not end it, unless it has waited for 1.2 s and the read for 0.55 s, or for 2 s.

--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -171,6 +171,10 @@
 // list takes results that are stored. The lock is held.
 func (b *Batch) list(results []submission.Result, now timer.Instant) {
 	b.listed = append(b.listed, results...)
+	// The reads that wait are answered now. Were they still counted, the next
+	// result would be listed at once as well, answer the next read in no time,
+	// and make the trainer pause just before the end of its step.
+	clear(b.waiting)
 	if b.made != 0 && b.readable == 0 {
 		b.readable = now
 	}
--- a/internal/batch/schedule/write.go
+++ b/internal/batch/schedule/write.go
@@ -36,9 +36,15 @@
 	// a longer wait it reads again at once. Each write is also a priced call of
 	// the key-value service.
 	readWaited = 750 * time.Millisecond
-	// writeRest is when results are written in any case: an instance that ends
-	// loses no more than that.
+	// readPause is the least wait after which a trainer reads again at once.
+	readPause = 550 * time.Millisecond
+	// writeRest is when results are written as soon as that costs no pause, and
+	// writeLate when they are in any case: an instance that ends loses no more.
 	writeRest = 1200 * time.Millisecond
+	writeLate = 2 * time.Second
+	// nearGroups is how many groups before the end of a step nothing more is
+	// listed that does not end it: a read that finds nothing is repeated at once.
+	nearGroups = 2
 )
 
 // Ends reports whether the pending results may end the step of the batch.
@@ -46,6 +52,9 @@
 	return p.Last || p.Whole && p.Wanted > 0 && p.WholeGroups >= p.Wanted && p.Again == 0
 }
 
+// near reports whether the step may end soon.
+func (p Pending) near() bool { return p.Wanted > 0 && p.WholeGroups+nearGroups >= p.Wanted }
+
 // Write reports whether the finished results are written, and so listed, now:
 // at once when they may end a step, else seldom.
 func Write(p Pending) bool {
@@ -57,5 +66,8 @@
 	case p.Whole && p.Wanted == 0:
 		return p.Oldest >= writeWhole
 	}
-	return p.Oldest >= writeRest || p.Waited >= readWaited
+	if p.Waited >= readWaited && !p.near() {
+		return true
+	}
+	return p.Oldest >= writeRest && p.Waited >= readPause || p.Oldest >= writeLate
 }
