weights, desk: sets of engines follow the work of steps

Change: the news of an accepted step bears its work; half of the engines are shared alike, half by the work (smoothed). An engine that has a model's weights stays as long as its set is within its share.

--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -61,7 +61,7 @@
 	Stored(ctx context.Context, address, id, item string, after int) (runner.Page, []byte, bool, error)
 	Body(ctx context.Context, address, id, item string) ([]byte, bool, error)
 	End(ctx context.Context, address, id string) error
-	Hint(ctx context.Context, address, id string, owner ledger.Owner) error
+	Hint(ctx context.Context, address string, n News) error
 	// Runs reports whether an instance says that it runs the batch.
 	Runs(ctx context.Context, address, id string) bool
 	Adopt(ctx context.Context, address, id string) error
@@ -78,6 +78,9 @@
 	Journal  *journal.Journal
 	// Leaving reports whether this instance takes no new batches.
 	Leaving func() bool
+	// Asked hears of the work of each step that is accepted anywhere; nil is not
+	// called.
+	Asked func(model string, tokens int64)
 	// Config finds the route of a batch that comes from another instance.
 	Config *catalog.Holder
 
@@ -143,7 +146,12 @@
 	err := d.accept(ctx, sub, route)
 	switch {
 	case err == nil:
-		d.tell(sub.ID)
+		d.tell(News{
+			Batch: sub.ID,
+			Owner: d.Ledger.Self,
+			Model: sub.Model,
+			Work:  sub.Work(),
+		})
 		return nil
 	case errors.Is(err, ledger.ErrExists):
 		d.Journal.Decision("accepted_before", log.Fields{
@@ -186,9 +194,19 @@
 	return problem.PlatformDown.With(err).WithRetryAfter(retryAway)
 }
 
-// tell lets the other instances know who runs a batch: a read at any of them
-// then needs no call of the key-value service.
-func (d *Desk) tell(id string) {
+// News is who runs a batch. Of one that was just accepted it says how much work it
+// is as well.
+type News struct {
+	Batch string
+	Owner ledger.Owner
+	Model string
+	Work  int64
+}
+
+// tell lets all instances know who runs a batch: a read at any of them then needs
+// no call of the key-value service.
+func (d *Desk) tell(n News) {
+	d.Hint(n)
 	for _, m := range d.Registry.Members() {
 		if m.Name == d.Registry.Self().Name {
 			continue
@@ -196,9 +214,9 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), hintTimeout)
 			defer cancel()
-			if err := d.Peers.Hint(ctx, m.PeerAddress, id, d.Ledger.Self); err != nil {
+			if err := d.Peers.Hint(ctx, m.PeerAddress, n); err != nil {
 				d.Journal.Detail("hint not taken", log.Fields{
-					"request_id": id,
+					"request_id": n.Batch,
 					"instance":   m.Name,
 					"error":      err.Error(),
 				})
@@ -208,13 +226,16 @@
 }
 
 // Hint notes who runs a batch.
-func (d *Desk) Hint(id string, owner ledger.Owner) {
+func (d *Desk) Hint(n News) {
+	if n.Model != "" && d.Asked != nil {
+		d.Asked(n.Model, n.Work)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.owners == nil {
 		d.owners = make(map[string]ledger.Owner)
 	}
-	d.owners[id] = owner
+	d.owners[n.Batch] = n.Owner
 }
 
 func (d *Desk) forget(id string, owner ledger.Owner) {
@@ -244,7 +265,10 @@
 	if err != nil {
 		return ledger.Owner{}, err
 	}
-	d.Hint(id, claim.Owner)
+	d.Hint(News{
+		Batch: id,
+		Owner: claim.Owner,
+	})
 	return claim.Owner, nil
 }
 
--- a/internal/batch/desk/desk_test.go
+++ b/internal/batch/desk/desk_test.go
@@ -38,7 +38,7 @@
 	return nil, false, errSilent
 }
 func (silent) End(context.Context, string, string) error                    { return errSilent }
-func (silent) Hint(context.Context, string, string, ledger.Owner) error     { return errSilent }
+func (silent) Hint(context.Context, string, News) error                     { return errSilent }
 func (silent) Runs(context.Context, string, string) bool                    { return false }
 func (silent) Adopt(context.Context, string, string) error                  { return errSilent }
 func (silent) Submit(context.Context, string, *submission.Submission) error { return errSilent }
--- a/internal/batch/desk/peers.go
+++ b/internal/batch/desk/peers.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/batch/runner"
 	"github.com/egretbend/egretbend/internal/batch/submission"
 	"github.com/egretbend/egretbend/internal/fleet/peer"
@@ -21,7 +20,6 @@
 	Item  string
 	After int
 	Wait  time.Duration
-	Owner ledger.Owner
 }
 
 // Reply is what another instance answers. NotHere says that it does not run
@@ -120,8 +118,8 @@
 }
 
 // Hint takes the news of who runs a batch.
-func (s *Server) Hint(c *Call, _ *Reply) error {
-	s.desk.Hint(c.Batch, c.Owner)
+func (s *Server) Hint(n *News, _ *Reply) error {
+	s.desk.Hint(*n)
 	return nil
 }
 
@@ -213,10 +211,7 @@
 }
 
 // Hint implements Peers.
-func (p *PeerCalls) Hint(ctx context.Context, address, id string, owner ledger.Owner) error {
-	_, err := p.call(ctx, address, "Hint", Call{
-		Batch: id,
-		Owner: owner,
-	})
-	return err
+func (p *PeerCalls) Hint(ctx context.Context, address string, n News) error {
+	var r Reply
+	return p.Client.Call(ctx, address, receiver+".Hint", &n, &r)
 }
--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -235,8 +235,10 @@
 		}
 		return
 	}
-	d.Hint(claim.Batch, claim.Owner)
-	d.tell(claim.Batch)
+	d.tell(News{
+		Batch: claim.Batch,
+		Owner: claim.Owner,
+	})
 }
 
 // HandOver gives the batches of this instance, which leaves, to others with
--- a/internal/batch/submission/submission.go
+++ b/internal/batch/submission/submission.go
@@ -59,6 +59,15 @@
 	Items       []Item `json:"items"`
 }
 
+// Work returns the tokens that the batch is expected to make.
+func (s *Submission) Work() int64 {
+	work := int64(0)
+	for _, i := range s.Items {
+		work += int64(i.Estimate())
+	}
+	return work
+}
+
 // Encode returns the stored form.
 func (s *Submission) Encode() ([]byte, error) { return json.Marshal(s) }
 
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -93,11 +93,12 @@
 	// Name is this instance's.
 	Name string
 
-	mu    sync.Mutex
-	named map[string]uint64
-	since map[string]timer.Instant
-	last  map[string]*standing
-	wake  chan struct{}
+	mu     sync.Mutex
+	named  map[string]uint64
+	demand Demand
+	since  map[string]timer.Instant
+	last   map[string]*standing
+	wake   chan struct{}
 }
 
 // standing is what is known of the orders to one engine.
@@ -131,6 +132,13 @@
 	}
 }
 
+// Asked tells of a step and its work in tokens.
+func (o *Orderer) Asked(model string, tokens int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.demand = o.demand.with(model, float64(tokens))
+}
+
 func (o *Orderer) wakeChannel() chan struct{} {
 	if o.wake == nil {
 		o.wake = make(chan struct{}, 1)
@@ -228,7 +236,7 @@
 		byID[u.ID] = u
 		engines = append(engines, o.view(u, now))
 	}
-	sets := Assign(engines, models, o.named)
+	sets := Assign(engines, models, o.named, o.demand)
 	fresh := make(map[string]bool)
 	for model, at := range o.since {
 		fresh[model] = now.Sub(at) < placeTime
--- a/internal/fleet/weights/plan.go
+++ b/internal/fleet/weights/plan.go
@@ -28,48 +28,6 @@
 // AtOnce returns how many of n engines load at the same time.
 func AtOnce(n int) int { return max(1, (n+atOnceShare/2)/atOnceShare) }
 
-// Assign divides engines among models. An engine stays with the model of which
-// it has fresh weights, as long as no set gets more than its share; the others
-// fill the smallest sets. A set that lost its engines gets some of the largest.
-func Assign(engines []Engine, models []string, named map[string]uint64) map[string]string {
-	sets := make(map[string]string, len(engines))
-	if len(models) == 0 {
-		return sets
-	}
-	sorted := append([]Engine(nil), engines...)
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
-	most := (len(sorted) + len(models) - 1) / len(models)
-	size := make(map[string]int, len(models))
-	put := func(e Engine, model string) {
-		sets[e.ID] = model
-		size[model]++
-	}
-	for _, e := range sorted {
-		if model := home(e, models, named); model != "" && size[model] < most {
-			put(e, model)
-		}
-	}
-	for _, e := range sorted {
-		if sets[e.ID] == "" {
-			put(e, smallest(models, size))
-		}
-	}
-	least := len(sorted) / len(models)
-	for {
-		to, from := smallest(models, size), largest(models, size)
-		if size[to] >= least || size[from] <= least {
-			return sets
-		}
-		for _, e := range sorted {
-			if sets[e.ID] == from {
-				size[from]--
-				put(e, to)
-				break
-			}
-		}
-	}
-}
-
 // home returns the model whose newest version the engine is least behind, or
 // nothing if it never moved beyond the first version of any.
 func home(e Engine, models []string, named map[string]uint64) string {
@@ -86,26 +44,6 @@
 	return best
 }
 
-func smallest(models []string, size map[string]int) string {
-	best := models[0]
-	for _, m := range models[1:] {
-		if size[m] < size[best] {
-			best = m
-		}
-	}
-	return best
-}
-
-func largest(models []string, size map[string]int) string {
-	best := models[0]
-	for _, m := range models[1:] {
-		if size[m] > size[best] {
-			best = m
-		}
-	}
-	return best
-}
-
 // Plan returns the orders to give now. Engines whose weights are too old for
 // the next step go first, then the idle ones, so that a step always finds
 // engines at work while others load. fresh are the models whose newest version
--- a/internal/fleet/weights/plan_test.go
+++ b/internal/fleet/weights/plan_test.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -26,7 +27,7 @@
 		engines = append(engines, engineOf(id, 0, map[string]uint64{"m0": 1, "m1": 1, "m2": 1}))
 	}
 	named := map[string]uint64{"m0": 2, "m1": 2, "m2": 2}
-	sets := Assign(engines, models, named)
+	sets := Assign(engines, models, named, nil)
 	size := map[string]int{}
 	for i, e := range engines {
 		size[sets[e.ID]]++
@@ -35,9 +36,9 @@
 	is.Equal(size, map[string]int{"m0": 3, "m1": 3, "m2": 3})
 	// Nobody gave orders for a while: all sets are three versions behind.
 	named = map[string]uint64{"m0": 5, "m1": 6, "m2": 5}
-	is.Equal(Assign(engines, models, named), sets)
+	is.Equal(Assign(engines, models, named, nil), sets)
 	// An engine is lost: the others stay where they are.
-	after := Assign(engines[1:], models, named)
+	after := Assign(engines[1:], models, named, nil)
 	for id, model := range after {
 		is.Equal(sets[id], model)
 	}
@@ -49,12 +50,41 @@
 		}
 	}
 	size = map[string]int{}
-	for _, model := range Assign(left, models, named) {
+	for _, model := range Assign(left, models, named, nil) {
 		size[model]++
 	}
 	is.Equal(size, map[string]int{"m0": 2, "m1": 2, "m2": 2})
 }
 
+// Three trainers share 48 engines; the steps of two have more than twice the work
+// of the third. With equal sets, steps of two trainers took longer than they may
+// as soon as some of their engines failed, while a third of the engines had little
+// to do. A small change of the work moves no engine.
+func TestSetsFollowTheWork(t *testing.T) {
+	is := is.New(t)
+	models := []string{"m0", "m1", "m2"}
+	var engines []Engine
+	for i := range 48 {
+		engines = append(engines, engineOf(fmt.Sprintf("e%02d", i), 0, map[string]uint64{"m0": 1, "m1": 1, "m2": 1}))
+	}
+	named := map[string]uint64{"m0": 2, "m1": 2, "m2": 2}
+	demand := Demand{}.with("m0", 140_000).with("m1", 330_000).with("m2", 300_000)
+	count := func(sets map[string]string) map[string]int {
+		size := map[string]int{}
+		for _, m := range sets {
+			size[m]++
+		}
+		return size
+	}
+	is.Equal(count(Assign(engines, models, named, Demand{"m0": 1})), map[string]int{"m0": 16, "m1": 16, "m2": 16}) // not all are known
+	sets := Assign(engines, models, named, demand)
+	is.Equal(count(sets), map[string]int{"m0": 13, "m1": 18, "m2": 17})
+	for i, e := range engines {
+		engines[i].Versions = map[string]uint64{"m0": 1, "m1": 1, "m2": 1, sets[e.ID]: 2}
+	}
+	is.Equal(Assign(engines, models, named, demand.with("m1", 300_000)), sets)
+}
+
 // A version is named and its step is handed in at the same moment. Engines with
 // the version before can serve it, and one that loads takes no new item, so they
 // wait; those that are too old for the step load at once.
