peer, desk: first calls after a restart arrive; a batch has a second home

Change: a call that was not sent, as the other end of its connection is gone, goes over a new one (a call that this side gave up is never repeated); a batch is brought to two able instances before the one that it reached runs it.

--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -96,8 +96,11 @@
 // All batches of one model run at the same instance, as long as it answers: its
 // connections to the engines serve the next step again.
 func (d *Desk) Submit(ctx context.Context, sub *submission.Submission, route catalog.Route) error {
-	home := First(d.Registry.Members(), homeKey(sub))
-	if home.Name != "" && home.Name != d.Ledger.Self.Instance {
+	tried := false
+	for _, home := range Homes(d.Registry.Members(), homeKey(sub)) {
+		if home.Name == d.Ledger.Self.Instance {
+			break
+		}
 		call, cancel := context.WithTimeout(ctx, homeTimeout)
 		err := d.Peers.Submit(call, home.PeerAddress, sub)
 		cancel()
@@ -108,14 +111,19 @@
 			})
 			return nil
 		}
-		// What the other instance did is settled by the same transaction here.
+		// What the other instance did is settled by the same transaction at the
+		// next one.
+		tried = true
 		d.Journal.Trouble("home does not accept", err, log.Fields{
 			"request_id": sub.ID,
 			"home":       home.Name,
 		})
-		return d.afterHome(d.Accept(ctx, sub, route))
 	}
-	return d.Accept(ctx, sub, route)
+	err := d.Accept(ctx, sub, route)
+	if tried {
+		return d.afterHome(err)
+	}
+	return err
 }
 
 // afterHome takes back a "not run" that this instance can't vouch for: the home
--- a/internal/batch/desk/desk_test.go
+++ b/internal/batch/desk/desk_test.go
@@ -314,3 +314,22 @@
 	is.True(d.Runner.Has("b"))
 	is.True(time.Since(began) < sweepEvery/2)
 }
+
+// The instance that runs a trainer's batches has just ended. The batch reached one
+// of the smallest instances, which ran it itself and made its step late. It is
+// brought to the next able one first.
+func TestSecondHome(t *testing.T) {
+	is := is.New(t)
+	members := []registry.Member{
+		{Name: "small", Cores: 0.1},
+		{Name: "a", Cores: 0.8},
+		{Name: "b", Cores: 0.8},
+		{Name: "c", Cores: 0.8},
+	}
+	homes := Homes(members, "m")
+	is.Equal(len(homes), 2)
+	is.Equal(homes[0], First(members, "m"))
+	is.True(homes[1].Name != homes[0].Name && homes[1].Cores == 0.8)
+	is.Equal(len(Homes(members[:1], "m")), 1)
+	is.Equal(len(Homes(nil, "m")), 0)
+}
--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -201,6 +201,25 @@
 	return false
 }
 
+// homesTried is how many instances a batch is brought to before the one that it
+// reached runs it itself. That one may have a sixth of their processor.
+const homesTried = 2
+
+// Homes returns the instances that should run the batches of a key, the first one
+// first.
+func Homes(members []registry.Member, key string) []registry.Member {
+	var homes []registry.Member
+	for range homesTried {
+		home := First(members, key)
+		if home.Name == "" {
+			break
+		}
+		homes = append(homes, home)
+		members = without(members, home.Name)
+	}
+	return homes
+}
+
 // takeOver makes this instance the owner of a batch and goes on with it.
 func (d *Desk) takeOver(seen ledger.Claim) {
 	if d.lives(seen) {
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,23 +32,45 @@
 	rpc  *rpc.Client
 	used uint64
 	busy int
+	// given says that this side closed the connection: its calls may have been
+	// sent.
+	given atomic.Bool
 }
 
-// Call calls method at address and waits for its reply until ctx ends.
+// errGone means that a call was not sent, as the other end of its connection is
+// gone.
+var errGone = errors.New("the connection is gone")
+
+// Call calls method at address and waits for its reply until ctx ends. A
+// connection that was open and whose other end is gone, as after a restart, is
+// replaced: such a call was not sent.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	err := c.call(ctx, address, method, args, reply)
+	if errors.Is(err, errGone) {
+		err = c.call(ctx, address, method, args, reply)
+	}
+	return err
+}
+
+func (c *Client) call(ctx context.Context, address, method string, args, reply any) error {
 	cn, err := c.get(ctx, address)
 	if err != nil {
 		return fmt.Errorf("peer %s: %w", address, err)
 	}
 	call := cn.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	gone := false
 	select {
 	case <-call.Done:
+		gone = errors.Is(call.Error, rpc.ErrShutdown) && !cn.given.Load()
 		c.put(address, cn, call.Error)
 	case <-ctx.Done():
 		c.drop(address, cn)
 		<-call.Done // Close ends all pending calls, so reply is no longer written.
 		return fmt.Errorf("peer %s: %s: %w", address, method, ctx.Err())
 	}
+	if gone {
+		return fmt.Errorf("peer %s: %s: %w", address, method, errGone)
+	}
 	if call.Error != nil {
 		return fmt.Errorf("peer %s: %s: %w", address, method, call.Error)
 	}
@@ -152,6 +176,7 @@
 		delete(c.conns, address)
 	}
 	c.mu.Unlock()
+	cn.given.Store(true)
 	_ = cn.rpc.Close()
 }
 
--- a/internal/fleet/peer/client_test.go
+++ b/internal/fleet/peer/client_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"gopkg.in/tomb.v2"
 )
 
 // An instance is cut off while another one sends it a large batch: the
@@ -49,3 +50,37 @@
 		}
 	}
 }
+
+// An instance has started again. Its peers held connections to its earlier life,
+// and the first call over each failed: a batch that was brought to it ran at one
+// of the smallest instances instead, and its step was late.
+func TestFirstCallAfterARestartArrives(t *testing.T) {
+	is := is.New(t)
+	serve := func(address string) (string, *tomb.Tomb) {
+		s := &Server{}
+		is.NoErr(s.Register("Test", answering{}))
+		ln, err := net.Listen("tcp", address)
+		is.NoErr(err)
+		tb := &tomb.Tomb{}
+		tb.Go(func() error { return s.Serve(tb, ln) })
+		return ln.Addr().String(), tb
+	}
+	c := &Client{}
+	defer c.Close()
+	call := func(address string) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		var reply string
+		return c.Call(ctx, address, "Test.Ping", 1, &reply)
+	}
+	address, life := serve("127.0.0.1:0")
+	is.NoErr(call(address))
+	life.Kill(nil)
+	is.NoErr(life.Wait())
+	_, life = serve(address)
+	time.Sleep(20 * time.Millisecond) // the client hears of the end
+	is.NoErr(call(address))
+	life.Kill(nil)
+	is.NoErr(life.Wait())
+	is.True(call(address) != nil) // nobody is there
+}
