--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The commands of the project. All of them need Go only.
 
-.PHONY: build run platform test fuzz bench generate
+.PHONY: build run platform soak test fuzz bench generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -16,6 +16,11 @@
 platform: build
 	bin/egretplay
 
+# soak plays storms of faults with fresh seeds, and draws a picture of each run.
+SEEDS ?= 5
+soak: build
+	bin/egretplay soak --seeds $(SEEDS) --folder run
+
 # test runs everything that CI runs but the linters.
 test: build
 	go test -race ./...
--- a/internal/batch/runner/runner_test.go
+++ b/internal/batch/runner/runner_test.go
@@ -137,6 +137,11 @@
 }
 
 func (b *bench) submit(items ...string) error {
+	return b.runner.Submit(context.Background(), b.batch(items...), b.route)
+}
+
+// batch returns a batch of some items.
+func (b *bench) batch(items ...string) *submission.Submission {
 	sub := &submission.Submission{
 		ID:            "b",
 		Host:          "h",
@@ -153,7 +158,7 @@
 			Reward: &submission.Reward{ID: "r" + id},
 		})
 	}
-	return b.runner.Submit(context.Background(), sub, b.route)
+	return sub
 }
 
 // results reads until n results are listed.
