runner, schedule, upstream: slow and dark engines are known by the first stream that leaves them

Change: three events do at the end of an attempt; an engine none of whose streams has made an event in 0.3 s is taken out with the first item that is given up there; an older kind ends at 1.45 times the usual pace.

--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -106,7 +106,9 @@
 		// The text begins anew: a sample of two versions is of no use there.
 		return errStale
 	}
-	if !t.add(e, r.Timer.Now()) {
+	now := r.Timer.Now()
+	t.upstream.Made(now)
+	if !t.add(e, now) {
 		return errDisorder
 	}
 	return nil
@@ -162,7 +164,7 @@
 // account notes what an attempt tells of its engine. The lock is held.
 func (r *Runner) account(t *task, u *catalog.Upstream, err error, now timer.Instant) {
 	var refused *engine.RefusedError
-	pace, _ := t.pace()
+	pace, _ := t.pace(leastSpan)
 	switch {
 	case err == nil, errors.Is(err, engine.ErrAttemptFailed), errors.Is(err, engine.ErrImpossible):
 		u.Measured(pace, now)
@@ -173,6 +175,10 @@
 	case errors.As(err, &refused), errors.Is(err, errStale):
 		u.Rest(now)
 		u.Ended()
+	case t.moving && t.stuck && !u.Lives(now):
+		// None of its streams has made an event lately: it is dark. Counted like
+		// a failure, it would get and hold up five items more.
+		u.Unreachable(now)
 	case t.moving && t.stuck:
 		u.Failed(now)
 	case t.moving:
--- a/internal/batch/runner/move.go
+++ b/internal/batch/runner/move.go
@@ -18,7 +18,7 @@
 		if t.phase != running || t.moving {
 			continue
 		}
-		if pace, ok := t.pace(); ok {
+		if pace, ok := t.pace(paceSpan); ok {
 			t.upstream.Measured(pace, now)
 		}
 	}
--- a/internal/batch/runner/move_test.go
+++ b/internal/batch/runner/move_test.go
@@ -71,3 +71,42 @@
 	is.True(b.script.calls[1].After >= 4)
 	is.True(b.script.calls[1].After < length)
 }
+
+// An engine turns four times slower. Its streams are moved after four events, and
+// nobody learnt of its pace by them: it got new items again and again, and some
+// were moved eight times.
+func TestMovedStreamsTellOfTheirEngine(t *testing.T) {
+	is := is.New(t)
+	task := &task{}
+	at := timer.Instant(time.Second)
+	for n := range 4 {
+		is.True(task.add(Event{Number: n + 1}, at))
+		at = at.Add(200 * time.Millisecond)
+	}
+	_, ok := task.pace(paceSpan)
+	is.True(!ok) // too few while it runs
+	pace, ok := task.pace(leastSpan)
+	is.True(ok)
+	is.Equal(pace, 200*time.Millisecond)
+}
+
+// An engine goes dark with items in its slots, and new ones are sent to it. The
+// first that is given up takes it out; each other would stand still for a third of
+// a second there.
+func TestDarkEngineGetsNoMoreItems(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, func(ctx context.Context, u *catalog.Upstream, g Generation, emit func(Event) error) error {
+		if u.ID == "one" {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		return events(g.After, 4, 5, emit)
+	})
+	is.NoErr(b.submit("x", "y", "z"))
+	is.Equal(len(b.results(3)), 3)
+	for _, u := range b.runner.Book.Group("s").Upstreams {
+		if u.ID == "one" {
+			is.True(u.Out(b.clock.Now()))
+		}
+	}
+}
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -82,11 +82,16 @@
 // alone varies with the prompts that are read beside it.
 const paceSpan = 6
 
-// pace returns the time for an event over the last ones of this attempt, once
-// there are enough of them. The wait for the first event is not part of it.
-func (t *task) pace() (time.Duration, bool) {
+// leastSpan is how many events must do at the end of an attempt: one that was
+// moved for its slowness after four events would tell nothing otherwise, and its
+// engine would get the next item as if nothing had happened.
+const leastSpan = 3
+
+// pace returns the time for an event over the last ones of this attempt, if there
+// are enough of them. The wait for the first event is not part of it.
+func (t *task) pace(least int) (time.Duration, bool) {
 	n := t.made - t.marked
-	if t.marked == 0 || n < paceSpan {
+	if t.marked == 0 || n < least {
 		return 0, false
 	}
 	pace := t.heard.Sub(t.markedAt) / time.Duration(n)
--- a/internal/batch/schedule/place.go
+++ b/internal/batch/schedule/place.go
@@ -81,8 +81,9 @@
 	shortLasts = 1500 * time.Millisecond
 	// olderPace is from when on an engine counts as of an older kind.
 	olderPace = 1.12
-	// slowPace is from when on an engine counts as failing rather than old.
-	slowPace = 1.8
+	// oldestPace is from when on an engine counts as failing rather than old. One
+	// that has just turned two and a half times slower measures 1.6 at first.
+	oldestPace = 1.45
 	// shortShare is the part of a fast engine's slots that short items may fill;
 	// the more streams an engine has, the longer each event takes, and the long
 	// ones there bear on the end of the step.
@@ -117,7 +118,7 @@
 // cost is what the item costs at an engine; lower is better.
 func (n Need) cost(e Engine) float64 {
 	cost := e.Cost() + overCosts*n.over(e)
-	if n.Short() && e.Pace > olderPace && e.Pace < slowPace {
+	if n.Short() && e.Pace > olderPace && e.Pace < oldestPace {
 		return cost - e.Pace
 	}
 	return cost
--- a/internal/batch/schedule/place_test.go
+++ b/internal/batch/schedule/place_test.go
@@ -58,6 +58,7 @@
 		{Room: 8, Slots: 8, Pace: 1},
 		{Room: 3, Slots: 8, Pace: 1.3},
 		{Room: 8, Slots: 8, Pace: 4},
+		{Room: 8, Slots: 8, Pace: 1.6}, // it has just turned slow
 	}
 	short := Need{Lasts: 500 * time.Millisecond}
 	is.Equal(Pick(engines, short), 1)
@@ -65,7 +66,7 @@
 	is.Equal(Pick(engines, Need{}), 0) // a length that is not known may be long
 	engines[1].Room = 0
 	is.Equal(Pick(engines, short), 0)
-	engines[0].Room, engines[2].Room = 4, 0
+	engines[0].Room, engines[2].Room, engines[3].Room = 4, 0, 0
 	is.Equal(Pick(engines, short), -1)
 	is.Equal(Pick(engines, Need{Lasts: 5 * time.Second}), 0)
 	short.Waited = shortWait
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -58,6 +58,8 @@
 	since    atomic.Int64
 	// measured is when the pace was measured last.
 	measured atomic.Int64
+	// made is when any stream there made an event last.
+	made atomic.Int64
 	// restsUntil is when a refusal is over.
 	restsUntil atomic.Int64
 	pace       atomic.Uint64
@@ -193,6 +195,18 @@
 	return 1 + (pace/usual-1)*math.Exp2(-max(0, age))
 }
 
+// silence is how long no stream of an engine may make an event for it to count as
+// alive: engines pause for some events while they read prompts.
+const silence = 300 * time.Millisecond
+
+// Made notes that a stream made an event.
+func (u *Upstream) Made(now timer.Instant) { u.made.Store(int64(now)) }
+
+// Lives reports whether any stream made an event lately.
+func (u *Upstream) Lives(now timer.Instant) bool {
+	return now.Sub(timer.Instant(u.made.Load())) < silence
+}
+
 // restTime is how long an upstream that refused gets no new work from this
 // instance: it is full, or loads weights for about a second.
 const restTime = 150 * time.Millisecond
