--- a/internal/batch/schedule/doc.go
+++ b/internal/batch/schedule/doc.go
@@ -4,8 +4,13 @@
 //
 //	at := schedule.Pick(engines, need)
 //	if schedule.Move(progress, usual, room) { ... }
+//	if schedule.Gain(progress, usual, pace) > 0 { ... }
+//	if schedule.Write(pending) { ... }
 //
 // The load it answers: a step needs nearly all of its groups, so it lasts as
-// long as its slowest items. Long items alone take most of the time that a
-// step has, and a slow or dark engine holds a twelfth of all items.
+// long as its slowest items. A twelfth of the items takes most of the time that
+// a step has even at the fastest engines; a third of the engines is of an older
+// kind, and a slow or dark one holds a twelfth of all items. The trainer reads
+// twice a second at the most, and each read that is answered too soon costs it
+// half a second at the end.
 package schedule
--- a/internal/fleet/relay/doc.go
+++ b/internal/fleet/relay/doc.go
@@ -14,7 +14,8 @@
 //	copied := space.Copy("upstreams/")
 //
 // A mirror follows the space as it follows the service itself. On a watcher its
-// watches go to the service; elsewhere they wait at a watcher, which answers
-// from its own copy as long as it surely hears the service. When a watcher is
-// silent, stale or gone, the next one is asked, and then the service.
+// watches and listings go to the service; elsewhere they go to a watcher, which
+// answers from its own copy as long as it surely hears the service. When a
+// watcher is silent, stale, behind what was heard already or gone, the next one
+// is asked, and then the service.
 package relay
