--- a/internal/fleet/relay/follower.go
+++ b/internal/fleet/relay/follower.go
@@ -160,9 +160,11 @@
 		if err == nil {
 			return r, nil
 		}
-		// The time that the first one took is gone; the next one answers with
-		// what it has.
-		q.WaitMS = 0
+		if !errors.Is(err, errStale) {
+			// The time that this one took is gone; the next one answers with what
+			// it has. One that says it hears nothing has taken none.
+			q.WaitMS = 0
+		}
 	}
 	return Reply{}, errNoWatcher
 }
--- a/internal/fleet/relay/space.go
+++ b/internal/fleet/relay/space.go
@@ -21,8 +21,10 @@
 	followers = 24
 	// spareWatchers stand by, so that the death of one leaves no gap.
 	spareWatchers = 1
-	// askedWatchers is how many are asked before the service itself.
-	askedWatchers = 2
+	// askedWatchers is how many are asked before the service itself. The service
+	// may turn a third of all instances away: with two asked, one follower in
+	// nine went to the service by itself, with a call for each prefix a second.
+	askedWatchers = 4
 	// relayWait is how long a watch waits at a watcher. It bounds how late a
 	// follower notices that its watcher fell silent; a change must be known
 	// everywhere within two seconds.
--- a/internal/fleet/relay/space_test.go
+++ b/internal/fleet/relay/space_test.go
@@ -251,3 +251,28 @@
 	is.NoErr(err)
 	is.Equal(store.Calls(space.Range), 2)
 }
+
+// The service turns a third of all instances away, most of the watchers among
+// them. Their followers went to the service themselves, a call for each prefix in
+// each second, or asked the deaf watchers in a loop without a pause.
+func TestDeafWatchersSendNobodyToTheService(t *testing.T) {
+	is := is.New(t)
+	clock := &timer.Manual{}
+	run(t, clock)
+	store := &space.Space{
+		Timer: clock,
+	}
+	f, members := newFleet(clock, store, 80)
+	follower, asked := f.followerOf(members)
+	is.True(len(asked) > 2)
+	for _, m := range asked[:len(asked)-1] {
+		f.relays[m.Name].Hears = func() bool { return false }
+	}
+	began := clock.Now()
+	for range 3 {
+		_, _, err := follower.Watch(context.Background(), "p/", 1, time.Minute)
+		is.NoErr(err)
+	}
+	is.True(clock.Now().Sub(began) >= 2*relayWait) // the one that hears lets it wait
+	is.Equal(store.Calls(space.Watch)+store.Calls(space.Range), 0)
+}
