door, relay: limited doors stand with the doors; one set-up for tests of the relay

platform/ only translates; a door whose limits follow the configuration is no translation. Moved and renamed, not changed.

--- a/platform/limits.go
+++ b/internal/entry/door/limited.go
@@ -1,4 +1,4 @@
-package platform
+package door
 
 import (
 	"context"
@@ -15,18 +15,18 @@
 // The limits of a door before any configuration is known, and for what it does
 // not say.
 const (
-	// headerTimeout is how long a client may take for the head of a request.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than any idle time that clients are allowed.
-	idleTimeout = 90 * time.Second
+	// HeaderTimeout is how long a client may take for the head of a request.
+	HeaderTimeout = 10 * time.Second
+	// IdleTimeout is longer than any idle time that clients are allowed.
+	IdleTimeout = 90 * time.Second
 	// acceptPause is the pause after a connection that could not be accepted.
 	acceptPause = 20 * time.Millisecond
 )
 
-// limitedDoor serves clients within the limits of the configuration in force. A
+// Limited serves clients within the limits of the configuration in force. A
 // connection keeps those under which it was opened: closing what is open when
 // operators change a limit would cut requests.
-type limitedDoor struct {
+type Limited struct {
 	Handler http.Handler
 	Config  *catalog.Holder
 
@@ -38,7 +38,7 @@
 }
 
 // Serve accepts connections until the door is shut down.
-func (d *limitedDoor) Serve(ln net.Listener) error {
+func (d *Limited) Serve(ln net.Listener) error {
 	d.mu.Lock()
 	d.ln = ln
 	d.mu.Unlock()
@@ -57,7 +57,7 @@
 }
 
 // Shutdown takes no new connections and waits for the requests that were read.
-func (d *limitedDoor) Shutdown(ctx context.Context) error {
+func (d *Limited) Shutdown(ctx context.Context) error {
 	d.mu.Lock()
 	servers := d.servers
 	err := d.ln.Close()
@@ -69,7 +69,7 @@
 }
 
 // take hands a connection to the server with the limits in force.
-func (d *limitedDoor) take(c net.Conn) {
+func (d *Limited) take(c net.Conn) {
 	var limits catalog.Limits
 	if cfg := d.Config.Current(); cfg != nil {
 		limits = cfg.Limits
@@ -89,7 +89,7 @@
 }
 
 // open starts a server with some limits. The lock is held.
-func (d *limitedDoor) open(limits catalog.Limits) *handedOver {
+func (d *Limited) open(limits catalog.Limits) *handedOver {
 	server := &http.Server{
 		Handler:           d.Handler,
 		MaxHeaderBytes:    limits.HeaderBytes,
@@ -97,10 +97,10 @@
 		IdleTimeout:       limits.IdleTimeout,
 	}
 	if server.ReadHeaderTimeout <= 0 {
-		server.ReadHeaderTimeout = headerTimeout
+		server.ReadHeaderTimeout = HeaderTimeout
 	}
 	if server.IdleTimeout <= 0 {
-		server.IdleTimeout = idleTimeout
+		server.IdleTimeout = IdleTimeout
 	}
 	l := &handedOver{
 		conns: make(chan net.Conn),
--- a/platform/limits_test.go
+++ b/internal/entry/door/limited_test.go
@@ -1,4 +1,4 @@
-package platform
+package door
 
 import (
 	"bufio"
@@ -22,7 +22,7 @@
 func TestLimitsOfTheConfigurationInForce(t *testing.T) {
 	is := is.New(t)
 	config := &catalog.Holder{}
-	d := &limitedDoor{
+	d := &Limited{
 		Config:  config,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }),
 	}
--- a/internal/fleet/relay/space_test.go
+++ b/internal/fleet/relay/space_test.go
@@ -121,6 +121,15 @@
 	return nil, nil
 }
 
+// newStore returns a service on a clock that runs until the test ends.
+func newStore(t *testing.T) (*timer.Manual, *space.Space) {
+	clock := &timer.Manual{}
+	run(t, clock)
+	return clock, &space.Space{
+		Timer: clock,
+	}
+}
+
 func change(key string, revision uint64) []keyvalue.Change {
 	return []keyvalue.Change{{
 		Item: keyvalue.Item{
@@ -134,11 +143,7 @@
 // would be a priced call of all of them. Only the watchers ask the service.
 func TestFollowersHearFromWatchers(t *testing.T) {
 	is := is.New(t)
-	clock := &timer.Manual{}
-	run(t, clock)
-	store := &space.Space{
-		Timer: clock,
-	}
+	clock, store := newStore(t)
 	f, members := newFleet(clock, store, 20)
 	is.Equal(len(Watchers(members)), 2) // one for up to 24 instances, and a spare one
 	follower, asked := f.followerOf(members)
@@ -154,11 +159,7 @@
 // must not stay with what it knew: a removed route would be served by them.
 func TestSilentOrDeafWatchersAreLeft(t *testing.T) {
 	is := is.New(t)
-	clock := &timer.Manual{}
-	run(t, clock)
-	store := &space.Space{
-		Timer: clock,
-	}
+	clock, store := newStore(t)
 	f, members := newFleet(clock, store, 20)
 	follower, asked := f.followerOf(members)
 	f.silent[asked[0].Name] = true
@@ -188,11 +189,7 @@
 // the whole prefix: what was removed meanwhile shows in no later change.
 func TestWhoIsTooFarBehindLists(t *testing.T) {
 	is := is.New(t)
-	clock := &timer.Manual{}
-	run(t, clock)
-	store := &space.Space{
-		Timer: clock,
-	}
+	clock, store := newStore(t)
 	f, members := newFleet(clock, store, 20)
 	follower, asked := f.followerOf(members)
 	c := f.relays[asked[0].Name].copies["p/"]
@@ -209,11 +206,7 @@
 func TestFollowersListAtWatchers(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	clock := &timer.Manual{}
-	run(t, clock)
-	store := &space.Space{
-		Timer: clock,
-	}
+	clock, store := newStore(t)
 	rev, err := store.Commit(ctx, keyvalue.Transaction{
 		Writes: []keyvalue.Write{
 			{Key: "p/a", Value: []byte("v")},
@@ -257,11 +250,7 @@
 // each second, or asked the deaf watchers in a loop without a pause.
 func TestDeafWatchersSendNobodyToTheService(t *testing.T) {
 	is := is.New(t)
-	clock := &timer.Manual{}
-	run(t, clock)
-	store := &space.Space{
-		Timer: clock,
-	}
+	clock, store := newStore(t)
 	f, members := newFleet(clock, store, 80)
 	follower, asked := f.followerOf(members)
 	is.True(len(asked) > 2)
