--- a/internal/batch/desk/desk_test.go
+++ b/internal/batch/desk/desk_test.go
@@ -214,6 +214,11 @@
 	is.True(!d.lives(claim)) // a dead one is not waited for
 }
 
+// until reports whether something holds within some seconds.
+func until(holds func() bool) bool {
+	return timer.Until(timer.Real{}, time.Millisecond, 5*time.Second, nil, holds)
+}
+
 // An instance is removed for good while the key-value service is away. When the
 // service is back, its batches waited for another three seconds, as long as the
 // view keeps instances whose keys lapsed in the outage. Their heir need not wait
@@ -241,15 +246,6 @@
 	var tb tomb.Tomb
 	tb.Go(func() error { return d.Registry.Run(&tb) })
 	defer func() { tb.Kill(nil); _ = tb.Wait() }()
-	until := func(what func() bool) bool {
-		for range 4000 {
-			if what() {
-				return true
-			}
-			time.Sleep(time.Millisecond)
-		}
-		return false
-	}
 	claim := ledger.Claim{Batch: "b", Owner: ledger.Owner{Instance: "other", Incarnation: "1"}}
 	is.True(until(func() bool { return d.Registry.Present("other") }))
 	is.True(!d.orphan(claim))
@@ -262,8 +258,8 @@
 	})
 	is.NoErr(err)
 	down.Store(true)
-	store.Lapse(cut)            // ends the watches that wait
-	time.Sleep(2 * time.Second) // longer than an entry may be late
+	store.Lapse(cut)                             // ends the watches that wait
+	timer.Wait(timer.Real{}, 2*time.Second, nil) // longer than an entry may be late
 	store.Lapse(lease)
 	down.Store(false)
 	is.True(until(func() bool { return d.orphan(claim) }))
@@ -298,20 +294,14 @@
 	defer func() { tb.Kill(nil); _ = tb.Wait() }()
 	d.Registry.AwaitView(&tb, time.Second)
 	gone <- struct{}{}
-	time.Sleep(2 * gatherTime)
+	timer.Wait(timer.Real{}, 2*gatherTime, nil)
 	is.True(!d.Runner.Has("b")) // without a configuration
 	failing.Store(true)         // the listing, or the load of the batch
 	began := time.Now()
 	cfg := catalog.Configuration{Version: 1}.WithIndex()
 	d.Config.Take(cfg)
 	d.Runner.Holder.Take(cfg)
-	for range 4000 {
-		if d.Runner.Has("b") {
-			break
-		}
-		time.Sleep(time.Millisecond)
-	}
-	is.True(d.Runner.Has("b"))
+	is.True(until(func() bool { return d.Runner.Has("b") }))
 	is.True(time.Since(began) < sweepEvery/2)
 }
 
--- a/internal/batch/runner/move_test.go
+++ b/internal/batch/runner/move_test.go
@@ -52,16 +52,12 @@
 	sub := b.batch("x")
 	sub.Items[0].ExpectedTokens = 80 * length
 	is.NoErr(b.runner.Submit(context.Background(), sub, b.route))
-	for range 5000 {
+	until(func() bool {
 		b.script.mu.Lock()
-		begun := len(b.script.calls) == 1
-		b.script.mu.Unlock()
-		if begun {
-			break
-		}
-		time.Sleep(time.Millisecond)
-	}
-	time.Sleep(30 * time.Millisecond) // some events of the old engine
+		defer b.script.mu.Unlock()
+		return len(b.script.calls) == 1
+	})
+	timer.Wait(timer.Real{}, 30*time.Millisecond, nil) // some events of the old engine
 	fast[0].Ended()
 	got := b.results(1)
 	is.Equal(len(got), 1)
--- a/internal/batch/runner/runner_test.go
+++ b/internal/batch/runner/runner_test.go
@@ -118,20 +118,10 @@
 		Timer:     b.clock,
 	}
 	b.runner.Start()
-	done := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(time.Millisecond):
-				b.clock.Advance(20 * time.Millisecond)
-			}
-		}
-	}()
+	stop := b.clock.Run(20*time.Millisecond, time.Millisecond)
 	t.Cleanup(func() {
 		b.runner.Stop()
-		close(done)
+		stop()
 	})
 	return b
 }
@@ -163,14 +153,20 @@
 
 // results reads until n results are listed.
 func (b *bench) results(n int) []submission.Result {
-	for range 5000 {
-		page, err := b.runner.Read(context.Background(), "b", 0, 0)
-		if err == nil && len(page.Results) >= n {
-			return page.Results
-		}
-		time.Sleep(time.Millisecond)
+	var page Page
+	if !until(func() bool {
+		var err error
+		page, err = b.runner.Read(context.Background(), "b", 0, 0)
+		return err == nil && len(page.Results) >= n
+	}) {
+		return nil
 	}
-	return nil
+	return page.Results
+}
+
+// until reports whether something holds within some seconds.
+func until(holds func() bool) bool {
+	return timer.Until(timer.Real{}, time.Millisecond, 5*time.Second, nil, holds)
 }
 
 // An engine breaks off a stream in the middle. The text goes on at another
@@ -313,18 +309,15 @@
 	}
 	is.NoErr(b.submit("x"))
 	unsure := false
-	for range 5000 {
+	until(func() bool {
 		rec, err := b.runner.Ledger.Load(context.Background(), "b")
 		is.NoErr(err)
 		page, err := b.runner.Read(context.Background(), "b", 0, 0)
-		if err == nil && len(page.Results) > 0 {
-			break
-		}
 		if len(rec.Results) > 0 && errors.Is(err, ErrNotHere) {
 			unsure = true
 		}
-		time.Sleep(time.Millisecond)
-	}
+		return err == nil && len(page.Results) > 0
+	})
 	is.True(unsure)
 	is.Equal(len(b.results(1)), 1) // it settles
 }
@@ -347,7 +340,7 @@
 	<-store.began
 	ended := make(chan error, 1)
 	go func() { ended <- b.runner.End(context.Background(), "b") }()
-	time.Sleep(20 * time.Millisecond)
+	timer.Wait(timer.Real{}, 20*time.Millisecond, nil)
 	close(store.goOn)
 	is.NoErr(<-ended)
 	rec, err := b.runner.Ledger.Load(context.Background(), "b")
--- a/internal/fleet/detour/space_test.go
+++ b/internal/fleet/detour/space_test.go
@@ -30,6 +30,14 @@
 	return c.At(ctx, l.space), nil
 }
 
+// newShut returns a service that refuses all calls.
+func newShut(clock timer.Service) *space.Space {
+	return &space.Space{
+		Timer: clock,
+		Fault: func(space.Call) space.Fault { return space.Down },
+	}
+}
+
 func newSpace(clock timer.Service, direct, elsewhere *space.Space) (*Space, *loop) {
 	peers := &loop{
 		space: elsewhere,
@@ -51,10 +59,7 @@
 	store := &space.Space{
 		Timer: clock,
 	}
-	shut := &space.Space{
-		Timer: clock,
-		Fault: func(space.Call) space.Fault { return space.Down },
-	}
+	shut := newShut(clock)
 	s, peers := newSpace(clock, shut, store)
 	rev, err := s.Commit(ctx, keyvalue.Transaction{
 		Writes: []keyvalue.Write{
@@ -80,10 +85,7 @@
 	is := is.New(t)
 	ctx := context.Background()
 	clock := &timer.Manual{}
-	shut := &space.Space{
-		Timer: clock,
-		Fault: func(space.Call) space.Fault { return space.Down },
-	}
+	shut := newShut(clock)
 	s, peers := newSpace(clock, shut, shut)
 	for range 50 {
 		_, err := s.Get(ctx, "k")
@@ -122,10 +124,7 @@
 	store := &space.Space{
 		Timer: clock,
 	}
-	shut := &space.Space{
-		Timer: clock,
-		Fault: func(space.Call) space.Fault { return space.Down },
-	}
+	shut := newShut(clock)
 	s, _ := newSpace(clock, shut, store)
 	tx := keyvalue.Transaction{
 		Expects: []keyvalue.Expect{
@@ -165,16 +164,16 @@
 		_, _, err := s.Watch(context.Background(), "p/", 1, time.Hour)
 		ended <- err
 	}()
-	for store.Calls(space.Watch) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	is.True(timer.Until(timer.Real{}, time.Millisecond, 10*time.Second, nil, func() bool { return store.Calls(space.Watch) > 0 }))
 	fails.Store(true)
 	_, err := s.Get(context.Background(), "k")
 	is.True(errors.Is(err, keyvalue.ErrLost))
+	limit := timer.Real{}.Once(10 * time.Second)
+	defer limit.Close()
 	select {
 	case err := <-ended:
 		is.True(err != nil)
-	case <-time.After(10 * time.Second):
+	case <-limit.C:
 		t.Fatal("the watch still waits")
 	}
 }
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -96,9 +96,7 @@
 		if got == want {
 			return true
 		}
-		select {
-		case <-b.took:
-		case <-time.After(time.Millisecond):
+		if timer.Wait(timer.Real{}, time.Millisecond, b.took) {
 			b.clock.Advance(10 * time.Millisecond)
 		}
 	}
@@ -124,7 +122,7 @@
 func (b *bench) wait() error {
 	for range 300 {
 		b.clock.Advance(100 * time.Millisecond)
-		time.Sleep(time.Millisecond)
+		timer.Wait(timer.Real{}, time.Millisecond, nil)
 	}
 	return nil
 }
--- a/internal/fleet/peer/client_test.go
+++ b/internal/fleet/peer/client_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/kernel/timer"
 )
 
 // An instance is cut off while another one sends it a large batch: the
@@ -41,11 +43,13 @@
 	}
 	go call(&large)
 	go call(&large)
+	limit := timer.Real{}.Once(20 * time.Second)
+	defer limit.Close()
 	for range 2 {
 		select {
 		case err := <-ended:
 			is.True(err != nil) // nobody answers
-		case <-time.After(20 * time.Second):
+		case <-limit.C:
 			t.Fatal("a call did not end")
 		}
 	}
@@ -78,7 +82,7 @@
 	life.Kill(nil)
 	is.NoErr(life.Wait())
 	_, life = serve(address)
-	time.Sleep(20 * time.Millisecond) // the client hears of the end
+	timer.Wait(timer.Real{}, 20*time.Millisecond, nil) // the client hears of the end
 	is.NoErr(call(address))
 	life.Kill(nil)
 	is.NoErr(life.Wait())
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -42,9 +42,9 @@
 	// them.
 	smallTTL   = 6 * time.Second
 	smallEvery = 2 * time.Second
-	// viewWait is how long an instance waits for the view before it writes
+	// ViewWait is how long an instance waits for the view before it writes
 	// itself: the view says which of the two it is.
-	viewWait = 500 * time.Millisecond
+	ViewWait = 500 * time.Millisecond
 	// callTimeout bounds one call of the lease.
 	callTimeout = 900 * time.Millisecond
 	// viewSettle is how long instances are kept after an outage of the
@@ -195,7 +195,7 @@
 	}
 	r.follow.Store(follow)
 	t.Go(func() error { return follow.Run(t) })
-	r.AwaitView(t, viewWait)
+	r.AwaitView(t, ViewWait)
 	ctx := t.Context(context.Background())
 	failing := false
 	for t.Alive() {
@@ -212,9 +212,7 @@
 // AwaitView waits for the view to be read, for a time at the most.
 func (r *Registry) AwaitView(t *tomb.Tomb, most time.Duration) {
 	const look = 20 * time.Millisecond
-	for waited := time.Duration(0); waited < most && !r.Synced() && t.Alive(); waited += look {
-		timer.Wait(r.Timer, look, t.Dying())
-	}
+	timer.Until(r.Timer, look, most, t.Dying(), r.Synced)
 }
 
 // Leave tells all others that this instance takes no new work.
--- a/internal/fleet/relay/space_test.go
+++ b/internal/fleet/relay/space_test.go
@@ -97,18 +97,7 @@
 
 // run lets a clock run until the test ends.
 func run(t *testing.T, clock *timer.Manual) {
-	done := make(chan struct{})
-	t.Cleanup(func() { close(done) })
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(time.Millisecond):
-				clock.Advance(20 * time.Millisecond)
-			}
-		}
-	}()
+	t.Cleanup(clock.Run(20*time.Millisecond, time.Millisecond))
 }
 
 // followerOf returns an instance that is no watcher, and its watchers in order.
--- a/internal/fleet/weights/orderer_test.go
+++ b/internal/fleet/weights/orderer_test.go
@@ -72,12 +72,7 @@
 		return o.last["e"].seen == 4
 	}
 	o.serve(context.Background(), 7, "s", []string{"m"}, Continue)
-	for range 2000 {
-		if settled() {
-			break
-		}
-		time.Sleep(time.Millisecond)
-	}
+	is.True(timer.Until(timer.Real{}, time.Millisecond, 5*time.Second, nil, settled))
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
 	is.Equal(len(engine.commands), 1)
--- a/internal/kernel/journal/journal_test.go
+++ b/internal/kernel/journal/journal_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/apex/log"
 	"github.com/matryer/is"
+
+	"github.com/egretbend/egretbend/internal/kernel/timer"
 )
 
 // stuck is the reader of a log that does not keep up.
@@ -43,9 +45,7 @@
 		}
 		close(done)
 	}()
-	select {
-	case <-done:
-	case <-time.After(20 * time.Second):
+	if timer.Wait(timer.Real{}, 20*time.Second, done) {
 		t.Fatal("a decision waits for the reader")
 	}
 	close(w.goOn)
--- a/internal/kernel/timer/manual.go
+++ b/internal/kernel/timer/manual.go
@@ -73,3 +73,15 @@
 		}
 	}
 }
+
+// Run moves the clock by step once in every period of real time, until stop is
+// called.
+func (m *Manual) Run(step, every time.Duration) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		for Wait(Real{}, every, done) {
+			m.Advance(step)
+		}
+	}()
+	return func() { close(done) }
+}
--- a/internal/kernel/timer/service.go
+++ b/internal/kernel/timer/service.go
@@ -43,3 +43,18 @@
 		return false
 	}
 }
+
+// Until looks every so often whether something holds, for most at the longest or
+// until done is closed, and reports whether it holds. It is for what has no
+// channel that tells of it.
+func Until(svc Service, every, most time.Duration, done <-chan struct{}, holds func() bool) bool {
+	for waited := time.Duration(0); waited < most; waited += every {
+		if holds() {
+			return true
+		}
+		if !Wait(svc, every, done) {
+			break
+		}
+	}
+	return holds()
+}
--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -22,8 +22,6 @@
 	Born int64
 	// Versions are the weight versions by model.
 	Versions map[string]uint64
-	// Revision is that of the entry.
-	Revision uint64
 }
 
 // Upstream is a listed upstream with its state.
@@ -58,10 +56,9 @@
 type Book struct {
 	Timer timer.Service
 
-	mu      sync.Mutex
-	byID    map[string]*Upstream
-	groups  atomic.Pointer[map[string]*Group]
-	changed chan struct{}
+	mu     sync.Mutex
+	byID   map[string]*Upstream
+	groups atomic.Pointer[map[string]*Group]
 }
 
 // Group returns the upstreams of a service; it is never nil.
@@ -84,16 +81,6 @@
 	return nil
 }
 
-// Changed returns a channel that is closed at the next change.
-func (b *Book) Changed() <-chan struct{} {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.changed == nil {
-		b.changed = make(chan struct{})
-	}
-	return b.changed
-}
-
 // Update takes new entries and the ids whose entries are gone.
 func (b *Book) Update(entries []Listed, gone []string) {
 	b.mu.Lock()
@@ -112,10 +99,6 @@
 		}
 	}
 	b.rebuild()
-	if b.changed != nil {
-		close(b.changed)
-		b.changed = nil
-	}
 }
 
 // put adopts an entry. Another address or birth is another life: neither the
--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -87,22 +87,11 @@
 		})
 	}
 	book.Update(list, nil)
-	done := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(200 * time.Microsecond):
-				clock.Advance(10 * time.Millisecond)
-			}
-		}
-	}()
 	return &Forwarder{
 		Book:   book,
 		Sender: s,
 		Timer:  clock,
-	}, func() { close(done) }
+	}, clock.Run(10*time.Millisecond, 200*time.Microsecond)
 }
 
 func route(kind catalog.Kind) catalog.Route {
