--- a/cmd/egretplay/main.go
+++ b/cmd/egretplay/main.go
@@ -45,19 +45,19 @@
 			return err
 		},
 	}
-	planFlags(cmd, &plan)
+	planFlags(cmd, &plan, 12*time.Second)
 	cmd.Flags().BoolVar(&plan.Kill, "kill", true, "end an instance in the middle and start it again")
 	return cmd
 }
 
-func planFlags(cmd *cobra.Command, plan *standin.Plan) {
+func planFlags(cmd *cobra.Command, plan *standin.Plan, length time.Duration) {
 	flags := cmd.Flags()
 	flags.StringVar(&plan.Binary, "binary", "bin/egretbend", "program of the instances")
 	flags.IntVar(&plan.Instances, "instances", 5, "how many instances")
 	flags.IntVar(&plan.Groups, "groups", 6, "groups of four items in a step")
 	flags.IntVar(&plan.Breaks, "breaks", 100, "runs of a thousand that are cut off in the middle")
 	flags.BoolVar(&plan.Keep, "keep", false, "keep settings and logs, and name their folder")
-	flags.DurationVar(&plan.Length, "length", 12*time.Second, "how long trainers and clients work")
+	flags.DurationVar(&plan.Length, "length", length, "how long trainers and clients work")
 }
 
 func printLine(report any) error {
--- a/cmd/egretplay/soak.go
+++ b/cmd/egretplay/soak.go
@@ -45,10 +45,8 @@
 			return broken
 		},
 	}
-	planFlags(cmd, &plan.Plan)
+	planFlags(cmd, &plan.Plan, 35*time.Second)
 	flags := cmd.Flags()
-	flags.Lookup("length").DefValue = "35s"
-	plan.Length = 35 * time.Second
 	flags.Uint64Var(&plan.Seed, "seed", 1, "seed of the faults")
 	flags.IntVar(&seeds, "seeds", 0, "how many fresh seeds to run instead")
 	flags.StringVar(&folder, "folder", "", "where to draw a picture of each run")
