--- /dev/null
+++ b/internal/batch/account/day.go
@@ -0,0 +1,161 @@
+package account
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// Step is the account of one step of a trainer. Times are in milliseconds.
+type Step struct {
+	Batch string    `json:"batch"`
+	Model string    `json:"model"`
+	Step  int       `json:"step"`
+	Items int       `json:"items"`
+	Asked time.Time `json:"asked"`
+	// Owners is how many instances ran it one after the other.
+	Owners int `json:"owners"`
+	// Critical is the item that ended it, Events its length.
+	Critical string `json:"critical"`
+	Events   int    `json:"events"`
+	Attempts int    `json:"attempts"`
+	// Took is the time from the submission to the end, Bound its lower bound,
+	// and Ratio the one by the other.
+	Took  int64   `json:"took_ms"`
+	Bound int64   `json:"bound_ms"`
+	Ratio float64 `json:"ratio"`
+	// Spent divides Took among the causes.
+	Spent map[Cause]int64 `json:"spent_ms"`
+}
+
+// Unknown is a step without a full account: it was not ended, or a line of it is
+// missing.
+type Unknown struct {
+	Batch string    `json:"batch"`
+	Model string    `json:"model"`
+	Step  int       `json:"step"`
+	Asked time.Time `json:"asked"`
+	// Reason says what is missing.
+	Reason string `json:"reason"`
+}
+
+// Day is the account of all steps in some logs.
+type Day struct {
+	Steps    []Step    `json:"steps"`
+	Unknowns []Unknown `json:"unknown"`
+	// Sums are the steps' times by cause.
+	Sums   map[Cause]int64 `json:"sums_ms"`
+	Faults []Fault         `json:"faults"`
+}
+
+// Day returns the account, or ErrNoSteps.
+func (l *Log) Day() (*Day, error) {
+	if len(l.begins) == 0 {
+		return nil, ErrNoSteps
+	}
+	d := &Day{
+		Sums:   make(map[Cause]int64),
+		Faults: l.faults,
+	}
+	paces := l.paces()
+	for batch, begins := range l.begins {
+		slices.SortFunc(begins, func(a, b begin) int { return a.at.Compare(b.at) })
+		step, reason := l.step(batch, begins, paces)
+		if reason != "" {
+			d.Unknowns = append(d.Unknowns, Unknown{
+				Batch:  batch,
+				Model:  step.Model,
+				Step:   step.Step,
+				Asked:  step.Asked,
+				Reason: reason,
+			})
+			continue
+		}
+		d.Steps = append(d.Steps, step)
+		for cause, spent := range step.Spent {
+			d.Sums[cause] += spent
+		}
+	}
+	sort.Slice(d.Steps, func(i, j int) bool { return d.Steps[i].Asked.Before(d.Steps[j].Asked) })
+	sort.Slice(d.Unknowns, func(i, j int) bool { return d.Unknowns[i].Asked.Before(d.Unknowns[j].Asked) })
+	return d, nil
+}
+
+// step returns the account of a step, or why there is none.
+func (l *Log) step(batch string, begins []begin, paces map[string]time.Duration) (Step, string) {
+	first := begins[0]
+	s := Step{
+		Batch:  batch,
+		Model:  first.model,
+		Step:   first.step,
+		Items:  first.items,
+		Asked:  first.asked(),
+		Owners: len(begins),
+	}
+	e, ok := l.ends[batch]
+	if !ok {
+		return s, "no end"
+	}
+	if e.made == 0 {
+		return s, "ended before its groups were whole"
+	}
+	critical, ok := l.items[itemKey{
+		batch: batch,
+		item:  e.critical,
+	}]
+	if !ok {
+		return s, "no line of its critical item"
+	}
+	pace := paces[first.model]
+	making := time.Duration(critical.events) * pace
+	before := time.Duration(critical.restored) * pace
+	remaking := time.Duration(critical.remade) * pace
+	spent := map[Cause]time.Duration{
+		Acceptance: first.age,
+		Owners:     e.begun().Sub(first.at) - before,
+		Waiting:    critical.waited,
+		Making:     making,
+		Slowness:   critical.ran - critical.stood - remaking - (making - before),
+		Standstill: critical.stood,
+		Remaking:   remaking,
+		Scoring:    critical.scored,
+		Listing:    e.readable - e.made,
+		Reading:    e.age - e.readable,
+	}
+	s.Critical = e.critical
+	s.Events = critical.events
+	s.Attempts = critical.attempts
+	s.Took = e.at.Sub(s.Asked).Milliseconds()
+	s.Bound = making.Milliseconds()
+	s.Spent = make(map[Cause]int64, len(spent))
+	for cause, d := range spent {
+		s.Spent[cause] = d.Milliseconds()
+	}
+	if making > 0 {
+		s.Ratio = float64(s.Took) / float64(s.Bound)
+	}
+	return s, ""
+}
+
+// paceEvents is how many events an item must have to tell an engine's pace.
+const paceEvents = 20
+
+// paces returns the time of an event at a lightly loaded engine for each model:
+// a tenth of the items that ran without trouble were faster.
+func (l *Log) paces() map[string]time.Duration {
+	models := make(map[string][]time.Duration)
+	for key, i := range l.items {
+		made := i.events - i.restored
+		if made < paceEvents || i.attempts != 1 || len(l.begins[key.batch]) == 0 {
+			continue
+		}
+		model := l.begins[key.batch][0].model
+		models[model] = append(models[model], (i.ran-i.stood)/time.Duration(made))
+	}
+	paces := make(map[string]time.Duration, len(models))
+	for model, list := range models {
+		slices.Sort(list)
+		paces[model] = list[len(list)/10]
+	}
+	return paces
+}
--- /dev/null
+++ b/internal/batch/account/table.go
@@ -0,0 +1,44 @@
+package account
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// Table writes the account as text: a row a step, then the sums.
+func (d *Day) Table(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "asked\tmodel\tstep\titems\tevents\ttook ms\tbound\tratio\t%s\tbatch\t\n", strings.Join(names[:], "\t"))
+	for _, s := range d.Steps {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.2f\t", s.Asked.Format("15:04:05.000"), s.Model, s.Step, s.Items, s.Events, s.Took, s.Bound, s.Ratio)
+		for _, c := range Causes() {
+			fmt.Fprintf(t, "%d\t", s.Spent[c])
+		}
+		fmt.Fprintf(t, "%s\t\n", s.Batch)
+	}
+	fmt.Fprintf(t, "sum\t\t%d\t\t\t\t\t\t", len(d.Steps))
+	for _, c := range Causes() {
+		fmt.Fprintf(t, "%d\t", d.Sums[c])
+	}
+	fmt.Fprint(t, "\t\n")
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, u := range d.Unknowns {
+		if _, err := fmt.Fprintf(w, "no account of step %d of %s, batch %s, asked %s: %s\n", u.Step, u.Model, u.Batch, u.Asked.Format("15:04:05.000"), u.Reason); err != nil {
+			return err
+		}
+	}
+	return d.writeFaults(w)
+}
+
+// writeFaults tells how many lines could not be read, and which was the first.
+func (d *Day) writeFaults(w io.Writer) error {
+	if len(d.Faults) == 0 {
+		return nil
+	}
+	_, err := fmt.Fprintf(w, "%d lines could not be read, the first: %v\n", len(d.Faults), d.Faults[0])
+	return err
+}
--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -38,6 +38,8 @@
 	wholeGroups int
 	// again are the groups that come again from an earlier batch.
 	again map[string]bool
+	// critical is the item whose end made those groups whole.
+	critical string
 	// made is when the groups that the trainer waits for were whole, readable
 	// when they were listed.
 	made     timer.Instant
@@ -51,6 +53,8 @@
 	since timer.Instant
 	whole bool
 	open  int
+	// usual is the usual time of an event at the engines, as last looked up.
+	usual time.Duration
 	ended bool
 	// endKept says that the end stands in the ledger: callers repeat it.
 	endKept bool
@@ -164,6 +168,7 @@
 		delete(b.again, t.item.Group)
 		if b.made == 0 && b.wholeGroups >= b.sub.WantedGroups && len(b.again) == 0 {
 			b.made = now
+			b.critical = t.item.ID
 		}
 	}
 	signal(b.write)
@@ -282,6 +287,7 @@
 		if t := b.tasks[p.Item]; t != nil && !slices.ContainsFunc(p.Versions, func(v uint64) bool { return v < sub.OldestVersion }) {
 			t.events = p.Events
 			t.last = len(p.Events)
+			t.spent.restored = t.last
 			t.versions = p.Versions
 		}
 	}
--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -42,6 +42,7 @@
 	list := r.engines(b, now)
 	plain := plainOf(list)
 	usual := r.usual(b)
+	b.usual = usual
 	for len(b.queue) > 0 {
 		t := b.queue[0]
 		need := r.needOf(b, t, usual, now)
@@ -69,6 +70,7 @@
 	t.moving = false
 	t.stuck = false
 	t.attempts++
+	t.spent.waited += t.spent.lap(now)
 	t.reserved = need.Memory
 	u.Reserve(t.reserved)
 	u.Begin()
@@ -110,6 +112,7 @@
 		return errStale
 	}
 	now := r.Timer.Now()
+	t.spent.still(now.Sub(t.heard), b.usual)
 	t.upstream.Made(now)
 	if !t.add(e, now) {
 		return errDisorder
@@ -123,6 +126,10 @@
 	b.mu.Lock()
 	u.Reserve(-t.reserved)
 	r.account(t, u, err, now)
+	t.spent.ran += t.spent.lap(now)
+	if err != nil {
+		t.spent.still(now.Sub(t.heard), b.usual)
+	}
 	r.Metrics.attempt(err)
 	if t.phase == finished || b.over() {
 		b.mu.Unlock()
@@ -228,9 +235,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := r.Timer.Now()
+	t.spent.scored += t.spent.lap(now)
 	r.Metrics.item(now.Sub(b.begun))
 	r.lengths.Finished(t.item.Estimate(), t.last)
-	r.Journal.Decision("item", log.Fields{
+	fields := log.Fields{
 		"request_id": t.item.ID,
 		"batch":      b.sub.ID,
 		"group":      t.item.Group,
@@ -239,8 +247,11 @@
 		"moves":      t.moves,
 		"events":     t.last,
 		"versions":   t.versions,
+		"estimate":   t.item.Estimate(),
 		"age_ms":     now.Sub(b.begun).Milliseconds(),
-	})
+	}
+	t.spent.addTo(fields)
+	r.Journal.Decision("item", fields)
 	b.finish(t, t.result(score), now)
 }
 
--- a/internal/batch/runner/look.go
+++ b/internal/batch/runner/look.go
@@ -68,6 +68,7 @@
 		})
 		b.giveUp(now)
 	}
+	b.usual = r.usual(b)
 	r.measure(b, now)
 	r.rescue(b, now)
 	r.speedUp(b, now)
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -155,6 +155,9 @@
 	}
 	age := time.Since(b.sub.Submitted())
 	b.begun = r.Timer.Now()
+	for _, t := range b.tasks {
+		t.spent.since = b.begun
+	}
 	b.gives = r.Timer.Now().Add(after - min(max(0, age), after))
 	r.mu.Lock()
 	if r.batches == nil {
@@ -350,6 +353,7 @@
 			"wanted":     b.sub.WantedGroups,
 			// How the time of a step was spent: until the wanted groups were
 			// made, until they could be read, and until the trainer's end.
+			"critical":    b.critical,
 			"made_ms":     b.sinceBegun(b.made),
 			"readable_ms": b.sinceBegun(b.readable),
 			"age_ms":      r.Timer.Now().Sub(b.begun).Milliseconds(),
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -76,6 +76,7 @@
 	markedAt timer.Instant
 	moving   bool
 	stuck    bool
+	spent    spent
 }
 
 // paceSpan is how many events measure the pace of an engine: the time of one
@@ -122,6 +123,7 @@
 
 // restart drops what was generated.
 func (t *task) restart() {
+	t.spent.remade += t.last
 	t.events = nil
 	t.last = 0
 	t.versions = nil
--- a/internal/entry/command/root.go
+++ b/internal/entry/command/root.go
@@ -97,6 +97,7 @@
 		a.statusCommand(),
 		a.drainCommand(),
 		a.whyCommand(),
+		a.stepsCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/entry/command/steps.go
@@ -0,0 +1,82 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/egretbend/egretbend/internal/batch/account"
+)
+
+func (a *app) stepsCommand() *cobra.Command {
+	var picture string
+	cmd := &cobra.Command{
+		Use:   "steps FILE...",
+		Short: "Tell from logs how the time of each step of a trainer went by",
+		Long: "Tell from the logs of any number of instances how the time of each step went by, against the time that its longest " +
+			"item needs. A file called - is the standard input.",
+		Example: "  egretbend steps logs/*.log\n  egretbend steps --picture steps.svg --json day.log",
+		Args:    cobra.MinimumNArgs(1),
+		RunE:    func(_ *cobra.Command, args []string) error { return a.steps(args, picture, os.Stdin) },
+	}
+	cmd.Flags().StringVar(&picture, "picture", "", "file for a picture of the steps (SVG); none if empty")
+	return cmd
+}
+
+func (a *app) steps(paths []string, picture string, in io.Reader) error {
+	var l account.Log
+	for _, path := range paths {
+		if err := readLog(path, in, l.Read); err != nil {
+			return err
+		}
+	}
+	day, err := l.Day()
+	if err != nil {
+		for _, f := range l.Faults() {
+			return fmt.Errorf("%w: %w; the first line that could not be read: %w", errInput, err, f)
+		}
+		return fmt.Errorf("%w: %w", errInput, err)
+	}
+	if picture != "" {
+		if err := writePicture(day, picture); err != nil {
+			return err
+		}
+	}
+	if a.json {
+		return a.printJSON(day)
+	}
+	return day.Table(a.out)
+}
+
+// readLog has a log read by name, or the standard input for -.
+func readLog(path string, in io.Reader, read func(name string, r io.Reader) error) error {
+	if path == "-" {
+		if err := read(path, in); err != nil {
+			return fmt.Errorf("%w: log %w", errInput, err)
+		}
+		return nil
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("%w: log: %w; check the path", errInput, err)
+	}
+	defer f.Close()
+	if err := read(path, f); err != nil {
+		return fmt.Errorf("%w: log %w", errInput, err)
+	}
+	return nil
+}
+
+func writePicture(day *account.Day, path string) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("%w: picture: %w", errInput, err)
+	}
+	if err := day.Picture(f); err != nil {
+		f.Close()
+		return fmt.Errorf("picture %s: %w", path, err)
+	}
+	return f.Close()
+}
--- a/internal/entry/command/why.go
+++ b/internal/entry/command/why.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"os"
 	"sort"
 	"strings"
 )
@@ -16,16 +15,7 @@
 // times. Lines of a batch's items name the batch as well.
 func (a *app) whyFromLogs(id string, paths []string, in io.Reader) error {
 	var lines []string
-	for _, path := range paths {
-		r := in
-		if path != "-" {
-			f, err := os.Open(path)
-			if err != nil {
-				return fmt.Errorf("%w: log: %w; check the path", errInput, err)
-			}
-			defer f.Close()
-			r = f
-		}
+	keep := func(_ string, r io.Reader) error {
 		scan := bufio.NewScanner(r)
 		scan.Buffer(make([]byte, 0, 64<<10), maxLogLine)
 		for scan.Scan() {
@@ -33,8 +23,11 @@
 				lines = append(lines, scan.Text())
 			}
 		}
-		if err := scan.Err(); err != nil {
-			return fmt.Errorf("%w: log %s: %w", errInput, path, err)
+		return scan.Err()
+	}
+	for _, path := range paths {
+		if err := readLog(path, in, keep); err != nil {
+			return err
 		}
 	}
 	// A stable sort keeps lines without a time where their file had them.
