--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -44,8 +44,10 @@
 	// when they were listed.
 	made     timer.Instant
 	readable timer.Instant
-	listed   []submission.Result
-	pending  []submission.Result
+	// endsAt is when they are expected to be whole; 0 if unknown.
+	endsAt  timer.Instant
+	listed  []submission.Result
+	pending []submission.Result
 	// sending says that a write is under way, sent when it was sent first.
 	sending bool
 	sent    timer.Instant
@@ -60,6 +62,9 @@
 	endKept bool
 	lost    bool
 	changed chan struct{}
+	// turned counts the turns: reads that began before the last one are answered
+	// with what there is.
+	turned int
 	// waiting are the reads that wait for results, and since when.
 	waiting map[*waiter]timer.Instant
 	wake    chan struct{}
@@ -76,6 +81,16 @@
 	return b.sending && now.Sub(b.sent) > doubtAfter
 }
 
+// sendGrace is how much longer a read waits for a write that is under way.
+const sendGrace = 100 * time.Millisecond
+
+// isSending reports whether a write of results is under way.
+func (b *Batch) isSending() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sending
+}
+
 // waiter is a read that waits for results. It has a size, so that each has an
 // address of its own.
 type waiter struct{ _ byte }
@@ -174,6 +189,28 @@
 	signal(b.write)
 }
 
+// reading describes the read that has waited longest. The lock is held.
+func (b *Batch) reading(now timer.Instant) schedule.Reading {
+	reading := schedule.Reading{
+		Waited: b.waited(now),
+	}
+	if b.endsAt != 0 && b.made == 0 {
+		reading.Left = b.endsAt.Sub(now)
+	}
+	return reading
+}
+
+// turn answers the reads that wait if the next ones should wait when the step
+// ends. The lock is held.
+func (b *Batch) turn(now timer.Instant) {
+	// Results that are pending are written and listed for the same reason.
+	if len(b.pending) == 0 && b.reading(now).Turn() {
+		b.turned++
+		clear(b.waiting)
+		b.tell()
+	}
+}
+
 // list takes results that are stored. The lock is held.
 func (b *Batch) list(results []submission.Result, now timer.Instant) {
 	b.listed = append(b.listed, results...)
@@ -217,7 +254,7 @@
 		WholeGroups: b.wholeGroups,
 		Wanted:      b.sub.WantedGroups,
 		Again:       len(b.again),
-		Waited:      b.waited(now),
+		Reading:     b.reading(now),
 	}
 }
 
--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -238,6 +238,7 @@
 	t.spent.scored += t.spent.lap(now)
 	r.Metrics.item(now.Sub(b.begun))
 	r.lengths.Finished(t.item.Estimate(), t.last)
+	r.lengths.Capped(t.item.MostTokens, t.last)
 	fields := log.Fields{
 		"request_id": t.item.ID,
 		"batch":      b.sub.ID,
--- a/internal/batch/runner/look.go
+++ b/internal/batch/runner/look.go
@@ -69,6 +69,8 @@
 		b.giveUp(now)
 	}
 	b.usual = r.usual(b)
+	r.expect(b, now)
+	b.turn(now)
 	r.measure(b, now)
 	r.rescue(b, now)
 	r.speedUp(b, now)
--- a/internal/batch/runner/move.go
+++ b/internal/batch/runner/move.go
@@ -33,6 +33,7 @@
 		Made:     t.last,
 		Moves:    t.moves,
 		Expected: r.lengths.Events(t.tokens),
+		Most:     r.lengths.Most(t.item.MostTokens),
 		Pace:     t.upstream.Against(usual.Seconds(), now),
 	}
 }
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -253,11 +253,13 @@
 		done = sub.C
 	}
 	var waits *waiter
+	turned := -1
 	defer func() {
 		b.mu.Lock()
 		delete(b.waiting, waits)
 		b.mu.Unlock()
 	}()
+	graced := false
 	for {
 		b.mu.Lock()
 		if b.lost {
@@ -265,6 +267,12 @@
 			return Page{}, ErrNotHere
 		}
 		p, changed, ended := b.page(after), b.changed, b.ended
+		if turned < 0 {
+			turned = b.turned
+		}
+		if b.turned != turned {
+			wait = 0
+		}
 		if len(p.Results) == 0 && wait <= 0 && b.unsure(r.Timer.Now()) {
 			b.mu.Unlock()
 			return Page{}, ErrNotHere
@@ -280,6 +288,15 @@
 		select {
 		case <-changed:
 		case <-done:
+			if b.isSending() && !graced {
+				// Results are about to be listed; told of none, the trainer
+				// would find them at its next read and look away after that.
+				graced = true
+				sub := r.Timer.Once(sendGrace)
+				defer sub.Close()
+				done = sub.C
+				continue
+			}
 			wait = 0
 		case <-ctx.Done():
 			return p, ctx.Err()
--- a/internal/batch/schedule/place.go
+++ b/internal/batch/schedule/place.go
@@ -150,6 +150,8 @@
 	Moves int
 	// Expected is how many events the item is expected to have; 0 if unknown.
 	Expected float64
+	// Most is how many it has at the most; 0 if unknown.
+	Most float64
 	// Pace is the pace of its engine against the usual one.
 	Pace float64
 }
@@ -204,7 +206,12 @@
 
 // Remaining returns how many events are expected to follow.
 func (p Progress) Remaining() float64 {
-	return max(p.Expected-float64(p.Made), longTail*float64(p.Made))
+	made := float64(p.Made)
+	left := max(p.Expected-made, longTail*made)
+	if p.Most > made {
+		return min(left, p.Most-made)
+	}
+	return left
 }
 
 // Gain returns how much earlier an item ends if it goes on at an engine of
--- a/internal/batch/schedule/write.go
+++ b/internal/batch/schedule/write.go
@@ -16,8 +16,8 @@
 	// WholeGroups is how many groups of the batch are complete, Wanted how many
 	// its trainer waits for; 0 if it did not say.
 	WholeGroups, Wanted int
-	// Waited is how long a read has waited for results; 0 if none does.
-	Waited time.Duration
+	// Reading is the read that has waited longest for results, if any does.
+	Reading Reading
 	// Again is how many groups are unfinished that come again from an earlier
 	// step. The trainer waits for each of them.
 	Again int
@@ -36,8 +36,6 @@
 	// a longer wait it reads again at once. Each write is also a priced call of
 	// the key-value service.
 	readWaited = 750 * time.Millisecond
-	// readPause is the least wait after which a trainer reads again at once.
-	readPause = 550 * time.Millisecond
 	// writeRest is when results are written as soon as that costs no pause, and
 	// writeLate when they are in any case: an instance that ends loses no more.
 	writeRest = 1200 * time.Millisecond
@@ -52,8 +50,14 @@
 	return p.Last || p.Whole && p.Wanted > 0 && p.WholeGroups >= p.Wanted && p.Again == 0
 }
 
-// near reports whether the step may end soon.
-func (p Pending) near() bool { return p.Wanted > 0 && p.WholeGroups+nearGroups >= p.Wanted }
+// near reports whether the step may end before a read that begins now has waited
+// long enough.
+func (p Pending) near() bool {
+	if p.Reading.Left > 0 {
+		return p.Reading.Left < readPause
+	}
+	return p.Wanted > 0 && p.WholeGroups+nearGroups >= p.Wanted
+}
 
 // Write reports whether the finished results are written, and so listed, now:
 // at once when they may end a step, else seldom.
@@ -66,8 +70,11 @@
 	case p.Whole && p.Wanted == 0:
 		return p.Oldest >= writeWhole
 	}
-	if p.Waited >= readWaited && !p.near() {
+	if p.Oldest >= writeLate || p.Reading.Turn() {
 		return true
 	}
-	return p.Oldest >= writeRest && p.Waited >= readPause || p.Oldest >= writeLate
+	if p.near() {
+		return false
+	}
+	return p.Reading.Waited >= readWaited || p.Oldest >= writeRest && p.Reading.Waited >= readPause
 }
--- a/internal/batch/schedule/write_test.go
+++ b/internal/batch/schedule/write_test.go
@@ -15,9 +15,9 @@
 	is.Equal(Write(Pending{Results: 1, Oldest: time.Second, Wanted: 9}), false)
 	is.Equal(Write(Pending{Results: 1, Oldest: writeRest, Wanted: 9}), false) // nobody reads now
 	is.Equal(Write(Pending{Results: 1, Oldest: writeLate, Wanted: 9}), true)
-	is.Equal(Write(Pending{Results: 1, Oldest: writeRest, Wanted: 9, Waited: readPause}), true)
-	is.Equal(Write(Pending{Results: 1, Oldest: writeRest, Wanted: 9, Waited: readPause / 2}), false)
-	is.Equal(Write(Pending{Results: 1, Wanted: 9, WholeGroups: 7, Waited: readWaited}), false) // the end is near
+	is.Equal(Write(Pending{Results: 1, Oldest: writeRest, Wanted: 9, Reading: Reading{Waited: readPause}}), true)
+	is.Equal(Write(Pending{Results: 1, Oldest: writeRest, Wanted: 9, Reading: Reading{Waited: readPause / 2}}), false)
+	is.Equal(Write(Pending{Results: 1, Wanted: 9, WholeGroups: 7, Reading: Reading{Waited: readWaited}}), false) // the end is near
 	is.Equal(Write(Pending{Results: 4, Whole: true, Oldest: time.Second, WholeGroups: 8, Wanted: 9}), false)
 	is.Equal(Write(Pending{Results: 4, Whole: true, WholeGroups: 9, Wanted: 9}), true)
 	is.Equal(Write(Pending{Results: 1, WholeGroups: 9, Wanted: 9}), false) // a part of a group ends no step
@@ -26,9 +26,9 @@
 	is.Equal(Write(Pending{Results: 4, Whole: true, WholeGroups: 9, Wanted: 9, Again: 1, Oldest: writeLate}), true)
 	is.Equal(Write(Pending{Results: 1, Last: true}), true)
 	// A read that is answered now is followed by the next one at once.
-	is.Equal(Write(Pending{Results: 1, Wanted: 9, Waited: readWaited}), true)
-	is.Equal(Write(Pending{Results: 1, Wanted: 9, Waited: readWaited / 2}), false)
-	is.Equal(Write(Pending{Wanted: 9, Waited: readWaited}), false)
+	is.Equal(Write(Pending{Results: 1, Wanted: 9, Reading: Reading{Waited: readWaited}}), true)
+	is.Equal(Write(Pending{Results: 1, Wanted: 9, Reading: Reading{Waited: readWaited / 2}}), false)
+	is.Equal(Write(Pending{Wanted: 9, Reading: Reading{Waited: readWaited}}), false)
 	// Nobody said how many groups are waited for.
 	is.Equal(Write(Pending{Results: 4, Whole: true, Oldest: writeWhole / 2}), false)
 	is.Equal(Write(Pending{Results: 4, Whole: true, Oldest: writeWhole}), true)
@@ -71,7 +71,7 @@
 			p.WholeGroups = wanted
 		}
 		if reading && seen == listed {
-			p.Waited = now - began
+			p.Reading.Waited = now - began
 		}
 		// Without news the owner looks after its batches ten times a second.
 		if (last || now%(100*time.Millisecond) == 0) && Write(p) {
