--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -279,12 +279,15 @@
 	if s.loading && (versions[s.order.Model] >= s.order.Version && s.order.Version > 0 || now >= s.until) {
 		s.loading = false
 	}
-	return Engine{
+	e := Engine{
 		ID:       u.ID,
 		Versions: versions,
-		Loading:  s.loading,
 		Load:     u.Load(now),
 	}
+	if s.loading {
+		e.Loading = s.order.Model
+	}
+	return e
 }
 
 // newest merges what the list and the engine itself say; versions only go up
--- a/internal/fleet/weights/plan_test.go
+++ b/internal/fleet/weights/plan_test.go
@@ -104,10 +104,40 @@
 	is.Equal(len(later), 2)
 	is.Equal(later[0].Engine, "old")
 	is.Equal(later[1].Engine, "idle")
-	engines[1].Loading = true
+	engines[1].Loading = "m"
 	is.Equal(len(Plan(engines, named, nil, sets, 1)), 0) // no more than may load at once
 }
 
+// The trainer of m1 is behind and names two versions within a second. None of its
+// engines can serve the second step, while the others load ahead what they need in
+// some seconds. Ordered by load alone its engines came last, and its step stood
+// still for three seconds.
+func TestStepWithoutEnginesGoesFirst(t *testing.T) {
+	is := is.New(t)
+	engines := []Engine{
+		engineOf("a", 0, map[string]uint64{"m0": 6}),
+		engineOf("b", 0.1, map[string]uint64{"m0": 8}),
+		engineOf("c", 0.9, map[string]uint64{"m1": 9}),
+		engineOf("d", 0.8, map[string]uint64{"m1": 9}),
+		engineOf("e", 0.2, map[string]uint64{"m0": 7}),
+	}
+	named := map[string]uint64{"m0": 8, "m1": 11}
+	sets := map[string]string{"a": "m0", "b": "m0", "c": "m1", "d": "m1", "e": "m0"}
+	orders := Plan(engines, named, nil, sets, 3)
+	is.Equal(len(orders), 3)
+	is.Equal(orders[0].Engine, "d") // no engine serves the newest step of m1
+	is.Equal(orders[1].Engine, "c") // one is on its way, two serve that of m0
+	is.Equal(orders[2].Engine, "a")
+	// Once all have what their steps need, the model goes first that has the
+	// fewest engines for the step after.
+	engines[0].Versions["m0"] = 8
+	engines[2].Loading, engines[3].Versions["m1"] = "m1", 10
+	orders = Plan(engines, named, nil, sets, 3)
+	is.Equal(len(orders), 2)
+	is.Equal(orders[0].Engine, "d")
+	is.Equal(orders[1].Engine, "e")
+}
+
 // Loads slow each other down beyond a fifth of the engines.
 func TestAtOnce(t *testing.T) {
 	is := is.New(t)
