--- a/internal/batch/ledger/append.go
+++ b/internal/batch/ledger/append.go
@@ -30,22 +30,6 @@
 	return c, nil
 }
 
-// Keep writes the progress of long items alone, if the claim still stands. It
-// returns ErrFenced when the batch has another owner or is ended. A write whose
-// answer is lost may replace a later one by what it holds itself; that is still
-// the beginning of the same texts.
-func (l *Ledger) Keep(ctx context.Context, c Claim, progress []submission.Progress) error {
-	tx, err := c.write(progress)
-	if err != nil || len(tx.Writes) == 0 {
-		return err
-	}
-	_, err = l.Space.Commit(ctx, tx)
-	if errors.Is(err, keyvalue.ErrConflict) {
-		return ErrFenced
-	}
-	return err
-}
-
 // write returns a transaction that writes progress if the claim still stands.
 func (c Claim) write(progress []submission.Progress) (keyvalue.Transaction, error) {
 	tx := keyvalue.Transaction{
--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -51,10 +51,6 @@
 	// sending says that a write is under way, sent when it was sent first.
 	sending bool
 	sent    timer.Instant
-	// kept is when the texts under way were stored last.
-	kept timer.Instant
-	// keeping says that they are being stored.
-	keeping bool
 	// since is when the first pending result came.
 	since timer.Instant
 	whole bool
@@ -341,7 +337,6 @@
 	var list []submission.Progress
 	for _, t := range b.tasks {
 		if t.phase != finished && t.phase != scoring && len(t.events) >= least {
-			t.kept = t.last
 			list = append(list, submission.Progress{
 				Item:     t.item.ID,
 				Events:   slices.Clone(t.events),
@@ -353,17 +348,5 @@
 	return list
 }
 
-// longest returns the most events that an unfinished item has made since the
-// texts were stored last. The lock is held.
-func (b *Batch) longest() int {
-	most := 0
-	for _, t := range b.tasks {
-		if t.phase == running && t.last >= progressEvents {
-			most = max(most, t.last-t.kept)
-		}
-	}
-	return most
-}
-
 // left returns the time until unfinished items are given up.
 func (b *Batch) left(now timer.Instant) time.Duration { return b.gives.Sub(now) }
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -57,8 +57,6 @@
 	last   int
 	// versions made the events, each once, in order of first use.
 	versions []uint64
-	// kept is how many events were stored last.
-	kept     int
 	failures int
 	moves    int
 	attempts int
--- a/internal/batch/runner/write.go
+++ b/internal/batch/runner/write.go
@@ -51,7 +51,6 @@
 	defer b.writing.Unlock()
 	b.mu.Lock()
 	due := b.due(r.Timer.Now())
-	r.keep(b)
 	if b.over() || !schedule.Write(due) {
 		going := !b.over()
 		b.mu.Unlock()
@@ -64,7 +63,6 @@
 		// The trainer waits for results that end its step; half a megabyte
 		// beside them would hold them up by some ten milliseconds.
 		progress = b.progress(progressEvents)
-		b.kept = r.Timer.Now()
 	}
 	b.mu.Unlock()
 	for len(results) > 0 {
@@ -77,38 +75,6 @@
 	return true
 }
 
-// keep stores the texts under way if that is due, beside the writes of results,
-// which don't wait for it. The lock is held.
-func (r *Runner) keep(b *Batch) {
-	now := r.Timer.Now()
-	if b.over() || b.keeping || !schedule.Keep(now.Sub(b.kept), b.longest()) {
-		return
-	}
-	b.keeping, b.kept = true, now
-	go r.keepOnce(b, b.claim, b.progress(progressEvents))
-}
-
-// keepOnce stores texts. What fails is stored with a later write.
-func (r *Runner) keepOnce(b *Batch, claim ledger.Claim, progress []submission.Progress) {
-	defer func() {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.keeping = false
-	}()
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-	defer cancel()
-	err := r.Ledger.Keep(ctx, claim, progress)
-	switch {
-	case errors.Is(err, ledger.ErrFenced):
-		r.Lose(b.sub.ID, err)
-	case err != nil:
-		r.Journal.Detail("texts not stored", log.Fields{
-			"request_id": b.sub.ID,
-			"error":      err.Error(),
-		})
-	}
-}
-
 // append writes one chunk, again and again while the service is away, and
 // lists it. It reports false when nothing more is to be written here. The end of
 // a batch does not cut a write short: a chunk that was stored without this
--- a/internal/batch/schedule/write.go
+++ b/internal/batch/schedule/write.go
@@ -45,15 +45,6 @@
 	nearGroups = 2
 )
 
-// keepEvery is how much work on its texts a batch may lose with its instance: a
-// trainer whose step is made again from further back stands still that much
-// longer, and two steps later it is still behind.
-const keepEvery = 800 * time.Millisecond
-
-// Keep reports whether the texts that are being made are stored, some time after
-// they were last. longest is how many events the longest has made since.
-func Keep(since time.Duration, longest int) bool { return since >= keepEvery && longest > 0 }
-
 // Ends reports whether the pending results may end the step of the batch.
 func (p Pending) Ends() bool {
 	return p.Last || p.Whole && p.Wanted > 0 && p.WholeGroups >= p.Wanted && p.Again == 0
