--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -22,6 +22,8 @@
 	cancel  context.CancelFunc
 	// begun is when this process began with it.
 	begun timer.Instant
+	// asked is when the batch was submitted.
+	asked timer.Instant
 	// gives is when unfinished items are given up.
 	gives timer.Instant
 
@@ -55,6 +57,10 @@
 	since timer.Instant
 	whole bool
 	open  int
+	// overloaded says that the queue is ordered by groups, ranked when it was put
+	// in order last.
+	overloaded bool
+	ranked     timer.Instant
 	// usual is the usual time of an event at the engines, as last looked up.
 	usual time.Duration
 	ended bool
--- a/internal/batch/runner/choose.go
+++ b/internal/batch/runner/choose.go
@@ -88,8 +88,9 @@
 func (r *Runner) needOf(b *Batch, t *task, usual time.Duration, now timer.Instant) schedule.Need {
 	left := max(0, r.lengths.Events(t.tokens)-float64(t.last))
 	return schedule.Need{
-		Lasts:  time.Duration(left * float64(usual)),
-		Waited: now.Sub(b.begun),
-		Memory: t.needs(),
+		Lasts:   time.Duration(left * float64(usual)),
+		Waited:  now.Sub(b.begun),
+		Hurried: b.overloaded,
+		Memory:  t.needs(),
 	}
 }
--- a/internal/batch/runner/look.go
+++ b/internal/batch/runner/look.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"sort"
 	"time"
 
 	"github.com/apex/log"
@@ -45,17 +46,21 @@
 		list = append(list, b)
 	}
 	r.mu.Unlock()
+	// Earlier steps are due earlier: their work goes first.
+	sort.Slice(list, func(i, j int) bool { return list[i].sub.SubmittedMS < list[j].sub.SubmittedMS })
 	any := false
+	work := make(map[string]time.Duration)
 	for _, b := range list {
-		if r.lookAt(b, now) {
+		if r.lookAt(b, work, now) {
 			any = true
 		}
 	}
 	return any
 }
 
-// lookAt looks at one batch and reports whether it is not over.
-func (r *Runner) lookAt(b *Batch, now timer.Instant) bool {
+// lookAt looks at one batch and reports whether it is not over. work is that of
+// earlier steps by model.
+func (r *Runner) lookAt(b *Batch, work map[string]time.Duration, now timer.Instant) bool {
 	b.mu.Lock()
 	if b.over() || b.open == 0 && len(b.pending) == 0 {
 		b.mu.Unlock()
@@ -69,6 +74,7 @@
 		b.giveUp(now)
 	}
 	b.usual = r.usual(b)
+	work[b.sub.Model] = r.rank(b, work[b.sub.Model], now)
 	r.expect(b, now)
 	b.turn(now)
 	r.measure(b, now)
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -158,6 +158,7 @@
 	for _, t := range b.tasks {
 		t.spent.since = b.begun
 	}
+	b.asked = b.begun.Add(-max(0, age))
 	b.gives = r.Timer.Now().Add(after - min(max(0, age), after))
 	r.mu.Lock()
 	if r.batches == nil {
--- a/internal/batch/schedule/place.go
+++ b/internal/batch/schedule/place.go
@@ -70,6 +70,8 @@
 	Lasts time.Duration
 	// Waited is how long it could have begun already.
 	Waited time.Duration
+	// Hurried says that the step can't be whole in time: no slot stays free.
+	Hurried bool
 	// Memory is what the item is expected to need in the end, in tokens.
 	Memory int64
 }
@@ -102,7 +104,7 @@
 func Pick(engines []Engine, n Need) int {
 	best := -1
 	for i, e := range engines {
-		if e.Room < 1 || n.Short() && n.Waited < shortWait && e.crowded() {
+		if e.Room < 1 || n.Short() && n.Waited < shortWait && !n.Hurried && e.crowded() {
 			continue
 		}
 		if best < 0 || n.cost(e) < n.cost(engines[best]) {
--- a/internal/batch/schedule/schedule_test.go
+++ b/internal/batch/schedule/schedule_test.go
@@ -39,6 +39,11 @@
 	is.Equal(Pick(engines, Need{}), 1) // one slot more does not make up for an older kind
 	engines[1].Room, engines[2].Room = 0, 0.5
 	is.Equal(Pick(engines, Need{}), 3) // both slow ones are free: the near one
+	engines[1].Room = 6
+	short := Need{Lasts: time.Second}
+	is.Equal(Pick(engines[1:2], short), -1) // half of a fast engine's slots stay free
+	short.Hurried = true
+	is.Equal(Pick(engines[1:2], short), 0) // but not where the step can't be whole in time
 	for i := range engines {
 		engines[i].Room = 0
 	}
