--- a/internal/fleet/weights/holder.go
+++ b/internal/fleet/weights/holder.go
@@ -28,11 +28,9 @@
 	// absence is how long the holder must be missing before another instance
 	// takes over. One that is started again goes on at once.
 	absence = 1500 * time.Millisecond
-	// lookGap is the longest time between two looks that belong together.
-	lookGap = 2 * keepEvery
-	// TurnWait is how long a new holder waits for orders of the one before.
-	// Engines must not hear two holders within three seconds, and a holder
-	// whose lease was taken away believes in it for holdTrust at most.
+	// TurnWait is how long after the one before was seen to be missing a new holder
+	// gives its first order. Engines must not hear two holders within three seconds,
+	// and a holder whose lease was taken away believes in it for holdTrust at most.
 	TurnWait = 3*time.Second + holdTrust
 	// holdCall bounds one call.
 	holdCall = 900 * time.Millisecond
@@ -72,12 +70,22 @@
 	lease  uint64
 	holds  atomic.Bool
 	begins timer.Instant
-	absent timer.Instant
-	looked timer.Instant
+	gone   departure
 	// settled says that the stored value no longer tells of a wait.
 	settled bool
 }
 
+// departure is what was found of a holder that is missing.
+type departure struct {
+	holder string
+	// revision is that of the right when its holder was found to show no sign of
+	// life. As long as it stands the holder can't have taken the right again under
+	// another lease, and so gives no order more.
+	revision uint64
+	// since is when that was found.
+	since timer.Instant
+}
+
 // waiting is the second word of the stored value while the holder has to wait
 // for orders of the one before it. A life of the same instance that starts
 // within that time has to wait as well.
@@ -115,39 +123,63 @@
 	if h.fence != 0 && lease == h.lease && (h.settled || h.Timer.Now() < h.begins) {
 		return nil
 	}
-	if !fresh || !h.Presence.Synced() || !h.candidate() {
+	if !fresh || !h.Presence.Synced() {
 		return nil
 	}
+	if ok, err := h.candidate(ctx); !ok {
+		return err
+	}
 	return h.acquire(ctx, lease)
 }
 
 // candidate reports whether this instance should try for the right: it had it,
 // or it comes first and the holder has been missing long enough. All others
 // don't ask; each try is a priced call.
-func (h *Holder) candidate() bool {
+func (h *Holder) candidate(ctx context.Context) (bool, error) {
 	holder, _ := HolderOf(h.Presence.Duty(Duty))
 	if holder == h.Name || h.fence != 0 {
-		return true
+		return true, nil
 	}
 	if h.Presence.First() != h.Name {
-		h.absent = 0
-		return false
+		h.gone = departure{}
+		return false, nil
 	}
 	if holder == "" {
-		return true
+		return true, nil
 	}
-	now := h.Timer.Now()
 	if h.Presence.Present(holder) {
-		h.absent = 0
-		return false
+		h.gone = departure{}
+		return false, nil
+	}
+	if h.gone.holder != holder {
+		if err := h.depart(ctx, holder); err != nil {
+			return false, err
+		}
+	}
+	return h.gone.holder == holder && h.Timer.Now().Sub(h.gone.since) >= absence, nil
+}
+
+// depart notes that a holder is missing, if the service says so as well: a new
+// holder's wait for orders of the one before begins then, and not seconds later
+// when it takes the right, in which no engine would get the weights of a step.
+func (h *Holder) depart(ctx context.Context, holder string) error {
+	item, err := h.Space.Get(ctx, h.Key)
+	if err != nil {
+		return err
 	}
-	// What was seen before a pause of this instance says nothing of the time in
-	// between.
-	if h.absent == 0 || now.Sub(h.looked) > lookGap {
-		h.absent = now
+	if name, _ := HolderOf(string(item.Value)); name != holder {
+		return nil
 	}
-	h.looked = now
-	return now.Sub(h.absent) >= absence
+	_, err = h.Space.Get(ctx, h.Sign(holder))
+	if !errors.Is(err, keyvalue.ErrNotFound) {
+		return err
+	}
+	h.gone = departure{
+		holder:   holder,
+		revision: item.Revision,
+		since:    h.Timer.Now(),
+	}
+	return nil
 }
 
 // acquire takes the key if it names nobody, an earlier life of this instance,
@@ -166,6 +198,9 @@
 		return nil
 	}
 	begins := h.wait(before, waits)
+	if h.gone.holder == before && h.gone.revision == item.Revision && h.fence == 0 {
+		begins = max(h.Timer.Now(), h.gone.since.Add(TurnWait))
+	}
 	if item.Revision == 0 {
 		// The key is never removed: nobody has given an order yet.
 		begins = h.Timer.Now()
@@ -195,7 +230,7 @@
 	h.fence, h.lease = rev, lease
 	h.begins, h.settled = begins, settled
 	h.holds.Store(true)
-	h.absent = 0
+	h.gone = departure{}
 	h.Journal.Event("order duty held", log.Fields{
 		"fencing": rev,
 		"before":  before,
@@ -209,6 +244,7 @@
 	now := h.Timer.Now()
 	switch {
 	case before != h.Name:
+		// Since when that one is missing is not known.
 		return now.Add(TurnWait)
 	case h.fence != 0:
 		// This very life goes on; what it waits for stays the same.
--- a/internal/fleet/weights/holder_test.go
+++ b/internal/fleet/weights/holder_test.go
@@ -190,6 +190,78 @@
 	}
 }
 
+// The instance that gives orders loses power. The next one waited for its absence,
+// and then once more for orders that it might have given at the very end: eight
+// seconds in which no engine got new weights, and the steps that wanted them stood
+// still for four.
+func TestNextHolderWaitsFromTheDeparture(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clock := &timer.Manual{}
+	store := &space.Space{
+		Timer: clock,
+	}
+	a, pa := newHolder(clock, store, "a")
+	is.NoErr(pa.renew(ctx, store, "a"))
+	is.NoErr(a.Keep(ctx))
+	b, pb := newHolder(clock, store, "b")
+	const tick = 100 * time.Millisecond
+	for since := time.Duration(0); since < leaseTTL+TurnWait+2*keepEvery; since += tick {
+		clock.Advance(tick)
+		if since%(5*tick) == 0 {
+			is.NoErr(pb.renew(ctx, store, "b"))
+		}
+		pb.look(ctx, store)
+		if since%keepEvery != 0 {
+			continue
+		}
+		is.NoErr(b.Keep(ctx))
+		if _, ok := b.Fence(); ok {
+			is.True(since >= leaseTTL+3*time.Second) // never before the last order of a is old
+			return
+		}
+	}
+	t.Fatal("no orders for longer than a lease and a turn")
+}
+
+// The holder comes back and takes its right again while another one counts its
+// absence. Counted from the first absence, the other would give orders just after
+// those of the holder.
+func TestDepartureEndsWhenTheHolderComesBack(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clock := &timer.Manual{}
+	store := &space.Space{
+		Timer: clock,
+	}
+	a, pa := newHolder(clock, store, "a")
+	is.NoErr(pa.renew(ctx, store, "a"))
+	is.NoErr(a.Keep(ctx))
+	b, pb := newHolder(clock, store, "b")
+	store.Lapse(pa.lease)
+	clock.Advance(tickOf)
+	is.NoErr(pb.renew(ctx, store, "b"))
+	pb.look(ctx, store)
+	is.NoErr(b.Keep(ctx)) // b finds a missing
+	is.NoErr(pa.renew(ctx, store, "a"))
+	pa.look(ctx, store)
+	is.NoErr(a.Keep(ctx))
+	_, ok := a.Fence()
+	is.True(ok) // a goes on under another lease
+	store.Lapse(pa.lease)
+	clock.Advance(absence)
+	// The view of b has missed that a was back.
+	is.NoErr(pb.renew(ctx, store, "b"))
+	is.NoErr(b.Keep(ctx))
+	clock.Advance(TurnWait - absence)
+	is.NoErr(pb.renew(ctx, store, "b"))
+	is.NoErr(b.Keep(ctx))
+	_, ok = b.Fence()
+	is.Equal(ok, false)
+}
+
+const tickOf = 100 * time.Millisecond
+
 // An instance that gives orders is frozen, or its lease is taken away, and
 // another one takes over. Engines that don't check fencing tokens must not hear
 // both within three seconds: a late order of the first would undo one of the
