--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -165,6 +165,7 @@
 		d.Journal.Decision("accepted_before", log.Fields{
 			"request_id": sub.ID,
 		})
+		go d.remind(sub.ID)
 		return nil
 	}
 	e := submitProblem(err)
--- a/internal/batch/desk/peers.go
+++ b/internal/batch/desk/peers.go
@@ -112,7 +112,9 @@
 	if !ok {
 		return problem.NotFound.Withf("no route for %s%s", sub.Host, sub.Path)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), homeTimeout)
+	// The caller waits for less and asks elsewhere. Given up then, the batch may be
+	// stored with an owner that does not know of it.
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
 	return s.desk.Accept(ctx, sub, route)
 }
--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -289,8 +289,39 @@
 	}
 }
 
-// Adopt begins a batch that was handed over to this instance.
+// remind tells the owner of a batch to begin with it if it does not run it. An
+// owner whose write was stored while it waited in vain for the answer does not
+// know of its batch until its next look, and the step stands still for seconds;
+// the trainer that comes again finds the batch accepted, and so the owner.
+func (d *Desk) remind(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), sweepTimeout)
+	defer cancel()
+	owner, err := d.owner(ctx, id)
+	if errors.Is(err, ledger.ErrUnknown) {
+		// It has ended.
+		return
+	}
+	switch {
+	case err != nil:
+	case owner == d.Ledger.Self:
+		err = d.Adopt(ctx, id)
+	case !d.Peers.Runs(ctx, owner.Address, id):
+		err = d.Peers.Adopt(ctx, owner.Address, id)
+	}
+	if err != nil {
+		d.Journal.Detail("owner not reminded", log.Fields{
+			"request_id": id,
+			"owner":      owner.Instance,
+			"error":      err.Error(),
+		})
+	}
+}
+
+// Adopt begins a batch of which this instance is the owner by the ledger.
 func (d *Desk) Adopt(ctx context.Context, id string) error {
+	if d.Runner.Has(id) {
+		return nil
+	}
 	claim, err := d.Ledger.Find(ctx, id)
 	if err != nil {
 		return err
