--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -127,8 +127,8 @@
 	Next    int
 }
 
-// pageBytes bounds the text of one page: what the smallest link carries within
-// a tenth of a second.
+// pageBytes bounds the text of one page, so that the smallest link carries it
+// without holding up other answers.
 const pageBytes = 384 << 10
 
 // page returns the results from a position on. The lock is held.
--- a/internal/batch/runner/write.go
+++ b/internal/batch/runner/write.go
@@ -60,8 +60,8 @@
 	b.pending, b.whole = nil, false
 	var progress []submission.Progress
 	if !due.Ends() {
-		// The trainer waits for results that end its step; half a megabyte
-		// beside them would hold them up by some ten milliseconds.
+		// The trainer waits for results that end its step; texts beside them
+		// would hold them up.
 		progress = b.progress(progressEvents)
 	}
 	b.mu.Unlock()
--- a/internal/batch/schedule/place.go
+++ b/internal/batch/schedule/place.go
@@ -22,10 +22,8 @@
 
 // The weights of a choice, as parts of an engine's pace.
 const (
-	// slotsSlow and textsSlow are how much longer an event takes at an engine all
-	// of whose slots, or all of whose memory is taken: eight streams add 0.025 ms
-	// to a token's 0.58, half of which is over within the time of a long text, and
-	// what they have read and made so far, 70,000 tokens, 0.09.
+	// slotsSlow and textsSlow are how much longer an event takes over the time of a
+	// long text at an engine all of whose slots, or all of whose memory is taken.
 	slotsSlow = 0.02
 	textsSlow = 0.10
 	// farCosts is what a text from another failure domain costs against one
@@ -33,8 +31,8 @@
 	farCosts = 0.02
 	// overCosts is for each time the memory of an engine that its streams are
 	// expected to need beyond it. When memory runs out an engine puts streams
-	// off, and a long text stands still for a second and more; an engine of an
-	// older kind costs 0.3.
+	// off, and a long text stands still for longer than it would lose at an engine
+	// of an older kind.
 	overCosts = 0.5
 )
 
@@ -54,8 +52,8 @@
 }
 
 // kind returns the pace without what it owes to chance and to the streams of a
-// moment: those of equal engines differ by a twentieth. Taken as it is measured,
-// it draws four long texts to one engine and makes each half a second longer.
+// moment. Taken as it is measured, it draws several long texts to one of some
+// equal engines, and each of them slows the others down.
 func (e Engine) kind() float64 {
 	if e.Pace <= olderPace {
 		return 1
@@ -96,10 +94,9 @@
 )
 
 // Pick returns the engine for the next item, or -1 if it should wait for one.
-// Long items go where events are made fastest. A third of a service's engines
-// may be of an older kind that takes 1.3 times as long; the longest items of a
-// step, which begin first, would last two seconds longer there than the step
-// has. Short items go to those older engines, and leave half of the fast ones'
+// Long items go where events are made fastest. Some of a service's engines may be
+// of an older, slower kind; the longest items of a step, which begin first, would
+// last longer there than the step has. Short items go to those older engines, and leave half of the fast ones'
 // slots free.
 func Pick(engines []Engine, n Need) int {
 	best := -1
@@ -160,8 +157,7 @@
 
 // The limits of moving.
 const (
-	// usualDefault stands in for the usual time of an event until one is known:
-	// 64 tokens at 0.6 ms, and half again for a full engine.
+	// usualDefault stands in for the usual time of an event until one is known.
 	usualDefault = 60 * time.Millisecond
 	// stallFactor and stallLeast are from when on a silent stream counts as
 	// stalled. Reading a prompt again takes some milliseconds, so moving early
@@ -177,11 +173,11 @@
 	// often meets trouble everywhere.
 	mostMoves = 8
 	// fasterFactor is how much slower than another engine a stream's own must
-	// be for a move that is not needed, above the noise of paces: those of equal
-	// engines differ by a twentieth.
+	// be for a move that is not needed, above what the paces of equal engines
+	// differ by.
 	fasterFactor = 1.15
-	// fasterGain is what such a move must save. Reading the text again takes
-	// up to 40 ms, and a move that was wrong costs as much again.
+	// fasterGain is what such a move must save: the text is read again, and after
+	// a move that was wrong once more.
 	fasterGain = 250 * time.Millisecond
 	// mostFaster bounds moves that are not needed.
 	mostFaster = 3
