--- a/internal/batch/account/log.go
+++ b/internal/batch/account/log.go
@@ -108,7 +108,7 @@
 		return err
 	}
 	switch f.values[fieldDecision] {
-	case "accept", "take_over":
+	case "accept", "prepare", "take_over":
 		l.begin(f)
 	case "item":
 		l.item(f)
--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -129,11 +129,18 @@
 // afterHome takes back a "not run" that this instance can't vouch for: the home
 // of the batch did not say what became of it, and may have stored it.
 func (d *Desk) afterHome(err error) error {
-	if err == nil || problem.From(err).Kind.Outcome != problem.NotRun {
-		return err
+	if err == nil {
+		return nil
+	}
+	return notVouched(problem.From(err))
+}
+
+// notVouched takes back a "not run".
+func notVouched(e *problem.Error) error {
+	if e.Kind.Outcome != problem.NotRun {
+		return e
 	}
-	e := problem.From(err)
-	return problem.ChangeUnknown.With(err).WithOutcome(problem.Unknown).WithRetryAfter(e.RetryAfter)
+	return problem.ChangeUnknown.With(e).WithOutcome(problem.Unknown).WithRetryAfter(e.RetryAfter)
 }
 
 // homeKey is what the instance of a batch is chosen by.
@@ -151,7 +158,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	err := d.accept(ctx, sub, route)
+	prepared, err := d.accept(ctx, sub, route)
 	switch {
 	case err == nil:
 		d.tell(News{
@@ -174,24 +181,41 @@
 		"items":      len(sub.Items),
 		"outcome":    e.Kind.Code,
 		"reason":     err.Error(),
+		"prepared":   prepared,
 	})
+	if prepared {
+		return notVouched(e)
+	}
 	return e
 }
 
-// accept waits a bounded time for the key-value service if it is away: a trainer
-// stands still without its batch, and its next try would meet the same outage.
-func (d *Desk) accept(ctx context.Context, sub *submission.Submission, route catalog.Route) error {
+// accept stores a batch and begins it. While the key-value service is away the
+// home of the batch begins it all the same, and waits for the service for a bounded
+// time: a trainer stands still without its batch. All others leave it to the home;
+// the first to reach the service would make another instance begin anew.
+func (d *Desk) accept(ctx context.Context, sub *submission.Submission, route catalog.Route) (prepared bool, err error) {
 	for {
 		err := d.Runner.Submit(ctx, sub, route)
 		if !errors.Is(err, keyvalue.ErrDown) && !errors.Is(err, keyvalue.ErrBusy) {
-			return err
+			return prepared, err
+		}
+		if !d.prepares(sub) {
+			return false, err
 		}
+		prepared = true
+		d.Runner.Prepare(sub, route)
 		if !timer.Wait(d.Timer, submitPause, ctx.Done()) {
-			return err
+			return prepared, err
 		}
 	}
 }
 
+// prepares reports whether a batch begins at this instance before it is stored.
+func (d *Desk) prepares(sub *submission.Submission) bool {
+	homes := Homes(d.Registry.Members(), homeKey(sub))
+	return len(homes) > 0 && homes[0].Name == d.Ledger.Self.Instance
+}
+
 // submitProblem says "not run" only if the write can't be done any more.
 func submitProblem(err error) *problem.Error {
 	switch {
--- a/internal/batch/desk/remind_test.go
+++ b/internal/batch/desk/remind_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/standin/space"
 )
 
 // unaware is an owner that does not know of its batch.
@@ -61,3 +63,25 @@
 	d.remind("gone")
 	is.Equal(len(peers.adopted), 0)
 }
+
+// The key-value service is away when a trainer asks for a step. Its home begins the
+// step and must not say then that it has not run; any other instance may.
+func TestHomeThatBeginsAStepDoesNotRefuseIt(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDesk(t, func(space.Call) space.Fault { return space.Down })
+	sub := &submission.Submission{
+		ID:    "b",
+		Model: "m",
+	}
+	self := d.Registry.Self()
+	self.Cores = 1
+	d.Registry.SetSelf(self)
+	is.True(d.prepares(sub))
+	err := d.Accept(context.Background(), sub, catalog.Route{})
+	is.Equal(problem.From(err).Kind.Outcome, problem.Unknown)
+
+	d.Ledger.Self.Instance = "elsewhere"
+	is.Equal(d.prepares(sub), false)
+	err = d.Accept(context.Background(), sub, catalog.Route{})
+	is.Equal(problem.From(err).Kind.Outcome, problem.NotRun)
+}
--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -31,11 +31,15 @@
 	// taken before mu.
 	writing sync.Mutex
 
-	mu     sync.Mutex
-	claim  ledger.Claim
-	tasks  map[string]*task
-	queue  []*task
-	groups map[string]int
+	mu    sync.Mutex
+	claim ledger.Claim
+	// unstored batches are not accepted yet, wanted is when they were last asked
+	// for.
+	unstored bool
+	wanted   timer.Instant
+	tasks    map[string]*task
+	queue    []*task
+	groups   map[string]int
 	// wholeGroups is how many groups have all their items finished.
 	wholeGroups int
 	// again are the groups that come again from an earlier batch.
--- a/internal/batch/runner/look.go
+++ b/internal/batch/runner/look.go
@@ -66,6 +66,11 @@
 		b.mu.Unlock()
 		return false
 	}
+	if b.unwanted(now) {
+		b.mu.Unlock()
+		r.Lose(b.sub.ID, errUnwanted)
+		return false
+	}
 	if b.left(now) <= 0 && b.open > 0 {
 		r.Journal.Decision("give_up", log.Fields{
 			"request_id": b.sub.ID,
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -90,9 +90,15 @@
 // Submit accepts a batch and begins it. Errors: those of ledger.Accept.
 func (r *Runner) Submit(ctx context.Context, sub *submission.Submission, route catalog.Route) error {
 	claim, err := r.Ledger.Accept(ctx, sub)
+	if errors.Is(err, ledger.ErrExists) {
+		r.abandon(sub.ID, err)
+	}
 	if err != nil {
 		return err
 	}
+	if r.stored(claim) {
+		return nil
+	}
 	if claim.Found {
 		return r.Adopt(ctx, claim)
 	}
@@ -102,6 +108,9 @@
 
 // Adopt goes on with a batch that this process has claimed.
 func (r *Runner) Adopt(ctx context.Context, claim ledger.Claim) error {
+	if r.stored(claim) {
+		return nil
+	}
 	rec, err := r.Ledger.Load(ctx, claim.Batch)
 	if err != nil {
 		return err
@@ -216,7 +225,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.lost
+	return !b.lost && !b.unstored
 }
 
 func (r *Runner) find(id string) *Batch {
@@ -232,7 +241,7 @@
 	var claims []ledger.Claim
 	for _, b := range r.batches {
 		b.mu.Lock()
-		if !b.over() {
+		if !b.over() && !b.unstored {
 			claims = append(claims, b.claim)
 		}
 		b.mu.Unlock()
@@ -263,7 +272,7 @@
 	graced := false
 	for {
 		b.mu.Lock()
-		if b.lost {
+		if b.lost || b.unstored {
 			b.mu.Unlock()
 			return Page{}, ErrNotHere
 		}
@@ -316,7 +325,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.lost {
+	if b.lost || b.unstored {
 		return nil, false, ErrNotHere
 	}
 	body, ok = BodyOf(b.sub, b.listed, item)
@@ -345,6 +354,10 @@
 		return ErrNotHere
 	}
 	b.mu.Lock()
+	if b.unstored {
+		b.mu.Unlock()
+		return ErrNotHere
+	}
 	if b.endKept {
 		b.mu.Unlock()
 		return nil
--- a/internal/batch/runner/write.go
+++ b/internal/batch/runner/write.go
@@ -51,7 +51,7 @@
 	defer b.writing.Unlock()
 	b.mu.Lock()
 	due := b.due(r.Timer.Now())
-	if b.over() || !schedule.Write(due) {
+	if b.over() || b.unstored || !schedule.Write(due) {
 		going := !b.over()
 		b.mu.Unlock()
 		return going
