--- /dev/null
+++ b/internal/batch/runner/prepare_proof_test.go
@@ -0,0 +1,85 @@
+package runner
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/standin/proof"
+	"github.com/egretbend/egretbend/internal/standin/space"
+)
+
+// histories is how many histories the proof plays; each runs for some hundredths
+// of a second.
+const histories = 40
+
+// The key-value service refuses calls, loses their answers and carries them out
+// late, while a trainer asks for its batch again and again here and at another
+// instance. Whatever can be read here stands in the ledger, so that it comes again
+// after any crash; and at the end, if this instance has the batch, each of its
+// items is there once.
+func TestPreparedBatchesShowOnlyWhatIsStored(t *testing.T) {
+	proof.CheckN(t, histories, func(rt *rapid.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		b := newBench(t, func(_ context.Context, _ *catalog.Upstream, g Generation, emit func(Event) error) error {
+			return events(g.After, 3, 5, emit)
+		})
+		var fault atomic.Int32
+		b.store.Fault = func(space.Call) space.Fault { return space.Fault(fault.Load()) }
+		sub := b.batch("x", "y", "z")
+		other := &ledger.Ledger{
+			Space: b.store,
+			Self: ledger.Owner{
+				Instance: "other",
+			},
+			Pause: b.runner.Ledger.Pause,
+		}
+		for range rapid.IntRange(1, 12).Draw(rt, "steps") {
+			fault.Store(int32(rapid.IntRange(int(space.None), int(space.Late)).Draw(rt, "fault")))
+			switch rapid.IntRange(0, 4).Draw(rt, "action") {
+			case 0, 1:
+				if b.runner.Submit(ctx, sub, b.route) != nil {
+					b.runner.Prepare(sub, b.route)
+				}
+			case 2:
+				_, _ = other.Accept(ctx, sub)
+			case 3:
+				b.store.Settle()
+			case 4:
+				page, err := b.runner.Read(ctx, "b", 0, 0)
+				if err != nil {
+					continue
+				}
+				fault.Store(int32(space.None))
+				rec, err := b.runner.Ledger.Load(ctx, "b")
+				is.NoErr(err)
+				is.True(len(rec.Results) >= len(page.Results))
+				for i, r := range page.Results {
+					is.Equal(rec.Results[i].Item, r.Item)
+				}
+			}
+		}
+		fault.Store(int32(space.None))
+		b.store.Settle()
+		_ = b.runner.Submit(ctx, sub, b.route)
+		claim, err := b.runner.Ledger.Find(ctx, "b")
+		is.NoErr(err)
+		if claim.Owner != b.runner.Ledger.Self {
+			is.Equal(b.runner.Has("b"), false)
+			return
+		}
+		once := map[string]int{}
+		for _, r := range b.results(3) {
+			is.Equal(r.State, submission.Completed)
+			once[r.Item]++
+		}
+		is.Equal(once, map[string]int{"x": 1, "y": 1, "z": 1})
+	})
+}
