--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -81,85 +81,6 @@
 	write   chan struct{}
 }
 
-// doubtAfter is how long a write may take before its results may have been read
-// elsewhere: a reader that saw them there must not find them missing here.
-const doubtAfter = 300 * time.Millisecond
-
-// unsure reports whether the ledger may show more than is listed here: a write
-// was sent and not answered. The lock is held.
-func (b *Batch) unsure(now timer.Instant) bool {
-	return b.sending && now.Sub(b.sent) > doubtAfter
-}
-
-// sendGrace is how much longer a read waits for a write that is under way.
-const sendGrace = 100 * time.Millisecond
-
-// isSending reports whether a write of results is under way.
-func (b *Batch) isSending() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.sending
-}
-
-// waiter is a read that waits for results. It has a size, so that each has an
-// address of its own.
-type waiter struct{ _ byte }
-
-// wait notes that a read waits from now on. The lock is held.
-func (b *Batch) wait(now timer.Instant) *waiter {
-	if b.waiting == nil {
-		b.waiting = make(map[*waiter]timer.Instant)
-	}
-	w := &waiter{}
-	b.waiting[w] = now
-	return w
-}
-
-// waited returns how long the oldest read has waited. The lock is held.
-func (b *Batch) waited(now timer.Instant) time.Duration {
-	longest := time.Duration(0)
-	for _, since := range b.waiting {
-		longest = max(longest, now.Sub(since))
-	}
-	return longest
-}
-
-// Page is a part of a batch's results.
-type Page struct {
-	Total   int
-	Results []submission.Result
-	Next    int
-}
-
-// pageBytes bounds the text of one page, so that the smallest link carries it
-// without holding up other answers.
-const pageBytes = 384 << 10
-
-// page returns the results from a position on. The lock is held.
-func (b *Batch) page(after int) Page {
-	return PageOf(len(b.sub.Items), b.listed, after)
-}
-
-// PageOf cuts a page out of all listed results.
-func PageOf(total int, listed []submission.Result, after int) Page {
-	p := Page{
-		Total: total,
-		Next:  after,
-	}
-	size := 0
-	for after < len(listed) {
-		r := listed[after]
-		size += len(r.Text) + len(r.Item) + 64
-		if size > pageBytes && len(p.Results) > 0 {
-			break
-		}
-		p.Results = append(p.Results, r)
-		after++
-	}
-	p.Next = after
-	return p
-}
-
 // signal wakes one waiter on c without waiting itself.
 func signal(c chan struct{}) {
 	select {
@@ -199,28 +120,6 @@
 	signal(b.write)
 }
 
-// reading describes the read that has waited longest. The lock is held.
-func (b *Batch) reading(now timer.Instant) schedule.Reading {
-	reading := schedule.Reading{
-		Waited: b.waited(now),
-	}
-	if b.endsAt != 0 && b.made == 0 {
-		reading.Left = b.endsAt.Sub(now)
-	}
-	return reading
-}
-
-// turn answers the reads that wait if the next ones should wait when the step
-// ends. The lock is held.
-func (b *Batch) turn(now timer.Instant) {
-	// Results that are pending are written and listed for the same reason.
-	if len(b.pending) == 0 && b.reading(now).Turn() {
-		b.turned++
-		clear(b.waiting)
-		b.tell()
-	}
-}
-
 // list takes results that are stored. The lock is held.
 func (b *Batch) list(results []submission.Result, now timer.Instant) {
 	b.listed = append(b.listed, results...)
--- a/internal/fleet/weights/holder_test.go
+++ b/internal/fleet/weights/holder_test.go
@@ -190,6 +190,18 @@
 	}
 }
 
+// holding returns a holder "a" that may give orders.
+func holding(is *is.I) (*timer.Manual, *space.Space, *Holder, *presence) {
+	clock := &timer.Manual{}
+	store := &space.Space{
+		Timer: clock,
+	}
+	h, p := newHolder(clock, store, "a")
+	is.NoErr(p.renew(context.Background(), store, "a"))
+	is.NoErr(h.Keep(context.Background()))
+	return clock, store, h, p
+}
+
 // The instance that gives orders loses power. The next one waited for its absence,
 // and then once more for orders that it might have given at the very end: eight
 // seconds in which no engine got new weights, and the steps that wanted them stood
@@ -197,13 +209,7 @@
 func TestNextHolderWaitsFromTheDeparture(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	clock := &timer.Manual{}
-	store := &space.Space{
-		Timer: clock,
-	}
-	a, pa := newHolder(clock, store, "a")
-	is.NoErr(pa.renew(ctx, store, "a"))
-	is.NoErr(a.Keep(ctx))
+	clock, store, _, _ := holding(is)
 	b, pb := newHolder(clock, store, "b")
 	const tick = 100 * time.Millisecond
 	for since := time.Duration(0); since < leaseTTL+TurnWait+2*keepEvery; since += tick {
@@ -230,13 +236,7 @@
 func TestDepartureEndsWhenTheHolderComesBack(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	clock := &timer.Manual{}
-	store := &space.Space{
-		Timer: clock,
-	}
-	a, pa := newHolder(clock, store, "a")
-	is.NoErr(pa.renew(ctx, store, "a"))
-	is.NoErr(a.Keep(ctx))
+	clock, store, a, pa := holding(is)
 	b, pb := newHolder(clock, store, "b")
 	store.Lapse(pa.lease)
 	clock.Advance(tickOf)
