--- a/internal/fleet/registry/lease.go
+++ b/internal/fleet/registry/lease.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -92,16 +93,39 @@
 	return r.number.Load(), at != 0 && r.Timer.Now().Sub(timer.Instant(at)) < within
 }
 
+// writeTries is how often a write is made that meets another one of this instance.
+const writeTries = 2
+
+// write writes this instance under a lease, in place of what stands there now. A
+// write without an answer may be carried out seconds later; were it not bound to
+// what it replaces, it would put the key back under a lease that nobody renews, and
+// others would take this instance for dead while it goes on.
 func (r *Registry) write(ctx context.Context, lease uint64) error {
 	self := r.Self()
 	value, err := json.Marshal(self)
 	if err != nil {
 		return err
 	}
-	_, err = r.Space.Commit(ctx, keyvalue.Transaction{
-		Writes: []keyvalue.Write{
-			{Key: Key(self.Name), Value: value, Lease: lease},
-		},
-	})
+	for range writeTries {
+		var item keyvalue.Item
+		item, err = r.Space.Get(ctx, Key(self.Name))
+		if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
+			return err
+		}
+		if item.Lease == lease && bytes.Equal(item.Value, value) {
+			return nil
+		}
+		_, err = r.Space.Commit(ctx, keyvalue.Transaction{
+			Expects: []keyvalue.Expect{
+				{Key: Key(self.Name), Revision: item.Revision},
+			},
+			Writes: []keyvalue.Write{
+				{Key: Key(self.Name), Value: value, Lease: lease},
+			},
+		})
+		if !errors.Is(err, keyvalue.ErrConflict) {
+			return err
+		}
+	}
 	return err
 }
