--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -41,6 +41,10 @@
 	ledgerTimeout = 4 * time.Second
 	// endTimeout bounds the end of a batch.
 	endTimeout = 3 * time.Second
+	// endTells and endPause are how often and how soon the owner of a batch is told
+	// that it was ended without it.
+	endTells = 4
+	endPause = 400 * time.Millisecond
 	// hintTimeout bounds the news of an accepted batch to one instance.
 	hintTimeout = 300 * time.Millisecond
 	// retryRead tells readers when to come back: the results of a step are listed
@@ -330,10 +334,11 @@
 	return problem.PlatformDown.Withf("end of batch %s: %w", id, err).WithRetryAfter(retryAway)
 }
 
-// endElsewhere has the owner end a batch, or ends it in the ledger; the owner
-// then learns of it at its next write.
+// endElsewhere has the owner end a batch, or ends it in the ledger and tells the
+// owner then.
 func (d *Desk) endElsewhere(ctx context.Context, id string) error {
-	if owner, ok := d.other(ctx, id); ok {
+	owner, ok := d.other(ctx, id)
+	if ok {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := d.Peers.End(call, owner.Address, id)
 		cancel()
@@ -341,5 +346,28 @@
 			return nil
 		}
 	}
-	return d.Ledger.End(ctx, id, time.Now())
+	if err := d.Ledger.End(ctx, id, time.Now()); err != nil {
+		return err
+	}
+	go d.tellEnd(id, owner)
+	return nil
+}
+
+// tellEnd tells an owner that its batch was ended in the ledger. One that is just
+// taking the batch over did not know of it when it was asked; it would send items
+// to engines until its next write, long after the trainer's end was acknowledged.
+// An owner without a name is this instance.
+func (d *Desk) tellEnd(id string, owner ledger.Owner) {
+	for range endTells {
+		timer.Wait(d.Timer, endPause, nil)
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		err := d.Runner.End(ctx, id)
+		if owner.Instance != "" && owner != d.Ledger.Self {
+			err = d.Peers.End(ctx, owner.Address, id)
+		}
+		cancel()
+		if err == nil {
+			return
+		}
+	}
 }
--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -236,12 +236,12 @@
 		}
 		claim, err = d.Ledger.TakeOver(ctx, seen, sign)
 	}
-	if errors.Is(err, ledger.ErrFenced) {
-		return
-	}
 	if err == nil {
 		err = d.Runner.Adopt(ctx, claim)
 	}
+	if errors.Is(err, ledger.ErrFenced) {
+		return
+	}
 	if err != nil {
 		d.Journal.Trouble("take-over failed", err, log.Fields{
 			"request_id": seen.Batch,
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -115,6 +115,10 @@
 	if err != nil {
 		return err
 	}
+	if rec.Ended {
+		// It was ended after it was claimed: nothing of it may run any more.
+		return ledger.ErrFenced
+	}
 	cfg := r.Holder.Current()
 	if cfg == nil {
 		return errors.New("no configuration yet")
