--- a/internal/batch/runner/rank.go
+++ b/internal/batch/runner/rank.go
@@ -17,7 +17,8 @@
 // others is the work of earlier steps of its model; it returns it with the work
 // of this one. The lock is held.
 func (r *Runner) rank(b *Batch, others time.Duration, now timer.Instant) time.Duration {
-	if b.sub.WantedGroups == 0 || b.usual <= 0 || !r.lengths.Known() {
+	if b.sub.WantedGroups == 0 || b.route.ResultDeadline <= 0 || b.usual <= 0 || !r.lengths.Known() {
+		// Nobody said when it is due, or nothing is known of its work.
 		return others
 	}
 	names, groups := r.work(b, now)
@@ -35,10 +36,14 @@
 	return others + l.Needed()
 }
 
-// reorder sorts the queue by the ranks of groups, or longest first. The lock is
-// held.
+// reorder sorts the queue by the ranks of groups, and longest first again once the
+// step can be whole in time. Without overload the queue stays as it is: an item
+// that was refused or broken off keeps its place at the front. The lock is held.
 func (r *Runner) reorder(b *Batch, names map[string]int, l schedule.Load) {
 	rank := l.Rank()
+	if rank == nil && !b.overloaded {
+		return
+	}
 	if (rank != nil) != b.overloaded {
 		b.overloaded = rank != nil
 		r.Journal.Decision("overload", log.Fields{
--- a/internal/batch/runner/rank_test.go
+++ b/internal/batch/runner/rank_test.go
@@ -43,10 +43,23 @@
 	}
 	batch.mu.Unlock()
 	is.Equal(slices.Compact(order), []string{"small", "middle", "large"})
+	// An item that was broken off stays at the front of a step that has time.
+	batch.mu.Lock()
+	batch.overloaded = false
+	batch.route.ResultDeadline = time.Hour
+	first := batch.queue[0]
+	b.runner.rank(batch, 0, b.clock.Now().Add(2*rankEvery))
+	is.Equal(batch.queue[0], first)
+	// Without a time at which it is due nothing is known of overload.
+	batch.route.ResultDeadline = 0
+	b.runner.rank(batch, 0, b.clock.Now().Add(3*rankEvery))
+	is.Equal(batch.overloaded, false)
+	batch.overloaded = true
+	batch.mu.Unlock()
 	// With time enough the longest begin first.
 	batch.route.ResultDeadline = time.Hour
 	batch.mu.Lock()
-	b.runner.rank(batch, 0, b.clock.Now().Add(2*rankEvery))
+	b.runner.rank(batch, 0, b.clock.Now().Add(4*rankEvery))
 	is.Equal(batch.overloaded, false)
 	is.Equal(batch.queue[0].item.Group, "large")
 	batch.mu.Unlock()
