--- a/internal/batch/runner/prepare_test.go
+++ b/internal/batch/runner/prepare_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -98,3 +99,33 @@
 	is.Equal(len(b.results(1)), 1)
 	is.Equal(len(b.script.calls), 1) // made once
 }
+
+// endsFirst ends a batch just before it is read.
+type endsFirst struct {
+	*space.Space
+	end func()
+}
+
+// Range implements keyvalue.Space.
+func (s *endsFirst) Range(ctx context.Context, prefix string, f keyvalue.Freshness) (keyvalue.Listing, error) {
+	s.end()
+	return s.Space.Range(ctx, prefix, f)
+}
+
+// A trainer's submission arrives once more just as its batch ends. Told that the
+// batch has not run, it would take results for lost that it has read.
+func TestBatchThatHasJustEndedWasAccepted(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	b := newBench(t, nil)
+	sub := b.batch("x")
+	l := *b.runner.Ledger
+	_, err := l.Accept(ctx, sub)
+	is.NoErr(err)
+	b.runner.Ledger.Space = &endsFirst{
+		Space: b.store,
+		end:   func() { is.NoErr(l.End(ctx, "b", time.Now())) },
+	}
+	is.True(errors.Is(b.runner.Submit(ctx, sub, b.route), ledger.ErrExists))
+	is.Equal(b.runner.Has("b"), false)
+}
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -100,7 +100,13 @@
 		return nil
 	}
 	if claim.Found {
-		return r.Adopt(ctx, claim)
+		err := r.Adopt(ctx, claim)
+		if errors.Is(err, ledger.ErrFenced) {
+			// It was accepted, and has ended since: refused now, its trainer would
+			// be told that it has not run.
+			return ledger.ErrExists
+		}
+		return err
 	}
 	r.adopt(newBatch(sub, claim, nil, nil, r.known(sub)), route, "accept")
 	return nil
