--- a/internal/kernel/journal/journal.go
+++ b/internal/kernel/journal/journal.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -19,6 +20,10 @@
 // bufferSize holds about a thousand decision lines.
 const bufferSize = 256 << 10
 
+// writeSize is the most bytes of one write. A larger one to a pipe may be split
+// anywhere, and its halves mixed with the lines of other instances.
+const writeSize = 4096
+
 // Journal writes events. Its zero value drops them.
 type Journal struct {
 	log      *log.Entry
@@ -69,16 +74,40 @@
 	if dropped > 0 {
 		lines = fmt.Appendf(lines, "level=warn message=\"log lines dropped\" lines=%d\n", dropped)
 	}
-	var err error
-	if len(lines) > 0 {
-		_, err = b.w.Write(lines)
-	}
+	err := b.writeWhole(lines)
 	b.mu.Lock()
 	b.spare = lines
 	b.mu.Unlock()
 	return err
 }
 
+// writeWhole writes lines in pieces that end where a line ends.
+func (b *buffer) writeWhole(lines []byte) error {
+	for len(lines) > 0 {
+		n := wholeLines(lines, writeSize)
+		if _, err := b.w.Write(lines[:n]); err != nil {
+			return err
+		}
+		lines = lines[n:]
+	}
+	return nil
+}
+
+// wholeLines returns the length of the lines that fit into some bytes, at least
+// that of the first one.
+func wholeLines(lines []byte, most int) int {
+	if len(lines) <= most {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:most], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
+}
+
 // Open returns a journal that writes to w from the named level up. Every line
 // carries the instance's name.
 func Open(w io.Writer, level, instance string) (*Journal, error) {
--- a/internal/kernel/journal/journal_test.go
+++ b/internal/kernel/journal/journal_test.go
@@ -53,3 +53,38 @@
 	is.NoErr(j.Flush())
 	is.True(strings.Contains(w.String(), "log lines dropped"))
 }
+
+// pieces keeps each write by itself, as a pipe does.
+type pieces [][]byte
+
+// Write implements io.Writer.
+func (p *pieces) Write(data []byte) (int, error) {
+	*p = append(*p, bytes.Clone(data))
+	return len(data), nil
+}
+
+// Guards against lines that are torn where a pipe splits a large write: the half
+// lines of many instances ran into each other, and a third of the steps of a day had no
+// account.
+func TestLinesAreWrittenWhole(t *testing.T) {
+	is := is.New(t)
+	var w pieces
+	j, err := Open(&w, "info", "gent-a-1")
+	is.NoErr(err)
+	for range 200 {
+		j.Decision("route", log.Fields{
+			"request_id": "7c41e09b52d6a3f8",
+		})
+	}
+	long := strings.Repeat("x", 2*writeSize)
+	j.Event(long, log.Fields{})
+	is.NoErr(j.Flush())
+	lines := 0
+	for _, piece := range w {
+		is.Equal(piece[len(piece)-1], byte('\n'))
+		n := bytes.Count(piece, []byte{'\n'})
+		is.True(n == 1 || len(piece) <= writeSize)
+		lines += n
+	}
+	is.Equal(lines, 201)
+}
