standby: successors hold copies of batches and replace a lost owner before its lease ends

A dead owner's batches waited for its lease (2.2 s) and the looks after it, and what it had made since its last write was made again. Change: an owner sends what is new of its batches to two successors five times a second, as a heartbeat. A batch that can't be handed over as the store is away stays with the copies. The ledger alone decides whose a batch is.

--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -4,14 +4,12 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
 	"gopkg.in/tomb.v2"
 
 	"github.com/egretbend/egretbend/internal/batch/ledger"
-	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/fleet/registry"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
@@ -155,27 +153,18 @@
 // one of all then looks into the ledger after a death; if all did, the looks
 // would grow with the square of the fleet.
 func (d *Desk) Inherits(name string) bool {
-	heir := First(without(d.Registry.Members(), name), name)
+	heir := First(registry.Without(d.Registry.Members(), name), name)
 	return name == d.Ledger.Self.Instance || heir.Name == d.Ledger.Self.Instance
 }
 
-// without returns the members but the one called name.
-func without(members []registry.Member, name string) []registry.Member {
-	return slices.DeleteFunc(slices.Clone(members), func(m registry.Member) bool { return m.Name == name })
-}
-
 // First returns the instance that ranks first for a key, by a rendezvous hash
 // over those that are able to run a batch. It returns a member without a name if
 // there is none.
 func First(members []registry.Member, key string) registry.Member {
-	var best registry.Member
-	top := uint64(0)
-	for _, m := range registry.Able(members) {
-		if score := member.Score(m.Name, key); best.Name == "" || score > top {
-			best, top = m, score
-		}
+	if first := registry.Ranked(members, key, 1); len(first) > 0 {
+		return first[0]
 	}
-	return best
+	return registry.Member{}
 }
 
 // lives reports whether the owner of a batch turns out to be alive though its
@@ -208,23 +197,47 @@
 // Homes returns the instances that should run the batches of a key, the first one
 // first.
 func Homes(members []registry.Member, key string) []registry.Member {
-	var homes []registry.Member
-	for range homesTried {
-		home := First(members, key)
-		if home.Name == "" {
-			break
-		}
-		homes = append(homes, home)
-		members = without(members, home.Name)
-	}
-	return homes
+	return registry.Ranked(members, key, homesTried)
 }
 
-// takeOver makes this instance the owner of a batch and goes on with it.
+// takeOver makes this instance the owner of a batch and goes on with it, unless its
+// owner turns out to be alive.
 func (d *Desk) takeOver(seen ledger.Claim) {
-	if d.lives(seen) {
+	if !d.lives(seen) {
+		d.own(seen)
+	}
+}
+
+// Inherit takes over batches of an owner that is surely lost, and whose lease has
+// ended.
+func (d *Desk) Inherit(owner ledger.Owner, batches []string) {
+	if d.Leaving() || d.Config.Current() == nil {
 		return
 	}
+	for _, id := range batches {
+		go d.inherit(owner, id)
+	}
+}
+
+func (d *Desk) inherit(owner ledger.Owner, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), sweepTimeout)
+	defer cancel()
+	claim, err := d.Ledger.Find(ctx, id)
+	if err != nil {
+		// The sweep that follows the end of a lease looks again.
+		d.Journal.Detail("inherited batch not read", log.Fields{
+			"request_id": id,
+			"error":      err.Error(),
+		})
+		return
+	}
+	if claim.Owner == owner {
+		d.own(claim)
+	}
+}
+
+// own makes this instance the owner of a batch and goes on with it.
+func (d *Desk) own(seen ledger.Claim) {
 	ctx, cancel := context.WithTimeout(context.Background(), sweepTimeout)
 	defer cancel()
 	claim := seen
--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -56,6 +56,8 @@
 	endsAt  timer.Instant
 	listed  []submission.Result
 	pending []submission.Result
+	// restored is how many results came from the copy of an earlier owner's.
+	restored int
 	// sending says that a write is under way, sent when it was sent first.
 	sending bool
 	sent    timer.Instant
@@ -70,6 +72,9 @@
 	// usual is the usual time of an event at the engines, as last looked up.
 	usual time.Duration
 	ended bool
+	// handing says that the batch stopped here and its next owner is not known to
+	// have it.
+	handing bool
 	// endKept says that the end stands in the ledger: callers repeat it.
 	endKept bool
 	lost    bool
@@ -104,6 +109,7 @@
 	}
 	t.phase = finished
 	t.events = nil
+	t.end = &r
 	b.open--
 	if len(b.pending) == 0 {
 		b.since = now
@@ -125,6 +131,11 @@
 // list takes results that are stored. The lock is held.
 func (b *Batch) list(results []submission.Result, now timer.Instant) {
 	b.listed = append(b.listed, results...)
+	for _, r := range results {
+		if t := b.tasks[r.Item]; t != nil {
+			t.stored = true
+		}
+	}
 	if !b.tells(now) {
 		return
 	}
@@ -151,12 +162,12 @@
 }
 
 // sinceBegun returns the time of an instant in milliseconds from the beginning
-// of the batch here, 0 for one that never came.
+// of the batch here, 0 for one that never came and 1 at least for any other.
 func (b *Batch) sinceBegun(at timer.Instant) int64 {
 	if at == 0 {
 		return 0
 	}
-	return at.Sub(b.begun).Milliseconds()
+	return max(1, at.Sub(b.begun).Milliseconds())
 }
 
 // over reports whether the batch needs no more work here. The lock is held.
--- /dev/null
+++ b/internal/batch/runner/changes.go
@@ -0,0 +1,110 @@
+package runner
+
+import (
+	"context"
+	"slices"
+
+	"github.com/egretbend/egretbend/internal/batch/standby"
+	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+)
+
+// Copies finds what an earlier owner had made of a batch.
+type Copies interface {
+	Find(ctx context.Context, batch string) standby.Copy
+}
+
+// Changes implements standby.Work.
+func (r *Runner) Changes(had standby.Marks) (open []string, news []standby.Delta, has standby.Marks) {
+	r.mu.Lock()
+	batches := make([]*Batch, 0, len(r.batches))
+	for _, b := range r.batches {
+		batches = append(batches, b)
+	}
+	r.mu.Unlock()
+	has = make(standby.Marks, len(batches))
+	for _, b := range batches {
+		b.mu.Lock()
+		if b.handing || !b.over() && (b.open > 0 || len(b.pending) > 0) {
+			open = append(open, b.sub.ID)
+			delta, marks := b.changes(had[b.sub.ID])
+			has[b.sub.ID] = marks
+			if delta.Whole || len(delta.Pieces) > 0 {
+				news = append(news, delta)
+			}
+		}
+		b.mu.Unlock()
+	}
+	return open, news, has
+}
+
+// changes returns what is new since the marks, and the marks with it. The lock is
+// held.
+func (b *Batch) changes(had map[string]int) (standby.Delta, map[string]int) {
+	d := standby.Delta{
+		Batch: b.sub.ID,
+		Whole: had == nil,
+	}
+	marks := make(map[string]int, len(b.tasks))
+	for id, t := range b.tasks {
+		mark, known := had[id]
+		switch {
+		case t.phase == finished:
+			marks[id] = standby.Done
+			if mark != standby.Done && !t.stored {
+				d.Pieces = append(d.Pieces, standby.Piece{
+					Item:   id,
+					Result: t.end,
+				})
+			}
+		case t.last > 0 || known && mark > 0:
+			if mark > t.last || mark < 0 {
+				// The text begins anew.
+				mark = 0
+			}
+			marks[id] = t.last
+			if mark < t.last || had[id] > t.last {
+				d.Pieces = append(d.Pieces, standby.Piece{
+					Item:     id,
+					From:     mark,
+					Events:   slices.Clone(t.events[mark:]),
+					Versions: slices.Clone(t.versions),
+				})
+			}
+		}
+	}
+	return d, marks
+}
+
+// restore takes what an earlier owner had finished and not stored. The lock is
+// held.
+func (b *Batch) restore(results []submission.Result, now timer.Instant) int {
+	n := 0
+	for _, res := range results {
+		if t := b.tasks[res.Item]; t != nil && t.phase != finished {
+			b.finish(t, res, now)
+			n++
+		}
+	}
+	if n > 0 {
+		b.queue = slices.DeleteFunc(b.queue, func(t *task) bool { return t.phase == finished })
+	}
+	return n
+}
+
+// longer returns the longer text of each item.
+func longer(stored, copied []submission.Progress) []submission.Progress {
+	best := make(map[string]submission.Progress, len(stored)+len(copied))
+	for _, list := range [][]submission.Progress{stored, copied} {
+		for _, p := range list {
+			if len(p.Events) > len(best[p.Item].Events) {
+				best[p.Item] = p
+			}
+		}
+	}
+	list := make([]submission.Progress, 0, len(best))
+	for _, p := range best {
+		list = append(list, p)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/batch/runner/changes_test.go
@@ -0,0 +1,118 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/batch/standby"
+	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/standin/space"
+)
+
+// copyOf finds the same copy of any batch.
+type copyOf standby.Copy
+
+// Find implements Copies.
+func (c copyOf) Find(context.Context, string) standby.Copy { return standby.Copy(c) }
+
+// Guards against texts that are made once more after the loss of their owner, though
+// its successor has a copy of them: the step would last for seconds longer.
+func TestSuccessorGoesOnFromTheCopy(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	after := map[string]int{}
+	b := newBench(t, func(_ context.Context, _ *catalog.Upstream, g Generation, emit func(Event) error) error {
+		mu.Lock()
+		after[g.Item.ID] = g.After
+		mu.Unlock()
+		return events(g.After, 6, 5, emit)
+	})
+	other := &ledger.Ledger{
+		Space: b.store,
+		Self:  ledger.Owner{Instance: "lost", Incarnation: "1"},
+	}
+	seen, err := other.Accept(context.Background(), b.batch("x", "y", "z"))
+	is.NoErr(err)
+	b.runner.Copies = copyOf{
+		Results: []submission.Result{
+			{Item: "x", State: submission.Completed, Text: "whole", Versions: []uint64{5}, Score: "proof"},
+			{Item: "of another batch", State: submission.Completed},
+		},
+		Progress: []submission.Progress{
+			{Item: "y", Events: []string{"e1", "e2", "e3"}, Versions: []uint64{4}},
+			{Item: "z", Events: []string{"old"}, Versions: []uint64{3}}, // too old for the batch
+		},
+	}
+	claim, err := b.runner.Ledger.TakeOver(context.Background(), seen, "")
+	is.NoErr(err)
+	is.NoErr(b.runner.Adopt(context.Background(), claim))
+	got := map[string]submission.Result{}
+	for _, r := range b.results(3) {
+		got[r.Item] = r
+	}
+	is.Equal(len(got), 3)
+	is.Equal(got["x"].Text, "whole")
+	is.Equal(got["y"].Text, "e1\ne2\ne3\ne4\ne5\ne6")
+	is.Equal(got["z"].Text, "e1\ne2\ne3\ne4\ne5\ne6")
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(after, map[string]int{"y": 3, "z": 0})
+}
+
+// Guards against the loss of all texts of a batch whose owner stops while the service
+// is away: it can't be handed over, and its successors must still hold it.
+func TestBatchThatIsNotHandedOverStaysWithTheCopies(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, func(ctx context.Context, _ *catalog.Upstream, _ Generation, emit func(Event) error) error {
+		if err := events(0, 3, 5, emit); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	is.NoErr(b.submit("x"))
+	is.True(until(func() bool {
+		_, news, _ := b.runner.Changes(nil)
+		return len(news) == 1 && len(news[0].Pieces) == 1 && len(news[0].Pieces[0].Events) == 3
+	}))
+	b.store.Fault = func(space.Call) space.Fault { return space.Down }
+	err := b.runner.HandOver(context.Background(), "b", ledger.Owner{Instance: "next"})
+	is.True(errors.Is(err, keyvalue.ErrDown))
+	open, news, _ := b.runner.Changes(nil)
+	is.Equal(open, []string{"b"})
+	is.Equal(len(news[0].Pieces[0].Events), 3)
+}
+
+// What was sent is not sent again, what is listed is not sent at all, and a batch that
+// is over is not open.
+func TestChangesAreWhatIsNew(t *testing.T) {
+	is := is.New(t)
+	goOn := make(chan struct{})
+	b := newBench(t, func(_ context.Context, _ *catalog.Upstream, g Generation, emit func(Event) error) error {
+		if err := events(0, 3, 5, emit); err != nil || g.Item.ID == "x" {
+			return err
+		}
+		<-goOn
+		return events(3, 5, 5, emit)
+	})
+	is.NoErr(b.submit("x", "y"))
+	is.Equal(len(b.results(1)), 1)
+	_, news, marks := b.runner.Changes(nil)
+	is.Equal(len(news[0].Pieces), 1) // x is listed
+	is.Equal(news[0].Pieces[0].Item, "y")
+	_, news, _ = b.runner.Changes(marks)
+	is.Equal(len(news), 0)
+	close(goOn)
+	is.Equal(len(b.results(2)), 2)
+	is.True(until(func() bool {
+		open, _, _ := b.runner.Changes(marks)
+		return len(open) == 0
+	}))
+}
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -12,6 +12,7 @@
 
 	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/batch/schedule"
+	"github.com/egretbend/egretbend/internal/batch/standby"
 	"github.com/egretbend/egretbend/internal/batch/submission"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
@@ -61,6 +62,8 @@
 	Metrics   *Metrics
 	// FailureDomain is this process's own.
 	FailureDomain string
+	// Copies finds what an earlier owner of a batch had made; nil finds nothing.
+	Copies Copies
 
 	lengths schedule.Lengths
 	tomb    tomb.Tomb
@@ -117,6 +120,7 @@
 	if r.stored(claim) {
 		return nil
 	}
+	copied := r.copied(ctx, claim.Batch)
 	rec, err := r.Ledger.Load(ctx, claim.Batch)
 	if err != nil {
 		return err
@@ -132,10 +136,26 @@
 	// A route that is gone gives up its items at their time.
 	route, _ := cfg.Find(rec.Submission.Host, rec.Submission.Path)
 	claim.Chunks = rec.Chunks
-	r.adopt(newBatch(rec.Submission, claim, rec.Results, rec.Progress, r.known(rec.Submission)), route, "take_over")
+	c := <-copied
+	b := newBatch(rec.Submission, claim, rec.Results, longer(rec.Progress, c.Progress), r.known(rec.Submission))
+	b.mu.Lock()
+	b.restored = b.restore(c.Results, r.Timer.Now())
+	b.mu.Unlock()
+	r.adopt(b, route, "take_over")
 	return nil
 }
 
+// copied looks for the copy of a batch.
+func (r *Runner) copied(ctx context.Context, id string) <-chan standby.Copy {
+	found := make(chan standby.Copy, 1)
+	if r.Copies == nil {
+		found <- standby.Copy{}
+		return found
+	}
+	go func() { found <- r.Copies.Find(ctx, id) }()
+	return found
+}
+
 // againSteps is how many steps back an item may come from: those whose texts
 // were not whole at the end of one step come again in one of the next.
 const againSteps = 4
@@ -197,6 +217,7 @@
 		"items":      len(b.sub.Items),
 		"open":       b.open,
 		"oldest":     b.sub.OldestVersion,
+		"restored":   b.restored,
 		"service":    b.service,
 		"age_ms":     age.Milliseconds(),
 	})
@@ -220,11 +241,18 @@
 		return ErrNotHere
 	}
 	b.lost = true
+	b.handing = true
 	claim, pending, progress := b.claim, b.pending, b.progress(1)
 	b.tell()
 	b.mu.Unlock()
 	b.cancel()
-	return r.Ledger.HandOver(ctx, claim, to, pending, progress)
+	err := r.Ledger.HandOver(ctx, claim, to, pending, progress)
+	if err == nil {
+		b.mu.Lock()
+		b.handing = false
+		b.mu.Unlock()
+	}
+	return err
 }
 
 // Has reports whether this process runs the batch.
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -76,7 +76,10 @@
 	markedAt timer.Instant
 	moving   bool
 	stuck    bool
-	spent    spent
+	// end is the result, once it is finished; stored says that it was listed.
+	end    *submission.Result
+	stored bool
+	spent  spent
 }
 
 // paceSpan is how many events measure the pace of an engine: the time of one
--- /dev/null
+++ b/internal/batch/standby/beat.go
@@ -0,0 +1,46 @@
+package standby
+
+import (
+	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/batch/submission"
+)
+
+// Piece is what is new of one item.
+type Piece struct {
+	Item string
+	// From is how many events the receiver has already; Events follow them.
+	From   int
+	Events []string
+	// Versions are all that made the text so far.
+	Versions []uint64
+	// Result is the end of the item, nil until then.
+	Result *submission.Result
+}
+
+// Delta is what is new of one batch.
+type Delta struct {
+	Batch string
+	// Whole says that the pieces are all that there is, and not what is new only.
+	Whole  bool
+	Pieces []Piece
+}
+
+// Beat is a heartbeat of an owner, with what is new of its batches.
+type Beat struct {
+	Owner ledger.Owner
+	// Lease is the owner's lease, 0 if it has none.
+	Lease uint64
+	// Open are the batches that the owner runs.
+	Open []string
+	// Busy says that the owner is missed when it falls silent.
+	Busy bool
+	// Leaves says that it is the last one: the owner stops.
+	Leaves bool
+	Deltas []Delta
+}
+
+// Done is the mark of an item whose end the receiver has.
+const Done = -1
+
+// Marks say what a receiver has: the number of events of each item by batch.
+type Marks map[string]map[string]int
--- a/internal/fleet/registry/member.go
+++ b/internal/fleet/registry/member.go
@@ -1,5 +1,11 @@
 package registry
 
+import (
+	"slices"
+
+	"github.com/egretbend/egretbend/internal/fleet/member"
+)
+
 // Member is one instance.
 type Member struct {
 	Name string `json:"name"`
@@ -36,3 +42,36 @@
 	}
 	return able
 }
+
+// Ranked returns the first n able members for a key by a rendezvous hash. All
+// instances with the same view come to the same ones, and few change when a member
+// comes or goes.
+func Ranked(members []Member, key string, n int) []Member {
+	able := Able(members)
+	slices.SortFunc(able, func(a, b Member) int {
+		x, y := member.Score(a.Name, key), member.Score(b.Name, key)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	return able[:min(n, len(able))]
+}
+
+// Without returns the members but the one called name.
+func Without(members []Member, name string) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Name == name })
+}
+
+// successors is how many instances hold copies of what an instance runs: with two,
+// half of all instances may be lost at once and the copies of most are left.
+const successors = 2
+
+// Successors returns the instances that take over from the one called name, the first
+// one first.
+func Successors(members []Member, name string) []Member {
+	return Ranked(Without(members, name), name, successors)
+}
