desk: the home of a step stores what it began by itself

Cause: while the store is away the home of a step begins it. Some homes dropped theirs since the trainer's calls to them ended unheard. Ruled out: instances that stop, lost leases (no take-over in that log). Change: a home that has begun a step says so within 250 ms and goes on trying to store it. Who passed it on leaves it to the home, unless the service answers there and the home says the same a second time. The outcome is unknown to the trainer then, never not run.

--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -16,7 +16,6 @@
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
 
@@ -30,8 +29,6 @@
 	// homeTimeout is how long the home of a batch may take to accept it before
 	// this instance does it itself.
 	homeTimeout = 400 * time.Millisecond
-	// submitPause is the pause between two tries within that time.
-	submitPause = 150 * time.Millisecond
 	// callTimeout bounds a call to the owner of a batch, its wait not counted.
 	callTimeout = 600 * time.Millisecond
 	// readerTimeout bounds a call to the instance that reads a batch from the
@@ -91,7 +88,9 @@
 	doubt  atomic.Bool
 	mu     sync.Mutex
 	owners map[string]ledger.Owner
-	whole  shelf
+	// storing are the batches that were begun here and are not stored yet.
+	storing map[string]chan error
+	whole   shelf
 	// failed tells of take-overs that failed.
 	failed chan struct{}
 }
@@ -105,9 +104,7 @@
 		if home.Name == d.Ledger.Self.Instance {
 			break
 		}
-		call, cancel := context.WithTimeout(ctx, homeTimeout)
-		err := d.Peers.Submit(call, home.PeerAddress, sub)
-		cancel()
+		err := d.submitAt(ctx, home, sub)
 		if err == nil {
 			d.Journal.Decision("accepted_at_home", log.Fields{
 				"request_id": sub.ID,
@@ -115,13 +112,18 @@
 			})
 			return nil
 		}
-		// What the other instance did is settled by the same transaction at the
-		// next one.
-		tried = true
 		d.Journal.Trouble("home does not accept", err, log.Fields{
 			"request_id": sub.ID,
 			"home":       home.Name,
 		})
+		if errors.Is(err, ErrPrepared) && !d.Registry.Held() {
+			// The service is away from here as well. Accepted here when it is back,
+			// the batch would be begun anew.
+			return preparedProblem(err)
+		}
+		// What the other instance did is settled by the same transaction at the
+		// next one.
+		tried = true
 	}
 	err := d.Accept(ctx, sub, route)
 	if tried {
@@ -130,6 +132,20 @@
 	return err
 }
 
+// submitAt brings a batch to its home. One that has begun it without the service is
+// asked once more if the service answers here: it may have come back just now, or the
+// home alone may be cut off from it.
+func (d *Desk) submitAt(ctx context.Context, home registry.Member, sub *submission.Submission) error {
+	for again := false; ; again = true {
+		call, cancel := context.WithTimeout(ctx, homeTimeout)
+		err := d.Peers.Submit(call, home.PeerAddress, sub)
+		cancel()
+		if again || !errors.Is(err, ErrPrepared) || !d.Registry.Held() {
+			return err
+		}
+	}
+}
+
 // afterHome takes back a "not run" that this instance can't vouch for: the home
 // of the batch did not say what became of it, and may have stored it.
 func (d *Desk) afterHome(err error) error {
@@ -163,20 +179,7 @@
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	prepared, err := d.accept(ctx, sub, route)
-	switch {
-	case err == nil:
-		d.tell(News{
-			Batch: sub.ID,
-			Owner: d.Ledger.Self,
-			Model: sub.Model,
-			Work:  sub.Work(),
-		})
-		return nil
-	case errors.Is(err, ledger.ErrExists):
-		d.Journal.Decision("accepted_before", log.Fields{
-			"request_id": sub.ID,
-		})
-		go d.remind(sub.ID)
+	if err == nil || errors.Is(err, ledger.ErrExists) {
 		return nil
 	}
 	e := submitProblem(err)
@@ -188,38 +191,29 @@
 		"prepared":   prepared,
 	})
 	if prepared {
-		return notVouched(e)
+		return preparedProblem(ErrPrepared)
 	}
 	return e
 }
 
-// accept stores a batch and begins it. While the key-value service is away the
-// home of the batch begins it all the same, and waits for the service for a bounded
-// time: a trainer stands still without its batch. All others leave it to the home;
-// the first to reach the service would make another instance begin anew.
-func (d *Desk) accept(ctx context.Context, sub *submission.Submission, route catalog.Route) (prepared bool, err error) {
-	for {
-		err := d.Runner.Submit(ctx, sub, route)
-		if !errors.Is(err, keyvalue.ErrDown) && !errors.Is(err, keyvalue.ErrBusy) {
-			return prepared, err
-		}
-		if !d.prepares(sub) {
-			return false, err
-		}
-		prepared = true
-		d.Runner.Prepare(sub, route)
-		if !timer.Wait(d.Timer, submitPause, ctx.Done()) {
-			return prepared, err
-		}
+// settled lets the others know of a batch that is accepted.
+func (d *Desk) settled(sub *submission.Submission, err error) {
+	switch {
+	case err == nil:
+		d.tell(News{
+			Batch: sub.ID,
+			Owner: d.Ledger.Self,
+			Model: sub.Model,
+			Work:  sub.Work(),
+		})
+	case errors.Is(err, ledger.ErrExists):
+		d.Journal.Decision("accepted_before", log.Fields{
+			"request_id": sub.ID,
+		})
+		go d.remind(sub.ID)
 	}
 }
 
-// prepares reports whether a batch begins at this instance before it is stored.
-func (d *Desk) prepares(sub *submission.Submission) bool {
-	homes := Homes(d.Registry.Members(), homeKey(sub))
-	return len(homes) > 0 && homes[0].Name == d.Ledger.Self.Instance
-}
-
 // submitProblem says "not run" only if the write can't be done any more.
 func submitProblem(err error) *problem.Error {
 	switch {
--- a/internal/batch/desk/peers.go
+++ b/internal/batch/desk/peers.go
@@ -26,9 +26,11 @@
 // the batch.
 type Reply struct {
 	NotHere bool
-	Page    runner.Page
-	Body    []byte
-	Found   bool
+	// Prepared says that a batch was begun and is not stored yet.
+	Prepared bool
+	Page     runner.Page
+	Body     []byte
+	Found    bool
 }
 
 // Server answers the calls of other instances.
@@ -103,7 +105,7 @@
 }
 
 // Submit accepts a batch that reached another instance.
-func (s *Server) Submit(sub *submission.Submission, _ *Reply) error {
+func (s *Server) Submit(sub *submission.Submission, r *Reply) error {
 	cfg := s.desk.Config.Current()
 	if cfg == nil {
 		return problem.NotReady.Withf("no configuration yet")
@@ -116,7 +118,12 @@
 	// stored with an owner that does not know of it.
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
-	return s.desk.Accept(ctx, sub, route)
+	err := s.desk.Accept(ctx, sub, route)
+	r.Prepared = errors.Is(err, ErrPrepared)
+	if r.Prepared {
+		return nil
+	}
+	return err
 }
 
 // Hint takes the news of who runs a batch.
@@ -209,7 +216,11 @@
 // Submit implements Peers.
 func (p *PeerCalls) Submit(ctx context.Context, address string, sub *submission.Submission) error {
 	var r Reply
-	return p.Client.Call(ctx, address, receiver+".Submit", sub, &r)
+	err := p.Client.Call(ctx, address, receiver+".Submit", sub, &r)
+	if err == nil && r.Prepared {
+		return ErrPrepared
+	}
+	return err
 }
 
 // Hint implements Peers.
--- /dev/null
+++ b/internal/batch/desk/prepare.go
@@ -0,0 +1,105 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+)
+
+const (
+	// storePause is the pause between two tries to store a batch that was begun.
+	storePause = 150 * time.Millisecond
+	// storeWait is how long a submission waits for that. It is shorter than
+	// homeTimeout: the instance that passed it on must hear what became of it.
+	storeWait = 250 * time.Millisecond
+)
+
+// ErrPrepared means that a batch was begun at its home and can't be stored yet. It may
+// be stored at any time from now on.
+var ErrPrepared = errors.New("the batch was begun and is not stored yet")
+
+// preparedProblem says that a batch that was begun may be stored at any time.
+func preparedProblem(err error) *problem.Error {
+	return problem.ChangeUnknown.With(err).WithOutcome(problem.Unknown).WithRetryAfter(retryAway)
+}
+
+// accept stores a batch and begins it. While the key-value service is away the
+// home of the batch begins it all the same, and stores it when the service is back:
+// a trainer stands still without its batch. All others leave it to the home; the
+// first to reach the service would make another instance begin anew.
+func (d *Desk) accept(ctx context.Context, sub *submission.Submission, route catalog.Route) (prepared bool, err error) {
+	err = d.Runner.Submit(ctx, sub, route)
+	d.settled(sub, err)
+	if !away(err) || !d.prepares(sub) {
+		return false, err
+	}
+	d.Runner.Prepare(sub, route)
+	stored := d.store(sub, route)
+	wait := d.Timer.Once(storeWait)
+	defer wait.Close()
+	select {
+	case err := <-stored:
+		stored <- err
+		return true, err
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	return true, err
+}
+
+// away reports whether the key-value service did nothing and may do it later.
+func away(err error) bool {
+	return errors.Is(err, keyvalue.ErrDown) || errors.Is(err, keyvalue.ErrBusy)
+}
+
+// prepares reports whether a batch begins at this instance before it is stored.
+func (d *Desk) prepares(sub *submission.Submission) bool {
+	homes := Homes(d.Registry.Members(), homeKey(sub))
+	return len(homes) > 0 && homes[0].Name == d.Ledger.Self.Instance
+}
+
+// store stores a batch that was begun, as soon as the service is back. The channel
+// tells what came of it, to one reader at a time.
+func (d *Desk) store(sub *submission.Submission, route catalog.Route) chan error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if stored := d.storing[sub.ID]; stored != nil {
+		return stored
+	}
+	if d.storing == nil {
+		d.storing = make(map[string]chan error)
+	}
+	stored := make(chan error, 1)
+	d.storing[sub.ID] = stored
+	go func() {
+		stored <- d.keepStoring(sub, route)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.storing, sub.ID)
+	}()
+	return stored
+}
+
+// keepStoring tries to store a batch until that is settled, or the batch is not
+// wanted any more.
+func (d *Desk) keepStoring(sub *submission.Submission, route catalog.Route) error {
+	for {
+		timer.Wait(d.Timer, storePause, nil)
+		if !d.Runner.Prepared(sub.ID) {
+			return ErrPrepared
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+		err := d.Runner.Submit(ctx, sub, route)
+		cancel()
+		if !away(err) {
+			d.settled(sub, err)
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/desk/prepare_test.go
@@ -0,0 +1,102 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/fleet/registry"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/standin/space"
+)
+
+// stepOf returns a step of a trainer.
+func stepOf(id string) *submission.Submission {
+	return &submission.Submission{
+		ID:          id,
+		Model:       "m",
+		SubmittedMS: time.Now().UnixMilli(),
+		Items:       []submission.Item{{ID: "x", Path: "/x"}},
+	}
+}
+
+// Guards against a step that its home has half made and that another instance accepts
+// and begins anew when the service is back: the home stores it by itself, before
+// its trainer comes again.
+func TestHomeStoresWhatItBegan(t *testing.T) {
+	is := is.New(t)
+	var down atomic.Bool
+	down.Store(true)
+	d, _ := newDesk(t, func(space.Call) space.Fault {
+		if down.Load() {
+			return space.Down
+		}
+		return space.None
+	})
+	self := d.Registry.Self()
+	self.Cores = 1
+	d.Registry.SetSelf(self)
+	sub := stepOf("b")
+	began := time.Now()
+	err := d.Accept(context.Background(), sub, catalog.Route{})
+	is.True(errors.Is(err, ErrPrepared))
+	is.Equal(problem.From(err).Kind.Outcome, problem.Unknown)
+	is.True(time.Since(began) < homeTimeout) // whoever passed it on still listens
+	is.True(d.Runner.Prepared("b"))
+	down.Store(false)
+	is.True(until(func() bool { return d.Runner.Has("b") }))
+	d.Runner.Holder.Take(catalog.Configuration{Version: 1}.WithIndex())
+	is.NoErr(d.Accept(context.Background(), sub, catalog.Route{})) // the trainer comes again
+}
+
+// prepared is a home that has begun a batch and can't store it.
+type prepared struct {
+	silent
+	asked *atomic.Int32
+}
+
+// Submit implements Peers.
+func (p prepared) Submit(context.Context, string, *submission.Submission) error {
+	p.asked.Add(1)
+	return ErrPrepared
+}
+
+// Guards against an instance that accepts a step although its home is making it. Where
+// the service answers here and not at the home the step is accepted here.
+func TestStepIsLeftToTheHomeThatBeganIt(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDesk(t, nil)
+	var asked atomic.Int32
+	d.Peers = prepared{
+		asked: &asked,
+	}
+	self := d.Registry.Self()
+	self.Cores = 0.1
+	d.Registry.SetSelf(self)
+	var tb tomb.Tomb
+	home := &registry.Registry{
+		Space: d.Ledger.Space,
+		Timer: d.Timer,
+	}
+	home.SetSelf(registry.Member{Name: "home", Incarnation: "1", Cores: 1, PeerAddress: "home:1"})
+	tb.Go(func() error { return home.Run(&tb) })
+	defer func() { tb.Kill(nil); _ = tb.Wait() }()
+	view := &registry.Registry{
+		Space: d.Ledger.Space,
+		Timer: d.Timer,
+	}
+	view.SetSelf(self)
+	d.Registry = view
+	tb.Go(func() error { return view.Run(&tb) })
+	is.True(until(func() bool { return view.Present("home") && view.Held() }))
+	is.NoErr(d.Submit(context.Background(), stepOf("b"), catalog.Route{}))
+	is.Equal(asked.Load(), int32(2)) // it is asked twice before
+	is.True(d.Runner.Has("b"))
+}
--- a/internal/batch/runner/prepare.go
+++ b/internal/batch/runner/prepare.go
@@ -38,6 +38,17 @@
 	r.adopt(b, route, "prepare")
 }
 
+// Prepared reports whether a batch runs here without being stored.
+func (r *Runner) Prepared(id string) bool {
+	b := r.find(id)
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unstored && !b.over()
+}
+
 // stored takes the claim of a batch that runs already. It reports false if there
 // is none.
 func (r *Runner) stored(claim ledger.Claim) bool {
