schedule, weights, runner: engines are divided when items are placed, surplus groups go last

Cause: at twice the groups on the large deployment (a) three homes began their first steps at the same moment at all 50 engines, 831 streams on 300 slots, and took 14 s to recover; (b) a step's capacity was taken as all engines that serve it, so that overload was never seen; (c) longest first over all groups made 53 of 53 groups where 48 were waited for, at the same time, so that a tenth of the work was for nobody. Ruled out: idle engines (260 of 300 slots at work later), moves between homes. Change: (a) each home places items at the engines that the pure division of the listed engines gives its model, at others only where these have just told of a free slot; (b) a step counts on those; (c) where all groups take more than 0.8 of the time of the slots, those with the most work that nobody waits for go last; overload begins where the wanted ones take 1.1 of it, and what can't be in time then follows longest first.

--- a/internal/batch/runner/choose.go
+++ b/internal/batch/runner/choose.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/batch/schedule"
@@ -14,14 +15,65 @@
 	u *catalog.Upstream
 }
 
-// engines returns the engines that can serve the batch now. The lock is held.
+// Division tells which engines are for which model while several are at work.
+type Division interface {
+	// Sets returns the model of each engine of a service by the engine's id, nil
+	// if all are for all. sure says that the news of all steps has come by now.
+	Sets(service string, sure bool) map[string]string
+}
+
+// newsTime is how long the news of a step takes at the most to reach all instances.
+const newsTime = 300 * time.Millisecond
+
+// sets returns the model of each engine that the batch could use.
+func (r *Runner) sets(b *Batch, now timer.Instant) map[string]string {
+	if r.Division == nil || b.sub.Model == "" {
+		return nil
+	}
+	return r.Division.Sets(b.service, now.Sub(b.begun) >= newsTime)
+}
+
+// lends reports whether an engine that is for a model is lent to the batch.
+func (b *Batch) lends(model string) bool { return model != "" && model != b.sub.Model }
+
+// room returns how many more requests an engine takes; one that refused a moment ago
+// takes none.
+func room(u *catalog.Upstream, now timer.Instant) float64 {
+	if u.Resting(now) {
+		return 0
+	}
+	return u.Room(now)
+}
+
+// never stands for the age of what was not told yet.
+const never = time.Hour
+
+// told returns how long ago an engine told its load.
+func told(u *catalog.Upstream, now timer.Instant) time.Duration {
+	if _, age, ok := u.Report(now); ok {
+		return age
+	}
+	return never
+}
+
+// engines returns the engines that can serve the batch now: those of its model, and
+// others as far as they are open to it. If its model has none, all are. The lock is
+// held.
 func (r *Runner) engines(b *Batch, now timer.Instant) []candidate {
+	list := r.usable(b, now)
+	own := slices.ContainsFunc(list, func(c candidate) bool { return !c.Lent })
+	return slices.DeleteFunc(list, func(c candidate) bool { return own && !c.Open() })
+}
+
+// usable returns the engines whose weights do for the batch. The lock is held.
+func (r *Runner) usable(b *Batch, now timer.Instant) []candidate {
 	var list []candidate
 	memory := r.memory(b.service)
+	sets := r.sets(b, now)
 	group := r.Book.Group(b.service)
 	usual := group.Set.MedianPace()
 	for _, u := range group.Upstreams {
-		if !u.Usable(now) || u.Resting(now) {
+		if !u.Usable(now) {
 			continue
 		}
 		if b.sub.Model != "" && u.ModelVersion(b.sub.Model) < b.sub.OldestVersion {
@@ -29,12 +81,14 @@
 		}
 		list = append(list, candidate{
 			Engine: schedule.Engine{
-				Room:     u.Room(now),
+				Room:     room(u, now),
 				Slots:    max(1, u.Slots),
 				Pace:     u.Against(usual, now),
 				Near:     u.FailureDomain == r.FailureDomain,
 				Memory:   memory,
 				Reserved: u.Reserved(),
+				Lent:     b.lends(sets[u.ID]),
+				Told:     told(u, now),
 			},
 			u: u,
 		})
--- a/internal/batch/runner/rank.go
+++ b/internal/batch/runner/rank.go
@@ -36,16 +36,13 @@
 	return others + l.Needed()
 }
 
-// reorder sorts the queue by the ranks of groups, and longest first again once the
-// step can be whole in time. Without overload the queue stays as it is: an item
-// that was refused or broken off keeps its place at the front. The lock is held.
+// reorder sorts the queue by the places of groups, and longest first within one. An
+// item that was refused or broken off keeps its place before those that never began,
+// unless the step is overloaded. The lock is held.
 func (r *Runner) reorder(b *Batch, names map[string]int, l schedule.Load) {
 	rank := l.Rank()
-	if rank == nil && !b.overloaded {
-		return
-	}
-	if (rank != nil) != b.overloaded {
-		b.overloaded = rank != nil
+	if rank.Overloaded != b.overloaded {
+		b.overloaded = rank.Overloaded
 		r.Journal.Decision("overload", log.Fields{
 			"request_id": b.sub.ID,
 			"overloaded": b.overloaded,
@@ -57,10 +54,14 @@
 			"age_ms":     b.age(b.ranked).Milliseconds(),
 		})
 	}
+	place := func(t *task) int { return rank.Places[names[t.item.Group]] }
 	sort.SliceStable(b.queue, func(i, j int) bool {
 		x, y := b.queue[i], b.queue[j]
-		if rank != nil && x.item.Group != y.item.Group {
-			return rank[names[x.item.Group]] < rank[names[y.item.Group]]
+		if place(x) != place(y) {
+			return place(x) < place(y)
+		}
+		if begun := x.attempts > 0; !rank.Overloaded && begun != (y.attempts > 0) {
+			return begun
 		}
 		return x.tokens > y.tokens
 	})
@@ -91,10 +92,15 @@
 }
 
 // slots returns how many items the engines run that serve the batch or will when
-// they have loaded the next weights. The lock is held.
+// they have loaded the next weights. Engines for other models at work are not among
+// them. The lock is held.
 func (r *Runner) slots(b *Batch, now timer.Instant) int {
 	n := 0
+	sets := r.sets(b, now)
 	for _, u := range r.Book.Group(b.service).Upstreams {
+		if b.lends(sets[u.ID]) {
+			continue
+		}
 		if u.Usable(now) && u.ModelVersion(b.sub.Model)+1 >= b.sub.OldestVersion {
 			n += max(1, u.Slots)
 		}
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -62,6 +62,8 @@
 	Metrics   *Metrics
 	// FailureDomain is this process's own.
 	FailureDomain string
+	// Division says which engines are for which model; nil leaves all to all.
+	Division Division
 	// Copies finds what an earlier owner of a batch had made; nil finds nothing.
 	Copies Copies
 
--- a/internal/batch/schedule/place.go
+++ b/internal/batch/schedule/place.go
@@ -18,8 +18,22 @@
 	// unknown; Reserved is what the streams there are expected to need in the
 	// end.
 	Memory, Reserved int64
+	// Lent engines are for another model that is at work.
+	Lent bool
+	// Told is how long ago the engine told its load; never is a long time.
+	Told time.Duration
 }
 
+// lentTold is up to when a load that an engine told shows that another model leaves
+// slots free there.
+const lentTold = time.Second
+
+// Open reports whether an item may go to the engine at all. Homes of several models
+// begin their steps at the same moment, and none knows yet what the others send: were
+// each to fill all engines, they would hold three times the streams that
+// they have slots for, long ones behind short ones.
+func (e Engine) Open() bool { return !e.Lent || e.Told <= lentTold && e.Room >= 1 }
+
 // The weights of a choice, as parts of an engine's pace.
 const (
 	// slotsSlow and textsSlow are how much longer an event takes over the time of a
--- a/internal/batch/schedule/place_test.go
+++ b/internal/batch/schedule/place_test.go
@@ -261,3 +261,13 @@
 	is.True(after[59] < 7300*time.Millisecond)
 	is.True(before[54] > 7500*time.Millisecond) // the load does bring the fault about
 }
+
+// Guards against an item at an engine of another model at work, unless that engine has
+// just told of a free slot.
+func TestLentEnginesAreOpenWhereTheyTellRoom(t *testing.T) {
+	is := is.New(t)
+	is.True(Engine{}.Open())
+	is.Equal(Engine{Lent: true, Room: 3, Told: time.Hour}.Open(), false)
+	is.Equal(Engine{Lent: true, Room: 0.5, Told: 0}.Open(), false)
+	is.True(Engine{Lent: true, Room: 1, Told: lentTold}.Open())
+}
--- a/internal/batch/schedule/rank.go
+++ b/internal/batch/schedule/rank.go
@@ -32,27 +32,64 @@
 	// fullShare is the part of the time of all slots that a step may count on. The
 	// last items of a step leave slots empty, and estimates are off.
 	fullShare = 0.85
+	// crowdedShare is the part of that time from which on the work of all groups leaves
+	// none for groups that the trainer does not wait for. Below it they are made as
+	// well, since some of them are whole before others whose length was
+	// underestimated.
+	crowdedShare = 0.8
+	// overloadShare is the part of it from which on the groups that the trainer waits for
+	// can't all be whole in time. Up to it the step ends a little late in the worst case,
+	// and sooner than with its longest items begun last.
+	overloadShare = 1.1
 	// lateHorizon is how far ahead a step plans that is due already.
 	lateHorizon = 2 * time.Second
 )
 
-// Rank returns the order in which the groups are made, nil if the step can be
-// whole in time. Under overload, items that begin longest first over all groups
-// leave each group with an item that has not begun, and no group is whole when
-// the results are due. Groups are made one after the other then, those with the
-// least work first: a group that is whole in time is of use to its trainer, and
-// those that are not come again. The last are those that can't be whole in time.
-func (l Load) Rank() []int {
+// Ranking is the order in which the groups of a step are made: by Places, and all
+// items of groups with the same place longest first.
+type Ranking struct {
+	// Places has one number for each group, lower ones go first.
+	Places []int
+	// Overloaded says that the step can't be whole in time.
+	Overloaded bool
+}
+
+// Rank returns the order in which the groups are made.
+//
+// With time for all of them there is one place: the longest items begin first, as
+// they alone take as long as the step has.
+//
+// Where the engines are crowded, groups that the trainer does not wait for, those with
+// the most work, go last. A tenth of the work would else go into groups that are not
+// whole when the step ends, and come again.
+//
+// Under overload, items that begin longest first leave each group with an item that has
+// not begun, and no group is whole when the results are due. Groups are made one after
+// the other then, those with the least work first, as far as there is time: a group
+// that is whole in time is of use to its trainer. The others follow longest first, so
+// that the step ends as soon as it can.
+func (l Load) Rank() Ranking {
 	order := l.order()
-	capacity := time.Duration(l.Slots)*max(l.Left, lateHorizon) - l.Others
-	if float64(l.needed(order)) <= fullShare*float64(capacity) {
-		return nil
+	capacity := float64(time.Duration(l.Slots)*max(l.Left, lateHorizon) - l.Others)
+	r := Ranking{
+		Places:     make([]int, len(order)),
+		Overloaded: float64(l.total(order, l.Missing)) > overloadShare*capacity,
 	}
-	rank := make([]int, len(order))
+	crowded := float64(l.total(order, len(order))) > crowdedShare*capacity
+	sum := time.Duration(0)
 	for at, i := range order {
-		rank[i] = at
+		sum += l.Groups[i].Total
+		switch {
+		case crowded && at >= l.Missing:
+			r.Places[i] = len(order) + 1
+		case !r.Overloaded:
+		case float64(sum) <= fullShare*capacity:
+			r.Places[i] = at
+		default:
+			r.Places[i] = len(order)
+		}
 	}
-	return rank
+	return r
 }
 
 // order returns the places of groups in the order in which they are made under
@@ -85,11 +122,12 @@
 }
 
 // Needed returns the work of the groups that the trainer waits for.
-func (l Load) Needed() time.Duration { return l.needed(l.order()) }
+func (l Load) Needed() time.Duration { return l.total(l.order(), l.Missing) }
 
-func (l Load) needed(order []int) time.Duration {
+// total returns the work of the first n groups in an order.
+func (l Load) total(order []int, n int) time.Duration {
 	work := time.Duration(0)
-	for _, i := range order[:min(max(0, l.Missing), len(order))] {
+	for _, i := range order[:min(max(0, n), len(order))] {
 		work += l.Groups[i].Total
 	}
 	return work
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -96,9 +96,12 @@
 	mu     sync.Mutex
 	named  map[string]uint64
 	demand Demand
-	since  map[string]timer.Instant
-	last   map[string]*standing
-	wake   chan struct{}
+	// asked is when a step of each model was asked for last.
+	asked   map[string]timer.Instant
+	divided map[string]divided
+	since   map[string]timer.Instant
+	last    map[string]*standing
+	wake    chan struct{}
 }
 
 // standing is what is known of the orders to one engine.
@@ -137,6 +140,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.demand = o.demand.with(model, float64(tokens))
+	if o.asked == nil {
+		o.asked = make(map[string]timer.Instant)
+	}
+	o.asked[model] = o.Timer.Now()
 }
 
 func (o *Orderer) wakeChannel() chan struct{} {
