standby, registry: every instance is missed, and ends are copied without their texts

Change: an instance without batches sends a heartbeat to its first successor each 0.5 s, and is replaced in the view as an owner is. As leases of those are not what finds them out any more they last 12 s and are renewed each 4 s.

--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -108,7 +108,6 @@
 		return
 	}
 	t.phase = finished
-	t.events = nil
 	t.end = &r
 	b.open--
 	if len(b.pending) == 0 {
@@ -134,6 +133,7 @@
 	for _, r := range results {
 		if t := b.tasks[r.Item]; t != nil {
 			t.stored = true
+			t.events = nil
 		}
 	}
 	if !b.tells(now) {
--- a/internal/batch/runner/changes.go
+++ b/internal/batch/runner/changes.go
@@ -52,10 +52,7 @@
 		case t.phase == finished:
 			marks[id] = standby.Done
 			if mark != standby.Done && !t.stored {
-				d.Pieces = append(d.Pieces, standby.Piece{
-					Item:   id,
-					Result: t.end,
-				})
+				d.Pieces = append(d.Pieces, t.endPiece(mark))
 			}
 		case t.last > 0 || known && mark > 0:
 			if mark > t.last || mark < 0 {
@@ -76,12 +73,30 @@
 	return d, marks
 }
 
+// endPiece is the end of a finished item for one that has some of its events. Its text
+// goes along as the events that are missing there.
+func (t *task) endPiece(mark int) standby.Piece {
+	end := *t.end
+	p := standby.Piece{
+		Item:   t.item.ID,
+		Result: &end,
+	}
+	if len(t.events) > 0 && end.State == submission.Completed {
+		end.Text = ""
+		p.From = min(mark, len(t.events))
+		p.Events = slices.Clone(t.events[p.From:])
+	}
+	return p
+}
+
 // restore takes what an earlier owner had finished and not stored. The lock is
 // held.
 func (b *Batch) restore(results []submission.Result, now timer.Instant) int {
 	n := 0
 	for _, res := range results {
 		if t := b.tasks[res.Item]; t != nil && t.phase != finished {
+			// What is known of its events may be less than its text.
+			t.events = nil
 			b.finish(t, res, now)
 			n++
 		}
--- a/internal/batch/runner/changes_test.go
+++ b/internal/batch/runner/changes_test.go
@@ -66,6 +66,26 @@
 	is.Equal(after, map[string]int{"y": 3, "z": 0})
 }
 
+// Guards against a copy of a copy whose text lacks the events that its second owner did
+// not have one by one.
+func TestRestoredTextIsCopiedWhole(t *testing.T) {
+	is := is.New(t)
+	sub := &submission.Submission{
+		ID:    "b",
+		Items: []submission.Item{{ID: "x", Group: "g"}, {ID: "y", Group: "g"}},
+	}
+	b := newBatch(sub, ledger.Claim{}, nil, []submission.Progress{{Item: "x", Events: []string{"e1"}}}, nil)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	is.Equal(b.restore([]submission.Result{{Item: "x", State: submission.Completed, Text: "e1\ne2"}}, 1), 1)
+	is.Equal(len(b.queue), 1)
+	d, marks := b.changes(nil)
+	is.Equal(len(d.Pieces), 1)
+	is.Equal(d.Pieces[0].Result.Text, "e1\ne2")
+	is.Equal(len(d.Pieces[0].Events), 0)
+	is.Equal(marks["x"], standby.Done)
+}
+
 // Guards against the loss of all texts of a batch whose owner stops while the service
 // is away: it can't be handed over, and its successors must still hold it.
 func TestBatchThatIsNotHandedOverStaysWithTheCopies(t *testing.T) {
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/batch/submission"
@@ -137,7 +136,7 @@
 	return submission.Result{
 		Item:     t.item.ID,
 		State:    submission.Completed,
-		Text:     strings.Join(t.events, "\n"),
+		Text:     submission.TextOf(t.events),
 		Versions: t.versions,
 		Score:    score,
 	}
--- a/internal/batch/standby/beat.go
+++ b/internal/batch/standby/beat.go
@@ -1,6 +1,8 @@
 package standby
 
 import (
+	"time"
+
 	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/batch/submission"
 )
@@ -13,7 +15,8 @@
 	Events []string
 	// Versions are all that made the text so far.
 	Versions []uint64
-	// Result is the end of the item, nil until then.
+	// Result is the end of the item, nil until then. Without a text it has that of all
+	// events.
 	Result *submission.Result
 }
 
@@ -32,8 +35,9 @@
 	Lease uint64
 	// Open are the batches that the owner runs.
 	Open []string
-	// Busy says that the owner is missed when it falls silent.
-	Busy bool
+	// Every is how soon the next one comes; 0 says that none does, and that the owner
+	// is not missed.
+	Every time.Duration
 	// Leaves says that it is the last one: the owner stops.
 	Leaves bool
 	Deltas []Delta
--- a/internal/batch/standby/copies.go
+++ b/internal/batch/standby/copies.go
@@ -126,20 +126,25 @@
 
 // add takes what is new of an item. It reports false if events are missing.
 func (k *kept) add(p Piece) bool {
-	if p.Result != nil {
-		k.results[p.Item] = *p.Result
-		delete(k.texts, p.Item)
-		return true
-	}
 	old := k.texts[p.Item].Events
 	if p.From > len(old) {
 		return false
 	}
-	k.texts[p.Item] = submission.Progress{
-		Item:     p.Item,
-		Events:   append(old[:p.From:p.From], p.Events...),
-		Versions: p.Versions,
+	events := append(old[:p.From:p.From], p.Events...)
+	if p.Result == nil {
+		k.texts[p.Item] = submission.Progress{
+			Item:     p.Item,
+			Events:   events,
+			Versions: p.Versions,
+		}
+		return true
+	}
+	end := *p.Result
+	if end.Text == "" {
+		end.Text = submission.TextOf(events)
 	}
+	k.results[p.Item] = end
+	delete(k.texts, p.Item)
 	return true
 }
 
--- a/internal/batch/standby/copies_test.go
+++ b/internal/batch/standby/copies_test.go
@@ -47,8 +47,12 @@
 		case done:
 			marks[id] = Done
 			if mark != Done {
+				from := min(max(0, mark), len(text))
+				end.Text = ""
 				d.Pieces = append(d.Pieces, Piece{
 					Item:   id,
+					From:   from,
+					Events: slices.Clone(text[from:]),
 					Result: &end,
 				})
 			}
@@ -81,7 +85,7 @@
 	case "end":
 		b.ends[id] = submission.Result{
 			Item: id,
-			Text: fmt.Sprint(b.texts[id]),
+			Text: submission.TextOf(b.texts[id]),
 		}
 	}
 }
@@ -132,7 +136,7 @@
 		Self:       ownerA,
 		Lease:      func() uint64 { return 1 },
 		Work:       work,
-		Busy:       func() bool { return false },
+		Urgent:     func() bool { return false },
 		Successors: func() []string { return []string{"s"} },
 		Peers:      l,
 		Timer:      clock,
@@ -148,7 +152,7 @@
 			work.change(id, what, n)
 		}
 		l.fails = rapid.SampledFrom([]string{"", "", "lost", "unanswered"}).Draw(t, "path")
-		clock.Advance(beatEvery)
+		clock.Advance(workEvery)
 		s.beat(context.Background(), true)
 	}
 	l.fails = ""
@@ -257,3 +261,51 @@
 	c, ok := h[address]
 	return c, ok
 }
+
+// beats notes who got which heartbeat.
+type beats struct {
+	holders
+	got chan string
+}
+
+// Send implements Peers.
+func (b beats) Send(_ context.Context, address string, beat Beat) error {
+	b.got <- fmt.Sprint(address, " ", beat.Every)
+	return nil
+}
+
+// Guards against callers that go on trying an instance without batches that lost power:
+// its first successor misses its heartbeats. A successor that gets none any more is told,
+// or it would ask again and again.
+func TestInstanceWithoutWorkIsMissedAsWell(t *testing.T) {
+	is := is.New(t)
+	peers := beats{
+		got: make(chan string, 4),
+	}
+	work := &book{
+		over: true,
+	}
+	s := &Sender{
+		Self:       ownerA,
+		Lease:      func() uint64 { return 1 },
+		Work:       work,
+		Urgent:     func() bool { return false },
+		Successors: func() []string { return []string{"first", "second"} },
+		Peers:      peers,
+	}
+	is.Equal(s.beat(context.Background(), true), restEvery)
+	is.Equal(<-peers.got, "first 500ms")
+	work.over = false
+	is.Equal(s.beat(context.Background(), true), workEvery)
+	got := []string{<-peers.got, <-peers.got}
+	slices.Sort(got)
+	is.Equal(got, []string{"first 200ms", "second 200ms"})
+	work.over = true
+	is.Equal(s.beat(context.Background(), true), restEvery)
+	got = []string{<-peers.got, <-peers.got}
+	slices.Sort(got)
+	is.Equal(got, []string{"first 500ms", "second 0s"})
+	is.Equal(s.beat(context.Background(), true), restEvery)
+	is.Equal(<-peers.got, "first 500ms")
+	is.Equal(len(peers.got), 0)
+}
--- a/internal/batch/standby/evidence.go
+++ b/internal/batch/standby/evidence.go
@@ -27,14 +27,14 @@
 // gone reports whether the answer speaks against the owner.
 func (a Answer) gone() bool { return a == Refused || a == Silent }
 
-// silentAfter is how long after its last heartbeat an owner is asked. Instances
-// whose processor is used up pause for some tenths of a second.
-const silentAfter = 700 * time.Millisecond
+// silentAfter is how much later than it was due a heartbeat may be before its sender is
+// asked. Instances whose processor is used up pause for some tenths of a second.
+const silentAfter = 500 * time.Millisecond
 
 // Evidence is what is known of an owner whose heartbeats don't come.
 type Evidence struct {
-	// Silence is the time since the last heartbeat.
-	Silence time.Duration
+	// Silence is the time since the last heartbeat, Every when the next one was due.
+	Silence, Every time.Duration
 	// Leaves says that the last heartbeat was meant to be the last one.
 	Leaves bool
 	// Own is the answer to this instance, Others are those to other instances.
@@ -43,7 +43,7 @@
 }
 
 // Suspect reports whether the owner is to be asked.
-func (e Evidence) Suspect() bool { return e.Leaves || e.Silence >= silentAfter }
+func (e Evidence) Suspect() bool { return e.Leaves || e.Silence >= e.Every+silentAfter }
 
 // Lost reports whether the owner is lost, and why or why not. A refused connection is
 // certain, as the process is gone. Silence may lie in the path between two instances:
--- a/internal/batch/standby/sender.go
+++ b/internal/batch/standby/sender.go
@@ -17,10 +17,11 @@
 
 // The times of heartbeats.
 const (
-	// beatEvery is how often an owner at work sends what is new.
-	beatEvery = 200 * time.Millisecond
-	// restEvery is how often one without work looks for some.
-	restEvery = time.Second
+	// workEvery is how often an owner at work sends what is new.
+	workEvery = 200 * time.Millisecond
+	// restEvery is how often any other instance shows that it lives. Callers go on
+	// trying the address of one that lost power until it is found out.
+	restEvery = 500 * time.Millisecond
 )
 
 // Work is the batches of an owner.
@@ -36,8 +37,8 @@
 	// Lease returns the number of this instance's lease.
 	Lease func() uint64
 	Work  Work
-	// Busy reports whether this instance has other work that waits for nobody.
-	Busy func() bool
+	// Urgent reports whether this instance has other work that waits for nobody.
+	Urgent func() bool
 	// Successors returns the peer addresses of those that would take over.
 	Successors func() []string
 	Peers      Peers
@@ -49,47 +50,47 @@
 	marks map[string]Marks
 	// sending are the successors to which a heartbeat is under way.
 	sending map[string]bool
-	// watched says that the successors expect a heartbeat.
-	watched bool
 }
 
 // Run sends heartbeats until t dies.
 func (s *Sender) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
 	for t.Alive() {
-		pause := restEvery
-		if s.beat(ctx, false) {
-			pause = beatEvery
-		}
-		timer.Wait(s.Timer, pause, t.Dying())
+		timer.Wait(s.Timer, s.beat(ctx, false), t.Dying())
 	}
 	return nil
 }
 
-// Leave sends all successors what this instance has, and that it stops. One without
-// work is not missed.
+// Leave sends all successors what this instance has, and that it stops.
 func (s *Sender) Leave(ctx context.Context) {
 	open, _, _ := s.Work.Changes(nil)
-	if len(open) == 0 && !s.Busy() {
-		return
-	}
+	leaves := len(open) > 0 || s.Urgent()
 	var wg sync.WaitGroup
 	for _, address := range s.Successors() {
-		wg.Go(func() { s.send(ctx, address, true, true) })
+		wg.Go(func() { s.send(ctx, address, 0, leaves) })
 	}
 	wg.Wait()
 }
 
-// beat sends one heartbeat to each successor and reports whether there is work. It
-// waits for none of them: one that lost power would hold up what the other gets.
-func (s *Sender) beat(ctx context.Context, wait bool) bool {
-	open, _, _ := s.Work.Changes(nil)
-	busy := len(open) > 0 || s.Busy()
-	successors := s.begin(busy)
+// beat sends one heartbeat to the successors, and returns when the next one is due.
+// It waits for none of them: one that lost power would hold up what the other gets.
+// Without work the first successor alone gets it.
+func (s *Sender) beat(ctx context.Context, wait bool) time.Duration {
+	every := restEvery
+	successors := s.Successors()
+	if open, _, _ := s.Work.Changes(nil); len(open) > 0 || s.Urgent() {
+		every = workEvery
+	} else {
+		successors = successors[:min(1, len(successors))]
+	}
 	var wg sync.WaitGroup
-	for _, address := range successors {
+	begin, former := s.begin(successors)
+	for _, address := range former {
+		wg.Go(func() { s.send(ctx, address, 0, false) })
+	}
+	for _, address := range begin {
 		wg.Go(func() {
-			s.send(ctx, address, busy, false)
+			s.send(ctx, address, every, false)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			delete(s.sending, address)
@@ -98,38 +99,35 @@
 	if wait {
 		wg.Wait()
 	}
-	return busy
+	return every
 }
 
-// begin returns the successors that get a heartbeat now. The last one of an owner
-// says that it is not missed any more.
-func (s *Sender) begin(busy bool) []string {
+// begin returns the successors that get a heartbeat now, those to which none is under
+// way, and the former ones, which would miss it.
+func (s *Sender) begin(successors []string) (begin, former []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !busy && !s.watched {
-		s.marks = nil
-		return nil
-	}
-	s.watched = busy
 	if s.marks == nil {
 		s.marks = make(map[string]Marks)
 		s.sending = make(map[string]bool)
 	}
-	all := s.Successors()
 	for address := range s.marks {
-		if !slices.Contains(all, address) {
+		if !slices.Contains(successors, address) {
 			delete(s.marks, address)
+			former = append(former, address)
 		}
 	}
-	free := slices.DeleteFunc(all, func(address string) bool { return s.sending[address] })
-	for _, address := range free {
-		s.sending[address] = true
+	for _, address := range successors {
+		if !s.sending[address] {
+			s.sending[address] = true
+			begin = append(begin, address)
+		}
 	}
-	return free
+	return begin, former
 }
 
 // send sends one heartbeat and notes what the successor has then.
-func (s *Sender) send(ctx context.Context, address string, busy, leaves bool) {
+func (s *Sender) send(ctx context.Context, address string, every time.Duration, leaves bool) {
 	s.mu.Lock()
 	had := s.marks[address]
 	s.mu.Unlock()
@@ -138,7 +136,7 @@
 		Owner:  s.Self,
 		Lease:  s.Lease(),
 		Open:   open,
-		Busy:   busy,
+		Every:  every,
 		Leaves: leaves,
 		Deltas: news,
 	})
@@ -157,7 +155,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.marks != nil {
+	if every > 0 {
 		s.marks[address] = has
 	}
 }
--- a/internal/batch/standby/watcher.go
+++ b/internal/batch/standby/watcher.go
@@ -92,7 +92,7 @@
 	any := false
 	now := w.Timer.Now()
 	for _, h := range w.Copies.owned() {
-		if !h.Beat.Busy && !h.Beat.Leaves {
+		if h.Beat.Every == 0 && !h.Beat.Leaves {
 			w.Copies.forget(h.Beat.Owner)
 			continue
 		}
@@ -105,6 +105,7 @@
 		any = true
 		e := Evidence{
 			Silence: now.Sub(h.At) - time.Duration(rank)*turnTime,
+			Every:   h.Beat.Every,
 			Leaves:  h.Beat.Leaves && now.Sub(h.At) > askPause,
 		}
 		if e.Suspect() && w.Held() && w.begin(h.Beat.Owner.Instance) {
--- a/internal/batch/standby/watcher_test.go
+++ b/internal/batch/standby/watcher_test.go
@@ -15,8 +15,8 @@
 // An owner is lost only if nobody hears it, and silence alone is not enough.
 func TestEvidence(t *testing.T) {
 	is := is.New(t)
-	is.Equal(Evidence{Silence: silentAfter - 1}.Suspect(), false)
-	is.True(Evidence{Silence: silentAfter}.Suspect())
+	is.Equal(Evidence{Silence: restEvery + silentAfter - 1, Every: restEvery}.Suspect(), false)
+	is.True(Evidence{Silence: restEvery + silentAfter, Every: restEvery}.Suspect())
 	is.True(Evidence{Leaves: true}.Suspect())
 	for _, c := range []struct {
 		name   string
@@ -78,7 +78,7 @@
 		Owner: ownerA,
 		Lease: lease,
 		Open:  []string{"b"},
-		Busy:  true,
+		Every: workEvery,
 		Deltas: []Delta{
 			{Batch: "b", Whole: true},
 		},
@@ -104,7 +104,7 @@
 	w, store, lease, lost := watched(is, answers{own: Silent, other: Silent})
 	is.True(settle(w))
 	is.Equal(len(lost), 0) // it was heard a moment ago
-	w.Timer.(*timer.Manual).Advance(silentAfter)
+	w.Timer.(*timer.Manual).Advance(workEvery + silentAfter)
 	settle(w)
 	is.Equal(<-lost, ownerA)
 	is.True(store.KeepAlive(context.Background(), lease) != nil)
@@ -116,7 +116,7 @@
 func TestOwnerThatAnotherReachesStays(t *testing.T) {
 	is := is.New(t)
 	w, store, lease, lost := watched(is, answers{own: Silent, other: Alive})
-	w.Timer.(*timer.Manual).Advance(silentAfter)
+	w.Timer.(*timer.Manual).Advance(workEvery + silentAfter)
 	settle(w)
 	is.Equal(len(lost), 0)
 	is.NoErr(store.KeepAlive(context.Background(), lease))
@@ -169,13 +169,13 @@
 	w, _, _, lost := watched(is, answers{own: Silent, other: Silent})
 	w.Rank = func(string) int { return 1 }
 	clock := w.Timer.(*timer.Manual)
-	clock.Advance(silentAfter)
+	clock.Advance(workEvery + silentAfter)
 	settle(w)
 	is.Equal(len(lost), 0)
 	clock.Advance(turnTime)
 	settle(w)
 	is.Equal(<-lost, ownerA)
-	w.Copies.owners = map[string]Heard{"a": {Beat: Beat{Owner: ownerA, Busy: true}}}
+	w.Copies.owners = map[string]Heard{"a": {Beat: Beat{Owner: ownerA, Every: workEvery}}}
 	w.Rank = func(string) int { return -1 }
 	is.Equal(settle(w), false) // others succeed it now
 }
--- a/internal/batch/submission/submission.go
+++ b/internal/batch/submission/submission.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -101,6 +102,9 @@
 	Score    string   `json:"score,omitempty"`
 }
 
+// TextOf returns the text of a whole item's events.
+func TextOf(events []string) string { return strings.Join(events, "\n") }
+
 // Progress is the text of an unfinished item as far as it was made.
 type Progress struct {
 	Item     string   `json:"item"`
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -37,11 +37,10 @@
 	// renewEvery leaves room for two lost renewals.
 	renewEvery = 700 * time.Millisecond
 	// smallTTL and smallEvery are for instances that run no batches and that
-	// nobody hears the service from. Their death costs a caller one more
-	// attempt; a renewal costs a tenth of a call, and there are hundreds of
-	// them.
-	smallTTL   = 6 * time.Second
-	smallEvery = 2 * time.Second
+	// nobody hears the service from. Their successors find out when they are
+	// lost; a renewal costs a tenth of a call, and there are hundreds of them.
+	smallTTL   = 12 * time.Second
+	smallEvery = 4 * time.Second
 	// ViewWait is how long an instance waits for the view before it writes
 	// itself: the view says which of the two it is.
 	ViewWait = 500 * time.Millisecond
