desk, schedule: a step left to its home stays with it, texts near the end are stored

And with the end of a step answering no read early, what was made in its last two seconds was stored late: a restart of all made it again. Ruled out: copies (none is needed there), the order duty (held again within 0.4 s). Change: whoever hears that a home has begun a step asks the ledger, and leaves it to the home unless the service answers twice and the home is cut off; a home begins a step after 250 ms whatever holds up its write; near the end results, with the texts beside them, are stored each 0.6 s. The question for a copy takes 150 ms at the most.

--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -116,9 +116,7 @@
 			"request_id": sub.ID,
 			"home":       home.Name,
 		})
-		if errors.Is(err, ErrPrepared) && !d.Registry.Held() {
-			// The service is away from here as well. Accepted here when it is back,
-			// the batch would be begun anew.
+		if errors.Is(err, ErrPrepared) {
 			return preparedProblem(err)
 		}
 		// What the other instance did is settled by the same transaction at the
@@ -132,20 +130,32 @@
 	return err
 }
 
-// submitAt brings a batch to its home. One that has begun it without the service is
-// asked once more if the service answers here: it may have come back just now, or the
-// home alone may be cut off from it.
+// submitAt brings a batch to its home. One that has begun it and can't store it is asked
+// once more if the service answers here; ErrPrepared means that the batch is left to it.
 func (d *Desk) submitAt(ctx context.Context, home registry.Member, sub *submission.Submission) error {
 	for again := false; ; again = true {
 		call, cancel := context.WithTimeout(ctx, homeTimeout)
 		err := d.Peers.Submit(call, home.PeerAddress, sub)
 		cancel()
-		if again || !errors.Is(err, ErrPrepared) || !d.Registry.Held() {
+		if !errors.Is(err, ErrPrepared) {
 			return err
 		}
+		accepted, leave := d.leave(ctx, sub.ID)
+		switch {
+		case accepted:
+			return nil
+		case leave:
+			return err
+		case again:
+			return errHomeCutOff
+		}
 	}
 }
 
+// errHomeCutOff means that the home of a batch does not reach the service and this
+// instance does.
+var errHomeCutOff = errors.New("the home of the batch is cut off from the key-value service")
+
 // afterHome takes back a "not run" that this instance can't vouch for: the home
 // of the batch did not say what became of it, and may have stored it.
 func (d *Desk) afterHome(err error) error {
--- a/internal/batch/desk/prepare.go
+++ b/internal/batch/desk/prepare.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/batch/submission"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
@@ -29,33 +30,34 @@
 	return problem.ChangeUnknown.With(err).WithOutcome(problem.Unknown).WithRetryAfter(retryAway)
 }
 
-// accept stores a batch and begins it. While the key-value service is away the
-// home of the batch begins it all the same, and stores it when the service is back:
-// a trainer stands still without its batch. All others leave it to the home; the
-// first to reach the service would make another instance begin anew.
+// accept stores a batch and begins it. While the key-value service is away or slow the
+// home of the batch begins it all the same, and stores it when it can: a trainer stands
+// still without its batch. All others leave it to the home; the first to reach the
+// service would make another instance begin anew.
 func (d *Desk) accept(ctx context.Context, sub *submission.Submission, route catalog.Route) (prepared bool, err error) {
-	err = d.Runner.Submit(ctx, sub, route)
-	d.settled(sub, err)
-	if !away(err) || !d.prepares(sub) {
+	if !d.prepares(sub) {
+		err = d.Runner.Submit(ctx, sub, route)
+		d.settled(sub, err)
 		return false, err
 	}
-	d.Runner.Prepare(sub, route)
 	stored := d.store(sub, route)
 	wait := d.Timer.Once(storeWait)
 	defer wait.Close()
 	select {
 	case err := <-stored:
 		stored <- err
-		return true, err
+		return open(err) || d.Runner.Prepared(sub.ID), err
 	case <-wait.C:
 	case <-ctx.Done():
 	}
-	return true, err
+	d.Runner.Prepare(sub, route)
+	return true, ErrPrepared
 }
 
-// away reports whether the key-value service did nothing and may do it later.
-func away(err error) bool {
-	return errors.Is(err, keyvalue.ErrDown) || errors.Is(err, keyvalue.ErrBusy)
+// open reports whether a try to store a batch left it open whether it is, or will be.
+func open(err error) bool {
+	return errors.Is(err, keyvalue.ErrDown) || errors.Is(err, keyvalue.ErrBusy) ||
+		errors.Is(err, keyvalue.ErrLost) || errors.Is(err, ledger.ErrUnsettled)
 }
 
 // prepares reports whether a batch begins at this instance before it is stored.
@@ -64,8 +66,8 @@
 	return len(homes) > 0 && homes[0].Name == d.Ledger.Self.Instance
 }
 
-// store stores a batch that was begun, as soon as the service is back. The channel
-// tells what came of it, to one reader at a time.
+// store stores a batch, again and again while the service is away. The channel tells
+// what came of it, to one reader at a time.
 func (d *Desk) store(sub *submission.Submission, route catalog.Route) chan error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -78,10 +80,11 @@
 	stored := make(chan error, 1)
 	d.storing[sub.ID] = stored
 	go func() {
-		stored <- d.keepStoring(sub, route)
+		err := d.keepStoring(sub, route)
 		d.mu.Lock()
-		defer d.mu.Unlock()
 		delete(d.storing, sub.ID)
+		d.mu.Unlock()
+		stored <- err
 	}()
 	return stored
 }
@@ -89,17 +92,30 @@
 // keepStoring tries to store a batch until that is settled, or the batch is not
 // wanted any more.
 func (d *Desk) keepStoring(sub *submission.Submission, route catalog.Route) error {
+	asked := d.Timer.Now()
 	for {
-		timer.Wait(d.Timer, storePause, nil)
-		if !d.Runner.Prepared(sub.ID) {
-			return ErrPrepared
-		}
 		ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 		err := d.Runner.Submit(ctx, sub, route)
 		cancel()
-		if !away(err) {
+		prepared := d.Runner.Prepared(sub.ID)
+		if !open(err) && !(err == nil && prepared) {
 			d.settled(sub, err)
 			return err
 		}
+		// It is begun at storeWait; later, one that does not run is not wanted.
+		if !prepared && d.Timer.Now().Sub(asked) > 2*storeWait {
+			return err
+		}
+		timer.Wait(d.Timer, storePause, nil)
 	}
 }
+
+// leave reports whether a batch that its home has begun is left to it. If the service
+// answers here it may have come back just now, and the home stores the batch in a
+// moment, or the home alone is cut off from it.
+func (d *Desk) leave(ctx context.Context, id string) (accepted, leave bool) {
+	ctx, cancel := context.WithTimeout(ctx, storeWait)
+	defer cancel()
+	_, err := d.Ledger.Find(ctx, id)
+	return err == nil, err != nil && !errors.Is(err, ledger.ErrUnknown)
+}
--- a/internal/batch/schedule/write.go
+++ b/internal/batch/schedule/write.go
@@ -40,8 +40,12 @@
 	// writeLate when they are in any case: an instance that ends loses no more.
 	writeRest = 1200 * time.Millisecond
 	writeLate = 2 * time.Second
-	// nearGroups is how many groups before the end of a step nothing more is
-	// listed that does not end it: a read that finds nothing is repeated at once.
+	// writeNear is when results are written close to the end of a step, where they
+	// answer no read: texts that are stored beside them are the longest of the step,
+	// and a restart of all instances would make them again.
+	writeNear = 600 * time.Millisecond
+	// nearGroups is how many groups before the end of a step no read is answered with
+	// what does not end it: a read that finds nothing is repeated at once.
 	nearGroups = 2
 )
 
@@ -81,7 +85,7 @@
 		return true
 	}
 	if p.near() {
-		return false
+		return p.Oldest >= writeNear
 	}
 	return p.Reading.Waited >= readWaited || p.Oldest >= writeRest && p.Reading.Waited >= readPause
 }
--- a/internal/batch/standby/peers.go
+++ b/internal/batch/standby/peers.go
@@ -20,6 +20,9 @@
 	// askTimeout bounds a question to an owner; a living one answers within some
 	// milliseconds.
 	askTimeout = 250 * time.Millisecond
+	// fetchTimeout bounds the question for a copy. What a batch is begun with waits for
+	// it, and after a loss of power of all instances nobody has any.
+	fetchTimeout = 150 * time.Millisecond
 	// observeTimeout bounds a question by way of another instance.
 	observeTimeout = askTimeout + 100*time.Millisecond
 )
@@ -152,6 +155,6 @@
 
 // Fetch implements Peers.
 func (p *PeerCalls) Fetch(ctx context.Context, address, batch string) (Copy, bool) {
-	r, err := p.call(ctx, askTimeout, address, "Fetch", &batch)
+	r, err := p.call(ctx, fetchTimeout, address, "Fetch", &batch)
 	return r.Copy, err == nil && r.Found
 }
