--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The commands of the project. All of them need Go only.
 
-.PHONY: build run platform soak test fuzz bench generate
+.PHONY: build run platform soak test fuzz bench generate regress
 
 build:
 	go build -o bin/ ./cmd/...
@@ -41,3 +41,8 @@
 	bin/egretbend schema answers > docs/answers.schema.json
 	bin/egretbend generate --answers examples/verhaeghe/answers.json --out examples/verhaeghe/configuration.json
 	bin/egretbend generate --answers examples/labelpoint/answers.json --out examples/labelpoint/configuration.json
+
+# regress scores and hunts the users' sites with their bench and prints one table
+# with the figures of the last landing beside it: make regress BENCH=... SYSTEM=...
+regress:
+	deploy/regress $(BENCH) $(SYSTEM)
