standby, desk: a heartbeat that comes meanwhile ends the suspicion; names

Change: it looks before it judges. Names: heartbeat in place of beat, leftToHome in place of leave. TestHeartbeatEndsTheSuspicion failed before.

--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -140,7 +140,7 @@
 		if !errors.Is(err, ErrPrepared) {
 			return err
 		}
-		accepted, leave := d.leave(ctx, sub.ID)
+		accepted, leave := d.leftToHome(ctx, sub.ID)
 		switch {
 		case accepted:
 			return nil
--- a/internal/batch/desk/prepare.go
+++ b/internal/batch/desk/prepare.go
@@ -110,10 +110,10 @@
 	}
 }
 
-// leave reports whether a batch that its home has begun is left to it. If the service
+// leftToHome reports whether a batch that its home has begun is left to it. If the service
 // answers here it may have come back just now, and the home stores the batch in a
 // moment, or the home alone is cut off from it.
-func (d *Desk) leave(ctx context.Context, id string) (accepted, leave bool) {
+func (d *Desk) leftToHome(ctx context.Context, id string) (accepted, leave bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeWait)
 	defer cancel()
 	_, err := d.Ledger.Find(ctx, id)
--- a/internal/batch/standby/copies.go
+++ b/internal/batch/standby/copies.go
@@ -39,8 +39,8 @@
 
 // Heard is what is known of an owner by its heartbeats.
 type Heard struct {
-	Beat Beat
-	At   timer.Instant
+	Heartbeat Heartbeat
+	At        timer.Instant
 }
 
 // kept is the copy of one batch.
@@ -52,7 +52,7 @@
 }
 
 // Take takes a heartbeat. It returns ErrGap if it does not follow what is held.
-func (c *Copies) Take(b Beat, now timer.Instant) error {
+func (c *Copies) Take(b Heartbeat, now timer.Instant) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.batches == nil {
@@ -62,8 +62,8 @@
 	deltas := b.Deltas
 	b.Deltas = nil
 	c.owners[b.Owner.Instance] = Heard{
-		Beat: b,
-		At:   now,
+		Heartbeat: b,
+		At:        now,
 	}
 	c.drop(b, now)
 	for _, d := range deltas {
@@ -99,7 +99,7 @@
 // drop forgets the batches that the sender runs no more, and old ones. A new life
 // of an instance does not end what is held of the life before: it asks for that. The
 // lock is held.
-func (c *Copies) drop(b Beat, now timer.Instant) {
+func (c *Copies) drop(b Heartbeat, now timer.Instant) {
 	for id, k := range c.batches {
 		switch {
 		case k.owner == b.Owner && !slices.Contains(b.Open, id), now.Sub(k.at) > copyLasts:
@@ -166,8 +166,8 @@
 	return found, true
 }
 
-// owned returns the owners that were heard, by instance.
-func (c *Copies) owned() []Heard {
+// heard returns the owners that were heard, by instance.
+func (c *Copies) heard() []Heard {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := make([]Heard, 0, len(c.owners))
@@ -181,16 +181,24 @@
 func (c *Copies) forget(o ledger.Owner) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.owners[o.Instance].Beat.Owner == o {
+	if c.owners[o.Instance].Heartbeat.Owner == o {
 		delete(c.owners, o.Instance)
 	}
 }
 
+// heardSince reports whether a heartbeat of a life came after a time.
+func (c *Copies) heardSince(o ledger.Owner, at timer.Instant) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.owners[o.Instance]
+	return h.Heartbeat.Owner == o && h.At > at
+}
+
 // answered notes that an owner lives though its heartbeats don't come.
 func (c *Copies) answered(o ledger.Owner, now timer.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if h := c.owners[o.Instance]; h.Beat.Owner == o {
+	if h := c.owners[o.Instance]; h.Heartbeat.Owner == o {
 		h.At = now
 		c.owners[o.Instance] = h
 	}
--- a/internal/batch/standby/copies_test.go
+++ b/internal/batch/standby/copies_test.go
@@ -104,7 +104,7 @@
 var errLost = errors.New("no answer")
 
 // Send implements Peers.
-func (l *link) Send(_ context.Context, _ string, b Beat) error {
+func (l *link) Send(_ context.Context, _ string, b Heartbeat) error {
 	if l.fails == "lost" {
 		if l.lies {
 			return nil
@@ -195,7 +195,7 @@
 func TestCopyOutlivesItsOwner(t *testing.T) {
 	is := is.New(t)
 	var c Copies
-	is.NoErr(c.Take(Beat{
+	is.NoErr(c.Take(Heartbeat{
 		Owner: ownerA,
 		Open:  []string{"b"},
 		Deltas: []Delta{
@@ -204,12 +204,12 @@
 	}, 0))
 	again := ownerA
 	again.Incarnation = "2"
-	is.NoErr(c.Take(Beat{
+	is.NoErr(c.Take(Heartbeat{
 		Owner: again,
 	}, 1))
 	_, ok := c.Find("b")
 	is.True(ok)
-	is.NoErr(c.Take(Beat{
+	is.NoErr(c.Take(Heartbeat{
 		Owner: ownerA,
 	}, 2))
 	_, ok = c.Find("b")
@@ -223,7 +223,7 @@
 	for n := range 3 * mostCopies {
 		owner := ownerA
 		owner.Instance = fmt.Sprint(n)
-		is.NoErr(c.Take(Beat{
+		is.NoErr(c.Take(Heartbeat{
 			Owner: owner,
 			Open:  []string{fmt.Sprint(n)},
 			Deltas: []Delta{
@@ -232,7 +232,7 @@
 		}, timer.Instant(n)))
 	}
 	is.Equal(len(c.batches), mostCopies)
-	is.NoErr(c.Take(Beat{
+	is.NoErr(c.Take(Heartbeat{
 		Owner: ownerA,
 	}, timer.Instant(2*copyLasts)))
 	is.Equal(len(c.batches), 0)
@@ -254,7 +254,7 @@
 // holders are instances with copies, by address.
 type holders map[string]Copy
 
-func (h holders) Send(context.Context, string, Beat) error               { return errLost }
+func (h holders) Send(context.Context, string, Heartbeat) error          { return errLost }
 func (h holders) Ask(context.Context, string, string) Answer             { return Silent }
 func (h holders) Observe(context.Context, string, string, string) Answer { return Unasked }
 func (h holders) Fetch(_ context.Context, address, _ string) (Copy, bool) {
@@ -269,7 +269,7 @@
 }
 
 // Send implements Peers.
-func (b beats) Send(_ context.Context, address string, beat Beat) error {
+func (b beats) Send(_ context.Context, address string, beat Heartbeat) error {
 	b.got <- fmt.Sprint(address, " ", beat.Every)
 	return nil
 }
--- a/internal/batch/standby/beat.go
+++ b/internal/batch/standby/heartbeat.go
@@ -28,8 +28,8 @@
 	Pieces []Piece
 }
 
-// Beat is a heartbeat of an owner, with what is new of its batches.
-type Beat struct {
+// Heartbeat tells a successor that its sender lives, and what is new of its batches.
+type Heartbeat struct {
 	Owner ledger.Owner
 	// Lease is the owner's lease, 0 if it has none.
 	Lease uint64
--- a/internal/batch/standby/peers.go
+++ b/internal/batch/standby/peers.go
@@ -31,7 +31,7 @@
 type Peers interface {
 	// Send brings a heartbeat to a successor. It returns ErrGap if the successor
 	// lacks what came before.
-	Send(ctx context.Context, address string, b Beat) error
+	Send(ctx context.Context, address string, b Heartbeat) error
 	// Ask asks an instance whether it is the given life.
 	Ask(ctx context.Context, address, incarnation string) Answer
 	// Observe has another instance ask.
@@ -72,7 +72,7 @@
 }
 
 // Send takes a heartbeat.
-func (c *calls) Send(b *Beat, r *Reply) error {
+func (c *calls) Send(b *Heartbeat, r *Reply) error {
 	err := c.server.Copies.Take(*b, c.server.Timer.Now())
 	if c.server.Heard != nil {
 		c.server.Heard()
@@ -113,7 +113,7 @@
 }
 
 // Send implements Peers.
-func (p *PeerCalls) Send(ctx context.Context, address string, b Beat) error {
+func (p *PeerCalls) Send(ctx context.Context, address string, b Heartbeat) error {
 	r, err := p.call(ctx, sendTimeout, address, "Send", &b)
 	if err == nil && r.Gap {
 		return ErrGap
--- a/internal/batch/standby/sender.go
+++ b/internal/batch/standby/sender.go
@@ -132,7 +132,7 @@
 	had := s.marks[address]
 	s.mu.Unlock()
 	open, news, has := s.Work.Changes(had)
-	err := s.Peers.Send(ctx, address, Beat{
+	err := s.Peers.Send(ctx, address, Heartbeat{
 		Owner:  s.Self,
 		Lease:  s.Lease(),
 		Open:   open,
--- a/internal/batch/standby/watcher.go
+++ b/internal/batch/standby/watcher.go
@@ -91,24 +91,24 @@
 func (w *Watcher) look(ctx context.Context) bool {
 	any := false
 	now := w.Timer.Now()
-	for _, h := range w.Copies.owned() {
-		if h.Beat.Every == 0 && !h.Beat.Leaves {
-			w.Copies.forget(h.Beat.Owner)
+	for _, h := range w.Copies.heard() {
+		if h.Heartbeat.Every == 0 && !h.Heartbeat.Leaves {
+			w.Copies.forget(h.Heartbeat.Owner)
 			continue
 		}
-		rank := w.Rank(h.Beat.Owner.Instance)
+		rank := w.Rank(h.Heartbeat.Owner.Instance)
 		if rank < 0 {
 			// Others succeed it now, and it sends its heartbeats to them.
-			w.Copies.forget(h.Beat.Owner)
+			w.Copies.forget(h.Heartbeat.Owner)
 			continue
 		}
 		any = true
 		e := Evidence{
 			Silence: now.Sub(h.At) - time.Duration(rank)*turnTime,
-			Every:   h.Beat.Every,
-			Leaves:  h.Beat.Leaves && now.Sub(h.At) > askPause,
+			Every:   h.Heartbeat.Every,
+			Leaves:  h.Heartbeat.Leaves && now.Sub(h.At) > askPause,
 		}
-		if e.Suspect() && w.Held() && w.begin(h.Beat.Owner.Instance) {
+		if e.Suspect() && w.Held() && w.begin(h.Heartbeat.Owner.Instance) {
 			go w.judge(ctx, h, e)
 		}
 	}
@@ -137,10 +137,13 @@
 
 // judge asks about an owner, and takes over from it if it is lost.
 func (w *Watcher) judge(ctx context.Context, h Heard, e Evidence) {
-	owner := h.Beat.Owner
+	owner := h.Heartbeat.Owner
 	defer w.finish(owner.Instance)
 	e = w.ask(ctx, owner, e)
 	lost, why := e.Lost()
+	if w.Copies.heardSince(owner, h.At) {
+		lost, why = false, "its heartbeat came meanwhile"
+	}
 	others := make([]string, len(e.Others))
 	for i, a := range e.Others {
 		others[i] = a.String()
@@ -152,7 +155,7 @@
 		"own":        e.Own.String(),
 		"others":     strings.Join(others, " "),
 		"silence_ms": w.Timer.Now().Sub(h.At).Milliseconds(),
-		"batches":    strings.Join(h.Beat.Open, " "),
+		"batches":    strings.Join(h.Heartbeat.Open, " "),
 	})
 	switch {
 	case lost:
@@ -182,15 +185,15 @@
 func (w *Watcher) end(ctx context.Context, h Heard) {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
-	if h.Beat.Lease != 0 {
-		if err := w.Space.Revoke(ctx, h.Beat.Lease); err != nil && !errors.Is(err, keyvalue.ErrLeaseGone) {
+	if h.Heartbeat.Lease != 0 {
+		if err := w.Space.Revoke(ctx, h.Heartbeat.Lease); err != nil && !errors.Is(err, keyvalue.ErrLeaseGone) {
 			w.Journal.Trouble("lease of a lost owner not ended", err, log.Fields{
-				"owner": h.Beat.Owner.Instance,
+				"owner": h.Heartbeat.Owner.Instance,
 			})
 			timer.Wait(w.Timer, askPause, ctx.Done())
 			return
 		}
 	}
-	w.Copies.forget(h.Beat.Owner)
-	w.Lost(h.Beat.Owner, h.Beat.Open)
+	w.Copies.forget(h.Heartbeat.Owner)
+	w.Lost(h.Heartbeat.Owner, h.Heartbeat.Open)
 }
--- a/internal/batch/standby/watcher_test.go
+++ b/internal/batch/standby/watcher_test.go
@@ -74,7 +74,7 @@
 		Lost:      func(o ledger.Owner, _ []string) { lost <- o },
 		Timer:     clock,
 	}
-	is.NoErr(w.Copies.Take(Beat{
+	is.NoErr(w.Copies.Take(Heartbeat{
 		Owner: ownerA,
 		Lease: lease,
 		Open:  []string{"b"},
@@ -111,6 +111,41 @@
 	is.Equal(settle(w), false) // nothing is left to watch
 }
 
+// late answers that an owner is silent after its heartbeat has come.
+type late struct {
+	answers
+	come func()
+}
+
+func (l late) Ask(context.Context, string, string) Answer {
+	l.come()
+	return Silent
+}
+
+// Guards against the end of an owner's lease whose heartbeat comes while others are
+// asked about it.
+func TestHeartbeatEndsTheSuspicion(t *testing.T) {
+	is := is.New(t)
+	w, store, lease, lost := watched(is, answers{other: Silent})
+	clock := w.Timer.(*timer.Manual)
+	clock.Advance(workEvery + silentAfter)
+	w.Peers = late{
+		answers: answers{other: Silent},
+		come: func() {
+			clock.Advance(askTimeout)
+			_ = w.Copies.Take(Heartbeat{
+				Owner: ownerA,
+				Lease: lease,
+				Open:  []string{"b"},
+				Every: workEvery,
+			}, clock.Now())
+		},
+	}
+	settle(w)
+	is.Equal(len(lost), 0)
+	is.NoErr(store.KeepAlive(context.Background(), lease))
+}
+
 // Guards against the end of a living owner's lease where only the path between two
 // instances is cut.
 func TestOwnerThatAnotherReachesStays(t *testing.T) {
@@ -147,7 +182,7 @@
 		return space.None
 	}
 	clock := w.Timer.(*timer.Manual)
-	is.NoErr(w.Copies.Take(Beat{
+	is.NoErr(w.Copies.Take(Heartbeat{
 		Owner:  ownerA,
 		Lease:  lease,
 		Open:   []string{"b"},
@@ -175,7 +210,7 @@
 	clock.Advance(turnTime)
 	settle(w)
 	is.Equal(<-lost, ownerA)
-	w.Copies.owners = map[string]Heard{"a": {Beat: Beat{Owner: ownerA, Every: workEvery}}}
+	w.Copies.owners = map[string]Heard{"a": {Heartbeat: Heartbeat{Owner: ownerA, Every: workEvery}}}
 	w.Rank = func(string) int { return -1 }
 	is.Equal(settle(w), false) // others succeed it now
 }
