schedule, runner: only steps that crowd their own engines keep to them

By the account of its log a step of 90 items kept to the 16 engines of its model, a third of them older, while fast ones were free: slowness 1,375 and 879 ms in place of 258 and 78, and the trainer never asked for its last step.

--- a/internal/batch/runner/choose.go
+++ b/internal/batch/runner/choose.go
@@ -56,13 +56,20 @@
 	return never
 }
 
-// engines returns the engines that can serve the batch now: those of its model, and
-// others as far as they are open to it. If its model has none, all are. The lock is
-// held.
+// engines returns the engines that can serve the batch now. If it crowds those of its
+// model, others are left out unless they are open to it. The lock is held.
 func (r *Runner) engines(b *Batch, now timer.Instant) []candidate {
 	list := r.usable(b, now)
-	own := slices.ContainsFunc(list, func(c candidate) bool { return !c.Lent })
-	return slices.DeleteFunc(list, func(c candidate) bool { return own && !c.Open() })
+	own := 0
+	for _, c := range list {
+		if !c.Lent {
+			own += c.Slots
+		}
+	}
+	if !schedule.Crowds(b.open, own) {
+		return list
+	}
+	return slices.DeleteFunc(list, func(c candidate) bool { return !c.Open() })
 }
 
 // usable returns the engines whose weights do for the batch. The lock is held.
--- a/internal/batch/runner/rank.go
+++ b/internal/batch/runner/rank.go
@@ -92,20 +92,23 @@
 }
 
 // slots returns how many items the engines run that serve the batch or will when
-// they have loaded the next weights. Engines for other models at work are not among
-// them. The lock is held.
+// they have loaded the next weights; those of its model alone if it crowds them. The
+// lock is held.
 func (r *Runner) slots(b *Batch, now timer.Instant) int {
-	n := 0
+	all, own := 0, 0
 	sets := r.sets(b, now)
 	for _, u := range r.Book.Group(b.service).Upstreams {
-		if b.lends(sets[u.ID]) {
-			continue
-		}
 		if u.Usable(now) && u.ModelVersion(b.sub.Model)+1 >= b.sub.OldestVersion {
-			n += max(1, u.Slots)
+			all += max(1, u.Slots)
+			if !b.lends(sets[u.ID]) {
+				own += max(1, u.Slots)
+			}
 		}
 	}
-	return n
+	if schedule.Crowds(b.open, own) {
+		return own
+	}
+	return all
 }
 
 // age returns the time since the batch was submitted.
--- a/internal/batch/schedule/place.go
+++ b/internal/batch/schedule/place.go
@@ -28,10 +28,18 @@
 // slots free there.
 const lentTold = time.Second
 
-// Open reports whether an item may go to the engine at all. Homes of several models
-// begin their steps at the same moment, and none knows yet what the others send: were
-// each to fill all engines, they would hold three times the streams that
-// they have slots for, long ones behind short ones.
+// crowdedItems is how many items for each slot of its own engines make a step crowd
+// them.
+const crowdedItems = 2
+
+// Crowds reports whether a step with some unfinished items keeps to the engines of its
+// model, which have some slots. Homes of several models begin their steps at the same
+// moment, and none knows yet what the others send: were each to fill all engines, they
+// would hold several times the streams that they have slots for, long ones behind short
+// ones. A smaller step is better off with the fastest of all engines.
+func Crowds(items, slots int) bool { return slots > 0 && items > crowdedItems*slots }
+
+// Open reports whether an item of a step that crowds its own engines may go to this one.
 func (e Engine) Open() bool { return !e.Lent || e.Told <= lentTold && e.Room >= 1 }
 
 // The weights of a choice, as parts of an engine's pace.
--- a/internal/batch/schedule/place_test.go
+++ b/internal/batch/schedule/place_test.go
@@ -271,3 +271,13 @@
 	is.Equal(Engine{Lent: true, Room: 0.5, Told: 0}.Open(), false)
 	is.True(Engine{Lent: true, Room: 1, Told: lentTold}.Open())
 }
+
+// Guards against a step with few items that keeps to the older engines of its own model while
+// fast ones of others are free: its long items took 1.4 s longer.
+func TestSmallStepsUseAllEngines(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Crowds(90, 128), false)
+	is.Equal(Crowds(2*128, 128), false)
+	is.True(Crowds(2*128+1, 128))
+	is.Equal(Crowds(1000, 0), false) // its model has none
+}
