--- a/internal/batch/desk/remind_test.go
+++ b/internal/batch/desk/remind_test.go
@@ -80,8 +80,11 @@
 	err := d.Accept(context.Background(), sub, catalog.Route{})
 	is.Equal(problem.From(err).Kind.Outcome, problem.Unknown)
 
-	d.Ledger.Self.Instance = "elsewhere"
-	is.Equal(d.prepares(sub), false)
-	err = d.Accept(context.Background(), sub, catalog.Route{})
+	// The home goes on trying to store it: another desk stands for another instance.
+	other, _ := newDesk(t, func(space.Call) space.Fault { return space.Down })
+	other.Registry.SetSelf(self)
+	other.Ledger.Self.Instance = "elsewhere"
+	is.Equal(other.prepares(sub), false)
+	err = other.Accept(context.Background(), sub, catalog.Route{})
 	is.Equal(problem.From(err).Kind.Outcome, problem.NotRun)
 }
