mirror, standby, runner, weights: a test waits for the suspects; the sender asks for work without copying it

Found on reading the change: a heartbeat cloned all texts of all open batches only to learn whether there are any, five times a second; Runner.Busy asks that, and says in one place with Changes which batches have copies. Behaviour is as before.

--- a/internal/batch/runner/changes.go
+++ b/internal/batch/runner/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 
 	"github.com/egretbend/egretbend/internal/batch/standby"
@@ -14,18 +15,35 @@
 	Find(ctx context.Context, batch string) standby.Copy
 }
 
+// Busy implements standby.Work.
+func (r *Runner) Busy() bool {
+	return slices.ContainsFunc(r.all(), func(b *Batch) bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.copies()
+	})
+}
+
+// all returns the batches that are in memory.
+func (r *Runner) all() []*Batch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Values(r.batches))
+}
+
+// copies reports whether successors hold a copy of the batch: until it is over, or its
+// next owner has it. The lock is held.
+func (b *Batch) copies() bool {
+	return b.handing || !b.over() && (b.open > 0 || len(b.pending) > 0)
+}
+
 // Changes implements standby.Work.
 func (r *Runner) Changes(had standby.Marks) (open []string, news []standby.Delta, has standby.Marks) {
-	r.mu.Lock()
-	batches := make([]*Batch, 0, len(r.batches))
-	for _, b := range r.batches {
-		batches = append(batches, b)
-	}
-	r.mu.Unlock()
+	batches := r.all()
 	has = make(standby.Marks, len(batches))
 	for _, b := range batches {
 		b.mu.Lock()
-		if b.handing || !b.over() && (b.open > 0 || len(b.pending) > 0) {
+		if b.copies() {
 			open = append(open, b.sub.ID)
 			delta, marks := b.changes(had[b.sub.ID])
 			has[b.sub.ID] = marks
--- a/internal/batch/standby/copies_test.go
+++ b/internal/batch/standby/copies_test.go
@@ -30,6 +30,9 @@
 	over  bool
 }
 
+// Busy implements Work.
+func (b *book) Busy() bool { return !b.over }
+
 // Changes implements Work.
 func (b *book) Changes(had Marks) ([]string, []Delta, Marks) {
 	if b.over {
--- a/internal/batch/standby/sender.go
+++ b/internal/batch/standby/sender.go
@@ -26,6 +26,8 @@
 
 // Work is the batches of an owner.
 type Work interface {
+	// Busy reports whether any batch is open.
+	Busy() bool
 	// Changes returns the open batches, what is new of them since the marks, and
 	// the marks of one that has it.
 	Changes(had Marks) (open []string, news []Delta, has Marks)
@@ -63,8 +65,7 @@
 
 // Leave sends all successors what this instance has, and that it stops.
 func (s *Sender) Leave(ctx context.Context) {
-	open, _, _ := s.Work.Changes(nil)
-	leaves := len(open) > 0 || s.Urgent()
+	leaves := s.Work.Busy() || s.Urgent()
 	var wg sync.WaitGroup
 	for _, address := range s.Successors() {
 		wg.Go(func() { s.send(ctx, address, 0, leaves) })
@@ -78,7 +79,7 @@
 func (s *Sender) beat(ctx context.Context, wait bool) time.Duration {
 	every := restEvery
 	successors := s.Successors()
-	if open, _, _ := s.Work.Changes(nil); len(open) > 0 || s.Urgent() {
+	if s.Work.Busy() || s.Urgent() {
 		every = workEvery
 	} else {
 		successors = successors[:min(1, len(successors))]
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -144,9 +144,17 @@
 	is.NoErr(b.put("p/b", "1", 0))
 	is.True(b.reaches("p/b", "1")) // the mirror is back
 	b.mu.Lock()
-	kept, suspects := b.held["p/a"], b.suspects
+	kept := b.held["p/a"]
 	b.mu.Unlock()
 	is.Equal(kept, "1")
+	// Suspects are told after the changes that came with them.
+	var suspects []string
+	timer.Until(timer.Real{}, time.Millisecond, 5*time.Second, nil, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		suspects = b.suspects
+		return len(suspects) > 0
+	})
 	is.Equal(suspects, []string{"p/a"}) // who can ask its owner need not wait
 	is.True(b.reaches("p/a", ""))       // and gone after the pause
 }
--- a/internal/fleet/weights/division.go
+++ b/internal/fleet/weights/division.go
@@ -22,6 +22,17 @@
 	sets map[string]string
 }
 
+// Asked tells of a step and its work in tokens.
+func (o *Orderer) Asked(model string, tokens int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.demand = o.demand.with(model, float64(tokens))
+	if o.asked == nil {
+		o.asked = make(map[string]timer.Instant)
+	}
+	o.asked[model] = o.Timer.Now()
+}
+
 // Sets returns the model that each engine of a service is for while several
 // models are at work, by the engine's id. It is nil while one model alone is, and
 // its engines are for all. The division is a function of the list of engines and of
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -135,17 +135,6 @@
 	}
 }
 
-// Asked tells of a step and its work in tokens.
-func (o *Orderer) Asked(model string, tokens int64) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.demand = o.demand.with(model, float64(tokens))
-	if o.asked == nil {
-		o.asked = make(map[string]timer.Instant)
-	}
-	o.asked[model] = o.Timer.Now()
-}
-
 func (o *Orderer) wakeChannel() chan struct{} {
 	if o.wake == nil {
 		o.wake = make(chan struct{}, 1)
