identity, confirmation: requests bear keys of organisations, which stop within their bound

Change: catalog holds a directory of digests. identity decides, apart from I/O, by the key and by the age of the last confirmation that the configuration is current; confirmation keeps that age: few instances ask the store each 0.8 s, the others hear it with their watcher's answers, counted from when they sent the query. The age is read after the request was read and before the configuration. Keys end at the door; a batch's name holds its organisation, so another one's does not exist. An instance that knows too little refuses at once and leaves itself out of the addresses it tells.

--- a/internal/batch/submission/submission.go
+++ b/internal/batch/submission/submission.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"strings"
 	"time"
 )
@@ -43,7 +44,11 @@
 
 // Submission is a batch as it was handed in.
 type Submission struct {
+	// ID is the batch's name within the whole fleet; see Scope.
 	ID string `json:"id"`
+	// Organisation is on whose behalf it was submitted; empty if requests need no
+	// key.
+	Organisation string `json:"organisation,omitempty"`
 	// Host and Path select the route.
 	Host string `json:"host"`
 	Path string `json:"path"`
@@ -60,6 +65,15 @@
 	Items       []Item `json:"items"`
 }
 
+// Scope returns the name of a batch within the whole fleet. The batches of one
+// organisation don't exist for another one, whatever names they have.
+func Scope(id, organisation string) string {
+	if organisation == "" {
+		return id
+	}
+	return url.QueryEscape(id) + "@" + url.QueryEscape(organisation)
+}
+
 // Work returns the tokens that the batch is expected to make.
 func (s *Submission) Work() int64 {
 	work := int64(0)
--- /dev/null
+++ b/internal/entry/identity/metrics.go
@@ -0,0 +1,26 @@
+package identity
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics counts verdicts. A nil one counts nothing.
+type Metrics struct {
+	verdicts *prometheus.CounterVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		verdicts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretbend_identified_total",
+			Help: "Requests by what their key says.",
+		}, []string{"verdict"}),
+	}
+	r.MustRegister(m.verdicts)
+	return m
+}
+
+func (m *Metrics) count(v Verdict) {
+	if m != nil {
+		m.verdicts.WithLabelValues(string(v)).Inc()
+	}
+}
--- /dev/null
+++ b/internal/fleet/confirmation/keeper_test.go
@@ -0,0 +1,135 @@
+package confirmation
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+	"github.com/egretbend/egretbend/internal/standin/space"
+)
+
+// at answers as a space does, with the changes at once.
+type at struct {
+	*space.Space
+}
+
+// Changes implements Source.
+func (a at) Changes(ctx context.Context, prefix string, after uint64) ([]keyvalue.Change, uint64, error) {
+	return a.Watch(ctx, prefix, after, 0)
+}
+
+// desk is a keeper on a store of its own.
+type desk struct {
+	Keeper
+	clock *timer.Manual
+	store *space.Space
+	held  uint64
+	fault space.Fault
+}
+
+const key = "configuration"
+
+func newDesk(t *testing.T) *desk {
+	d := &desk{
+		clock: &timer.Manual{},
+	}
+	d.clock.Advance(time.Hour)
+	t.Cleanup(d.clock.Run(0, time.Millisecond))
+	d.store = &space.Space{
+		Timer: d.clock,
+		Fault: func(space.Call) space.Fault { return d.fault },
+	}
+	d.Keeper = Keeper{
+		Record: &Record{},
+		Source: at{d.store},
+		Key:    key,
+		Held:   func() uint64 { return d.held },
+		Take:   func(changes []keyvalue.Change) { d.held = changes[len(changes)-1].Revision },
+		Needed: func() bool { return true },
+		Tells:  func() bool { return true },
+		Timer:  d.clock,
+	}
+	return d
+}
+
+// put writes a configuration and returns its revision.
+func (d *desk) put(is *is.I) uint64 {
+	rev, err := d.store.Commit(context.Background(), keyvalue.Transaction{
+		Writes: []keyvalue.Write{{Key: key, Value: []byte("c")}},
+	})
+	is.NoErr(err)
+	return rev
+}
+
+func TestConfirmTakesWhatIsNew(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.held = d.put(is)
+	is.NoErr(d.Confirm(context.Background()))
+	is.True(d.Record.Within(d.clock.Now(), time.Millisecond))
+	newer := d.put(is)
+	d.clock.Advance(time.Second)
+	is.NoErr(d.Confirm(context.Background()))
+	is.Equal(d.held, newer)
+	is.True(d.Record.Within(d.clock.Now(), time.Millisecond))
+}
+
+// A configuration that this release does not understand would else count as the one in
+// force, and the keys that it takes away would hold for good.
+func TestConfigurationThatIsNotTakenIsNotConfirmed(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.held = d.put(is)
+	d.Take = func([]keyvalue.Change) {}
+	d.put(is)
+	is.True(d.Confirm(context.Background()) != nil)
+	_, ok := d.Record.Age(d.clock.Now())
+	is.True(!ok)
+}
+
+// A watcher knows a newer configuration than its follower has in force: its word
+// must not make the old one count as current.
+func TestWordOfAnotherInstanceCountsForItsRevisionOnly(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.held = 4
+	d.Accept(d.clock.Now(), 5)
+	is.True(!d.Record.Within(d.clock.Now(), time.Second))
+	d.Accept(d.clock.Now(), 4)
+	is.True(d.Record.Within(d.clock.Now(), time.Second))
+}
+
+// Someone tries keys at random. Each would cost a call of the service.
+func TestUnknownKeysCauseFewCalls(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.held = d.put(is)
+	for range 1000 {
+		d.Refresh(context.Background())
+		d.clock.Advance(4 * time.Millisecond)
+	}
+	is.True(d.store.Calls(space.Watch) <= 3)
+}
+
+// A follower whose service is away would ask at each look, and each call is counted.
+func TestFollowersAskLessAndLessInAnOutage(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.Tells = func() bool { return false }
+	var r rests
+	asked := 0
+	for second := range 12 {
+		now := timer.Instant(0).Add(time.Duration(second) * time.Second)
+		if now >= r.until {
+			asked++
+			r = r.after(errNotTaken, now, false)
+		}
+	}
+	is.Equal(asked, 5) // after 0, 1, 3, 7 and 11 seconds
+	is.Equal(r.after(nil, 0, false), rests{})
+	is.Equal(rests{}.after(errNotTaken, 9, true).until, timer.Instant(0)) // others wait for its word
+}
--- a/internal/fleet/detour/space.go
+++ b/internal/fleet/detour/space.go
@@ -307,6 +307,17 @@
 	return a.Listing, err
 }
 
+// Changes returns at once what changed below a prefix after a revision, and the
+// revision up to which that is all.
+func (s *Space) Changes(ctx context.Context, prefix string, after uint64) ([]keyvalue.Change, uint64, error) {
+	a, err := s.do(ctx, Call{
+		Kind:  KindWatch,
+		Key:   prefix,
+		After: after,
+	})
+	return a.Changes, a.Revision, err
+}
+
 // Commit implements keyvalue.Space.
 func (s *Space) Commit(ctx context.Context, tx keyvalue.Transaction) (uint64, error) {
 	a, err := s.do(ctx, Call{
--- a/internal/fleet/relay/copy.go
+++ b/internal/fleet/relay/copy.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 
+	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
@@ -20,6 +21,9 @@
 	reaches  uint64
 	revision uint64
 	changed  chan struct{}
+	// confirmed is the revision of the item that was current at an instant.
+	confirmed   uint64
+	confirmedAt timer.Instant
 }
 
 // Take applies changes that were seen up to a revision.
@@ -69,6 +73,23 @@
 	return l, c.begun
 }
 
+// Confirm notes that the newest item, of a revision, was current at an instant.
+func (c *Copy) Confirm(at timer.Instant, revision uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at > c.confirmedAt {
+		c.confirmed = revision
+		c.confirmedAt = at
+	}
+}
+
+// current returns the revision that was current last and when, or zeros.
+func (c *Copy) current() (revision uint64, at timer.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmed, c.confirmedAt
+}
+
 // wake wakes all who wait. The lock is held.
 func (c *Copy) wake() {
 	if c.changed != nil {
--- a/internal/fleet/relay/follower.go
+++ b/internal/fleet/relay/follower.go
@@ -155,6 +155,9 @@
 		WaitMS: relayWait.Milliseconds(),
 	}
 	f.mu.Unlock()
+	if s.Eager != nil && s.Eager() {
+		q.WaitMS = eagerWait.Milliseconds()
+	}
 	for _, m := range s.ask() {
 		r, err := s.poll(context.Background(), m, q)
 		if err == nil {
--- a/internal/fleet/relay/space.go
+++ b/internal/fleet/relay/space.go
@@ -29,6 +29,8 @@
 	// follower notices that its watcher fell silent; a change must be known
 	// everywhere within two seconds.
 	relayWait = 900 * time.Millisecond
+	// eagerWait is how long a watch waits at a watcher when a confirmation is needed.
+	eagerWait = 100 * time.Millisecond
 	// relayTimeout is what an answer may take beyond its wait.
 	relayTimeout = 300 * time.Millisecond
 	// listTimeout is what a whole prefix may take: a configuration of two
@@ -64,6 +66,19 @@
 type Reply struct {
 	Stale bool
 	News  map[string]News
+	// Current says how current the watcher's copies are, of those for which that
+	// is known.
+	Current map[string]Current
+}
+
+// Current says that the newest item of a copy was current at a moment.
+type Current struct {
+	// Revision is that of the newest item.
+	Revision uint64
+	// Lead is how long after the query arrived that moment was; it is mostly
+	// negative. The query was sent before it arrived, so its sender may count from
+	// the moment at which it sent it.
+	Lead time.Duration
 }
 
 // News is what changed below one prefix. Behind says that the watcher's copy
@@ -90,6 +105,12 @@
 	Timer    timer.Service
 	// Hears reports whether this instance surely hears the service.
 	Hears func() bool
+	// Confirmed is called when a watcher says that the newest item below a prefix, of
+	// a revision, was current at an instant; nil is not called.
+	Confirmed func(prefix string, revision uint64, at timer.Instant)
+	// Eager reports whether this instance waits for Confirmed, so that its queries
+	// should be answered soon also without news; nil means never.
+	Eager func() bool
 
 	copies map[string]*Copy
 	follow follower
@@ -195,11 +216,20 @@
 func (s *Space) poll(ctx context.Context, m registry.Member, q Query) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.WaitMS)*time.Millisecond+relayTimeout)
 	defer cancel()
+	sent := s.Timer.Now()
 	r, err := s.Peers.Poll(ctx, m.PeerAddress, q)
-	if err == nil && r.Stale {
-		err = errStale
+	if err != nil {
+		return r, err
 	}
-	return r, err
+	if r.Stale {
+		return r, errStale
+	}
+	if s.Confirmed != nil {
+		for prefix, c := range r.Current {
+			s.Confirmed(prefix, c.Revision, sent.Add(c.Lead))
+		}
+	}
+	return r, nil
 }
 
 // receiver is the name of the calls between instances.
@@ -223,6 +253,7 @@
 
 // Poll answers one query.
 func (s *Server) Poll(q *Query, r *Reply) error {
+	arrived := s.space.Timer.Now()
 	if !s.space.answers() {
 		r.Stale = true
 		return nil
@@ -237,6 +268,7 @@
 		news, _ = s.space.news(q)
 	}
 	r.News = news
+	r.Current = s.space.current(q, arrived)
 	return nil
 }
 
@@ -253,6 +285,29 @@
 	return nil
 }
 
+// current says how current the copies of the prefixes in a query are.
+func (s *Space) current(q *Query, arrived timer.Instant) map[string]Current {
+	var current map[string]Current
+	for prefix := range q.After {
+		c := s.copies[prefix]
+		if c == nil {
+			continue
+		}
+		revision, at := c.current()
+		if at == 0 {
+			continue
+		}
+		if current == nil {
+			current = make(map[string]Current)
+		}
+		current[prefix] = Current{
+			Revision: revision,
+			Lead:     at.Sub(arrived),
+		}
+	}
+	return current
+}
+
 // news returns what changed, and the channels that tell of the next changes.
 func (s *Space) news(q *Query) (map[string]News, []<-chan struct{}) {
 	news := make(map[string]News)
--- a/internal/fleet/relay/space_test.go
+++ b/internal/fleet/relay/space_test.go
@@ -254,3 +254,27 @@
 	is.True(clock.Now().Sub(began) >= 2*relayWait) // the one that hears lets it wait
 	is.Equal(store.Calls(space.Watch)+store.Calls(space.Range), 0)
 }
+
+// A follower takes the word of its watcher for when the configuration was current. It
+// counts from when it sent the query, not from when the answer came: that may be long
+// after the watcher heard last.
+func TestFollowersLearnWhenACopyWasCurrent(t *testing.T) {
+	is := is.New(t)
+	clock, store := newStore(t)
+	clock.Advance(time.Hour)
+	f, members := newFleet(clock, store, 20)
+	follower, asked := f.followerOf(members)
+	var revision uint64
+	var at timer.Instant
+	follower.Confirmed = func(_ string, r uint64, i timer.Instant) { revision, at = r, i }
+	confirmed := clock.Now().Add(-2 * time.Second)
+	c := f.relays[asked[0].Name].copies["p/"]
+	c.Confirm(confirmed, 6)
+	c.Confirm(confirmed.Add(-time.Second), 5) // an older one changes nothing
+	c.Take(change("p/a", 7), 7)
+	_, _, err := follower.Watch(context.Background(), "p/", 1, time.Minute)
+	is.NoErr(err)
+	is.Equal(revision, uint64(6))
+	is.True(at <= confirmed) // never later than the watcher's own
+	is.True(confirmed.Sub(at) < time.Second)
+}
--- a/internal/kernel/problem/kind.go
+++ b/internal/kernel/problem/kind.go
@@ -59,6 +59,8 @@
 		"ask any other instance for addresses")
 	NotReady = kind("not_ready", http.StatusServiceUnavailable, NotRun,
 		"ask another instance; this one has no configuration yet")
+	Unconfirmed = kind("unconfirmed", http.StatusServiceUnavailable, NotRun,
+		"ask another instance; this one can't tell at the moment which keys still hold")
 	DeadlineBeforeRun = kind("deadline_before_run", http.StatusGatewayTimeout, NotRun,
 		"ask again with a longer Egretbend-Deadline-Ms")
 	UpstreamRefused = kind("upstream_refused", http.StatusServiceUnavailable, NotRun,
--- a/internal/route/catalog/configuration.go
+++ b/internal/route/catalog/configuration.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/egretbend/egretbend/internal/route/organisation"
 )
 
 // Kind says what may be done with requests of a route.
@@ -49,6 +51,8 @@
 	ResultDeadline time.Duration
 	// GiveUpAfter is when an item of a batch may be given up.
 	GiveUpAfter time.Duration
+	// Public routes need no key.
+	Public bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -104,6 +108,9 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Organisations are those whose keys requests bear; where it is empty requests
+	// need none.
+	Organisations organisation.Directory
 
 	hosts map[string][]Route
 }
--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -29,6 +29,8 @@
 	Header http.Header
 	Body   []byte
 	Route  catalog.Route
+	// Organisation is on whose behalf it is made; empty for nobody's.
+	Organisation string
 	// Deadline is when the caller stops waiting; zero if it did not say.
 	Deadline time.Time
 }
@@ -372,6 +374,7 @@
 		"request_id": t.req.ID,
 		"route":      t.req.Route.Name,
 		"service":    service,
+		"for":        t.req.Organisation,
 		"attempts":   t.sent,
 		"of":         len(t.group.Upstreams),
 		"took_ms":    t.f.Timer.Now().Sub(t.started).Milliseconds(),
