usage, duty: requests are counted by organisation and reported once a window

Change: an instance counts a request when it is first sent, and takes that back if no upstream ran it. It tells all that it counted lately to two collectors of its failure domain, a quarter of a second after it counted and once a window. The holder of the duty, which was that of orders to engines and is now a package of its own for all such calls, asks the collectors, writes the report down under the fencing token and then sends it; its successor sends the same once more and goes on. Ruled out: asking every instance at the end of a window (calls grow with the fleet, and a lost instance's counts are gone).

--- a/internal/fleet/weights/holder.go
+++ b/internal/fleet/duty/holder.go
@@ -1,28 +1,31 @@
-package weights
+package duty
 
 import (
 	"context"
 	"errors"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"gopkg.in/tomb.v2"
 
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
-// Duty is the registry's name for the right to give orders.
-const Duty = "orders"
+// Name is the registry's name for the right to make the calls that one instance makes
+// at a time.
+const Name = "orders"
 
 // The times of holding.
 const (
 	// keepEvery is how often the right is looked after.
 	keepEvery = 600 * time.Millisecond
 	// holdTrust is how long after the last renewal of its lease the holder
-	// gives orders. It is shorter than the lease, so that a holder that is cut
+	// makes calls. It is shorter than the lease, so that a holder that is cut
 	// off stops before another one can begin.
 	holdTrust = 1200 * time.Millisecond
 	// absence is how long the holder must be missing before another instance
@@ -51,7 +54,7 @@
 	Synced() bool
 }
 
-// Holder holds the right to give orders, or waits for it. The right lies in a
+// Holder holds the right to the calls of one instance, or waits for it. The right lies in a
 // key without a lease: its holder is whoever it names, as long as that
 // instance's own key exists.
 type Holder struct {
@@ -66,10 +69,12 @@
 	// Name is this instance's. A holder that restarts is the same one.
 	Name string
 
+	// mu guards fence, lease and begins, which others read.
+	mu     sync.Mutex
 	fence  uint64
 	lease  uint64
-	holds  atomic.Bool
 	begins timer.Instant
+	holds  atomic.Bool
 	gone   departure
 	// settled says that the stored value no longer tells of a wait.
 	settled bool
@@ -106,9 +111,31 @@
 	return name, rest == waiting
 }
 
-// Fence returns the fencing token and whether orders may be given now.
+// Run looks after the right until t dies.
+func (h *Holder) Run(t *tomb.Tomb) error {
+	ctx := t.Context(context.Background())
+	keep := h.Timer.Every(keepEvery)
+	defer keep.Close()
+	for {
+		if err := h.Keep(ctx); err != nil {
+			h.Journal.Detail("duty not looked after", log.Fields{
+				"error": err.Error(),
+			})
+		}
+		select {
+		case <-keep.C:
+		case <-t.Dying():
+			return nil
+		}
+	}
+}
+
+// Fence returns the fencing token and whether calls may be made now. The token is also
+// the revision of Key.
 func (h *Holder) Fence() (uint64, bool) {
 	lease, fresh := h.Presence.Lease(holdTrust)
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	return h.fence, h.fence != 0 && fresh && lease == h.lease && h.Timer.Now() >= h.begins
 }
 
@@ -136,7 +163,7 @@
 // or it comes first and the holder has been missing long enough. All others
 // don't ask; each try is a priced call.
 func (h *Holder) candidate(ctx context.Context) (bool, error) {
-	holder, _ := HolderOf(h.Presence.Duty(Duty))
+	holder, _ := HolderOf(h.Presence.Duty(Name))
 	if holder == h.Name || h.fence != 0 {
 		return true, nil
 	}
@@ -227,11 +254,11 @@
 	if err != nil {
 		return err
 	}
-	h.fence, h.lease = rev, lease
-	h.begins, h.settled = begins, settled
+	h.set(rev, lease, begins)
+	h.settled = settled
 	h.holds.Store(true)
 	h.gone = departure{}
-	h.Journal.Event("order duty held", log.Fields{
+	h.Journal.Event("duty held", log.Fields{
 		"fencing": rev,
 		"before":  before,
 		"wait_ms": max(0, begins.Sub(h.Timer.Now())).Milliseconds(),
@@ -239,7 +266,13 @@
 	return nil
 }
 
-// wait returns when orders may begin.
+func (h *Holder) set(fence, lease uint64, begins timer.Instant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fence, h.lease, h.begins = fence, lease, begins
+}
+
+// wait returns when calls may begin.
 func (h *Holder) wait(before string, waits bool) timer.Instant {
 	now := h.Timer.Now()
 	switch {
@@ -260,10 +293,10 @@
 // drop forgets a right that another instance took over.
 func (h *Holder) drop(err error) {
 	if h.fence != 0 {
-		h.Journal.Trouble("order duty lost", err, log.Fields{
+		h.Journal.Trouble("duty lost", err, log.Fields{
 			"fencing": h.fence,
 		})
 	}
-	h.fence, h.lease, h.begins = 0, 0, 0
+	h.set(0, 0, 0)
 	h.holds.Store(false)
 }
--- a/internal/fleet/weights/holder_test.go
+++ b/internal/fleet/duty/holder_test.go
@@ -1,4 +1,4 @@
-package weights
+package duty
 
 import (
 	"context"
--- /dev/null
+++ b/internal/fleet/usage/usage_test.go
@@ -0,0 +1,139 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+)
+
+const length = 5 * time.Second
+
+// newMeter returns a meter at a moment that can be moved.
+func newMeter(instance string, now *time.Time) *Meter {
+	return &Meter{
+		Instance:    instance,
+		Incarnation: instance + "-1",
+		Length:      length,
+		Now:         func() time.Time { return *now },
+	}
+}
+
+func TestWindow(t *testing.T) {
+	is := is.New(t)
+	at := time.UnixMilli(12_499)
+	is.Equal(WindowAt(at, length), Window(2))
+	is.Equal(Window(2).End(length), time.UnixMilli(15_000))
+	is.Equal(WindowAt(Window(2).End(length), length), Window(3))
+}
+
+func TestMeterCountsWhatBegins(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(14_999)
+	m := newMeter("a", &now)
+	undo := m.Began("saddlers")
+	m.Began("saddlers")
+	m.Began("bookbinders")
+	now = time.UnixMilli(15_000)
+	m.Began("saddlers")
+	undo() // an upstream refused it, after the window had ended
+	records := []Record{m.Record()}
+	is.Equal(Sum(2, records), Counts{"saddlers": 1, "bookbinders": 1})
+	is.Equal(Sum(3, records), Counts{"saddlers": 1})
+	now = now.Add(keptWindows * length)
+	m.Began("saddlers")
+	is.Equal(len(m.Record().Windows), 1) // the others are forgotten
+}
+
+// An instance tells two collectors, starts again, and tells of its new life. Counted
+// by collector its requests would count twice, counted by instance the first life's
+// would be lost.
+func TestSumCountsEachLifeOnce(t *testing.T) {
+	is := is.New(t)
+	record := func(life string, sequence uint64, n int) Record {
+		return Record{
+			Instance:    "a",
+			Incarnation: life,
+			Sequence:    sequence,
+			Windows:     map[Window]Counts{2: {"saddlers": n, "bookbinders": 0}},
+		}
+	}
+	is.Equal(Sum(2, []Record{record("1", 4, 4), record("1", 3, 3), record("2", 1, 1)}), Counts{"saddlers": 5})
+}
+
+func TestCollectorKeepsTheNewest(t *testing.T) {
+	is := is.New(t)
+	var c Collector
+	now := time.UnixMilli(12_000)
+	m := newMeter("a", &now)
+	m.Began("saddlers")
+	old := m.Record()
+	m.Began("saddlers")
+	c.Take(m.Record())
+	c.Take(old) // it came late
+	is.Equal(Sum(2, c.Find(2)), Counts{"saddlers": 2})
+	is.Equal(len(c.Find(3)), 0)
+	other := newMeter("b", &now)
+	now = now.Add(2 * keptWindows * length)
+	other.Began("saddlers")
+	c.Take(other.Record())
+	is.Equal(len(c.Find(2)), 0)
+	is.Equal(c.count, 1) // nothing is kept of what has no windows left
+}
+
+// toldPeers is a set of collectors, some of which don't answer.
+type toldPeers struct {
+	down map[string]bool
+	at   map[string]*Collector
+	told int
+}
+
+// Tell implements Peers.
+func (p *toldPeers) Tell(_ context.Context, address string, r Record) error {
+	if p.down[address] {
+		return errors.New("no answer")
+	}
+	p.told++
+	p.at[address].Take(r)
+	return nil
+}
+
+// Find implements Peers.
+func (p *toldPeers) Find(_ context.Context, address string, w Window) ([]Record, error) {
+	if p.down[address] {
+		return nil, errors.New("no answer")
+	}
+	return p.at[address].Find(w), nil
+}
+
+// A collector is killed and comes back empty: what it should keep is told again in the
+// next window, and meanwhile the other one has it.
+func TestSenderTellsAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(12_000)
+	peers := &toldPeers{
+		down: map[string]bool{},
+		at:   map[string]*Collector{"x": {}, "y": {}},
+	}
+	s := &Sender{
+		Meter:      newMeter("a", &now),
+		Collectors: func() []string { return []string{"x"} },
+		Peers:      peers,
+		Timer:      &timer.Manual{},
+	}
+	s.Meter.Began("saddlers")
+	peers.down["x"] = true
+	is.True(!s.Tell(context.Background()))
+	peers.down["x"] = false
+	is.True(s.Tell(context.Background()))
+	is.True(s.Tell(context.Background()))
+	is.Equal(peers.told, 1) // nothing is new
+	peers.at["x"] = &Collector{}
+	s.forget()
+	is.True(s.Tell(context.Background()))
+	is.Equal(Sum(2, peers.at["x"].Find(2)), Counts{"saddlers": 1})
+}
--- a/internal/fleet/weights/doc.go
+++ b/internal/fleet/weights/doc.go
@@ -2,8 +2,7 @@
 //
 //	orders := weights.Plan(engines, named, fresh, sets, atOnce)
 //
-// One instance at a time, the holder of a key in the key-value service, gives
-// the orders; the revision at which it took the key is its fencing token. Each
+// One instance at a time gives the orders, the one that has the duty. Each
 // order names the count of orders that the engine should have seen, so an order
 // that is carried out late, after newer ones, is refused by the engine itself.
 //
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -17,6 +17,8 @@
 
 // The times of orders.
 const (
+	// lookEvery is how often an instance looks whether it has the right to give orders.
+	lookEvery = 600 * time.Millisecond
 	// planEvery is how often a plan is made while orders are under way.
 	planEvery = 200 * time.Millisecond
 	// orderTimeout bounds the answer to an order; a good engine answers within
@@ -82,9 +84,17 @@
 	State(ctx context.Context, u *catalog.Upstream) (State, error)
 }
 
+// Holder tells whether this instance gives the orders.
+type Holder interface {
+	// Fence returns the fencing token and whether orders may be given now.
+	Fence() (uint64, bool)
+	// Holds reports whether this instance is the one, even if it has to wait.
+	Holds() bool
+}
+
 // Orderer gives the orders while it holds the right to.
 type Orderer struct {
-	Holder  *Holder
+	Holder  Holder
 	Book    *catalog.Book
 	Config  *catalog.Holder
 	Engines Engines
@@ -142,22 +152,21 @@
 	return o.wake
 }
 
-// Run keeps the right to give orders and gives them until t dies.
+// Run gives orders until t dies, while this instance has the right to.
 func (o *Orderer) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
 	o.mu.Lock()
 	o.last = make(map[string]*standing)
 	wake := o.wakeChannel()
 	o.mu.Unlock()
-	keep := o.Timer.Every(keepEvery)
-	defer keep.Close()
+	look := o.Timer.Every(lookEvery)
+	defer look.Close()
 	var plan *timer.Subscription
 	defer func() {
 		if plan != nil {
 			plan.Close()
 		}
 	}()
-	o.keep(ctx)
 	for {
 		// Only the holder plans; the others would wake for nothing.
 		var due <-chan timer.Instant
@@ -168,8 +177,7 @@
 			due = plan.C
 		}
 		select {
-		case <-keep.C:
-			o.keep(ctx)
+		case <-look.C:
 		case <-due:
 			o.round(ctx)
 		case <-wake:
@@ -180,14 +188,6 @@
 	}
 }
 
-func (o *Orderer) keep(ctx context.Context) {
-	if err := o.Holder.Keep(ctx); err != nil {
-		o.Journal.Detail("order duty not looked after", log.Fields{
-			"error": err.Error(),
-		})
-	}
-}
-
 // round makes a plan and gives its orders.
 func (o *Orderer) round(ctx context.Context) {
 	fence, ok := o.Holder.Fence()
--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -69,6 +69,14 @@
 	Timer   timer.Service
 	Journal *journal.Journal
 	Metrics *Metrics
+	// Usage counts the requests that begin to run; nil counts nothing.
+	Usage Counter
+}
+
+// Counter counts requests by organisation.
+type Counter interface {
+	// Began counts one that is sent to an upstream; undo takes that back.
+	Began(organisation string) (undo func())
 }
 
 // result is the end of one attempt.
@@ -97,6 +105,8 @@
 	failures int
 	ran      bool
 	last     error
+	// undo takes back that the request was counted; nil if it is not.
+	undo func()
 }
 
 // Do sends a request until it is answered or given up.
@@ -184,6 +194,7 @@
 		t.ran = true
 	} else {
 		t.refused++
+		t.uncount()
 	}
 	if t.flying > 0 {
 		return false, nil, nil
@@ -274,6 +285,7 @@
 	t.sent++
 	t.flying++
 	choice.Begin()
+	t.count()
 	begun := t.f.Timer.Now()
 	left := t.ends.Sub(begun)
 	go func() {
@@ -289,6 +301,21 @@
 	return nil
 }
 
+// count counts the request when it is first sent.
+func (t *trip) count() {
+	if t.undo == nil && t.f.Usage != nil && t.req.Organisation != "" {
+		t.undo = t.f.Usage.Began(t.req.Organisation)
+	}
+}
+
+// uncount takes that back if no upstream runs it.
+func (t *trip) uncount() {
+	if t.undo != nil && t.ranAttempts() == 0 {
+		t.undo()
+		t.undo = nil
+	}
+}
+
 // choose picks an upstream that was not tried yet, or failing that any that is
 // not at work on the request now.
 func (t *trip) choose() *catalog.Upstream {
