capacity: reclaimable engines are ordered for the steps that are known

Cause: a step brings all its items at once, half as many again as there are slots on the shifted work; what waits for a slot is begun late, and a step that ends after the trainer's next date costs a whole later one. Nobody ordered engines. Change: Decide, a pure function, wants a slot and a quarter for each item of the largest steps of the last minute and spreads reclaimable engines over the failure domains; a domain that refuses (409) is made up for by the others; what was reclaimed is ordered again at once; nothing is given back while trainers are at work. Orders name whole numbers, so nothing needs to be written down for a successor.

--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -79,9 +79,9 @@
 	Journal  *journal.Journal
 	// Leaving reports whether this instance takes no new batches.
 	Leaving func() bool
-	// Asked hears of the work of each step that is accepted anywhere; nil is not
-	// called.
-	Asked func(model string, tokens int64)
+	// Asked hears of the items of each step that is accepted anywhere, and of the
+	// tokens that they are expected to make; nil is not called.
+	Asked func(model string, items int, tokens int64)
 	// Config finds the route of a batch that comes from another instance.
 	Config *catalog.Holder
 
@@ -214,6 +214,7 @@
 			Batch: sub.ID,
 			Owner: d.Ledger.Self,
 			Model: sub.Model,
+			Items: len(sub.Items),
 			Work:  sub.Work(),
 		})
 	case errors.Is(err, ledger.ErrExists):
@@ -241,6 +242,7 @@
 	Batch string
 	Owner ledger.Owner
 	Model string
+	Items int
 	Work  int64
 }
 
@@ -269,7 +271,7 @@
 // Hint notes who runs a batch.
 func (d *Desk) Hint(n News) {
 	if n.Model != "" && d.Asked != nil {
-		d.Asked(n.Model, n.Work)
+		d.Asked(n.Model, n.Items, n.Work)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/internal/fleet/capacity/decision_test.go
@@ -0,0 +1,267 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/standin/proof"
+)
+
+// four returns a group with twelve lasting engines in each of four domains.
+func four(work int) Group {
+	g := Group{
+		Slots: 8,
+		Most:  24,
+		Work:  work,
+	}
+	for i, price := range []float64{1, 0.8, 1.25, 0.9} {
+		g.Domains = append(g.Domains, Domain{
+			Name:    string(rune('a' + i)),
+			Price:   price,
+			Lasting: 12,
+		})
+	}
+	return g
+}
+
+func counts(targets []Target) []int {
+	var list []int
+	for _, t := range targets {
+		list = append(list, t.Count)
+	}
+	return list
+}
+
+// Three steps come at once, with one and a half times as many items as there are slots:
+// the long ones among those that wait end their steps late.
+func TestDecideHasSlotsForAllItemsAtOnce(t *testing.T) {
+	is := is.New(t)
+	is.Equal(counts(Decide(four(0))), []int{0, 0, 0, 0})
+	is.Equal(counts(Decide(four(300))), []int{0, 0, 0, 0})     // 47 engines
+	is.Equal(counts(Decide(four(568))), []int{10, 11, 10, 10}) // 89 engines
+	is.Equal(counts(Decide(four(5000))), []int{12, 12, 12, 12})
+}
+
+// A failure domain that has none to give is made up for by the others.
+func TestDecideLeavesDryDomains(t *testing.T) {
+	is := is.New(t)
+	g := four(480)
+	is.Equal(counts(Decide(g)), []int{7, 7, 6, 7})
+	g.Domains[1].Dry = true
+	is.Equal(counts(Decide(g)), []int{9, 0, 9, 9})
+	g.Domains[1].Reclaimable = 3
+	is.Equal(counts(Decide(g)), []int{8, 3, 8, 8})
+}
+
+// While trainers are at work no engine is given back, and no domain gets more than it may
+// have; what can be had is had.
+func TestDecideKeepsItsBounds(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		g := Group{
+			Slots: rapid.IntRange(1, 16).Draw(t, "slots"),
+			Most:  rapid.IntRange(1, 30).Draw(t, "most"),
+			Work:  rapid.IntRange(0, 3000).Draw(t, "work"),
+		}
+		for range rapid.IntRange(1, 6).Draw(t, "domains") {
+			lasting := rapid.IntRange(0, g.Most).Draw(t, "lasting")
+			g.Domains = append(g.Domains, Domain{
+				Price:       rapid.Float64Range(0.1, 2).Draw(t, "price"),
+				Lasting:     lasting,
+				Reclaimable: rapid.IntRange(0, g.Most-lasting).Draw(t, "reclaimable"),
+				Dry:         rapid.Bool().Draw(t, "dry"),
+			})
+		}
+		engines, open := 0, false
+		for i, target := range Decide(g) {
+			d := g.Domains[i]
+			if g.Work > 0 && target.Count < d.Reclaimable {
+				t.Fatalf("domain %d gives back engines while there is work", i)
+			}
+			if d.Lasting+target.Count > g.Most {
+				t.Fatalf("domain %d has %d and %d engines of at most %d", i, d.Lasting, target.Count, g.Most)
+			}
+			engines += d.Lasting + target.Count
+			open = open || !d.Dry && d.Lasting+target.Count < g.Most
+		}
+		if open && float64(engines*g.Slots) < float64(g.Work)*spare {
+			t.Fatalf("%d engines for %d items though more could be had", engines, g.Work)
+		}
+	})
+}
+
+func TestDemandRemembersTheLargestSteps(t *testing.T) {
+	is := is.New(t)
+	var d Demand
+	at := timer.Instant(0).Add(time.Hour)
+	models := []string{"m", "n"}
+	is.Equal(d.Work(models, at), 0)
+	d.Asked("m", 100, at)
+	d.Asked("m", 80, at.Add(30*time.Second))
+	d.Asked("n", 50, at.Add(30*time.Second))
+	d.Asked("x", 999, at)
+	is.Equal(d.Work(models, at.Add(40*time.Second)), 150)
+	is.Equal(d.Work(models, at.Add(70*time.Second)), 130)
+	is.Equal(d.Work(models, at.Add(3*time.Minute)), 0)
+}
+
+// platform takes orders, or refuses them.
+type platform struct {
+	orders []Order
+	err    map[string]error
+}
+
+// Order implements Platform.
+func (p *platform) Order(_ context.Context, _ uint64, o Order) error {
+	p.orders = append(p.orders, o)
+	return p.err[o.Domain]
+}
+
+// holder has a token, or none.
+type holder struct {
+	fence uint64
+}
+
+// Fence implements Holder.
+func (h *holder) Fence() (uint64, bool) { return h.fence, h.fence != 0 }
+
+func newOrderer() (*Orderer, *platform, *holder, *timer.Manual) {
+	clock := &timer.Manual{}
+	clock.Advance(time.Hour)
+	p := &platform{
+		err: make(map[string]error),
+	}
+	h := &holder{
+		fence: 7,
+	}
+	config := &catalog.Holder{}
+	config.Take(catalog.Configuration{
+		Version: 1,
+		Services: map[string]catalog.Service{"s": {
+			Name:   "s",
+			Engine: &catalog.Engine{Slots: 8, Models: []string{"m"}},
+			Scaling: &catalog.Scaling{
+				Most:     24,
+				BootTime: 4 * time.Second,
+				Prices:   map[string]float64{"a": 1, "b": 1},
+			},
+		}},
+	}.WithIndex())
+	return &Orderer{
+		Holder:   h,
+		Platform: p,
+		Book:     &catalog.Book{Timer: clock},
+		Config:   config,
+		Demand:   &Demand{},
+		Timer:    clock,
+	}, p, h, clock
+}
+
+// look lets some seconds go by and returns the orders made in them.
+func look(o *Orderer, p *platform, clock *timer.Manual, seconds int) []Order {
+	p.orders = nil
+	for range seconds {
+		clock.Advance(time.Second)
+		o.Look(context.Background())
+	}
+	return p.orders
+}
+
+// list says which engines there are.
+func list(o *Orderer, present map[string]int) {
+	var entries []catalog.Listed
+	for domain, n := range present {
+		for i := range n {
+			entries = append(entries, catalog.Listed{
+				ID:            domain + string(rune('a'+i)),
+				Service:       "s",
+				FailureDomain: domain,
+				Reclaimable:   true,
+			})
+		}
+	}
+	var gone []string
+	for _, u := range o.Book.Group("s").Upstreams {
+		gone = append(gone, u.ID)
+	}
+	o.Book.Update(nil, gone)
+	o.Book.Update(entries, nil)
+}
+
+func TestOrderer(t *testing.T) {
+	is := is.New(t)
+	o, p, h, clock := newOrderer()
+	is.Equal(len(look(o, p, clock, 3)), 0) // nobody asks for steps
+	o.Demand.Asked("m", 64, clock.Now())
+	first := look(o, p, clock, 3)
+	is.Equal(first, []Order{
+		{Service: "s", Domain: "a", Count: 5, Reclaimable: true},
+		{Service: "s", Domain: "b", Count: 5, Reclaimable: true},
+	})
+	list(o, map[string]int{"a": 5, "b": 5})
+	is.Equal(len(look(o, p, clock, 20)), 0) // they came
+	h.fence = 0
+	is.Equal(len(look(o, p, clock, 5)), 0)
+	h.fence = 8
+	is.Equal(len(look(o, p, clock, 2)), 2) // a new holder says it once
+	clock.Advance(2 * time.Minute)
+	is.Equal(look(o, p, clock, 1)[0].Count, 0) // all trainers rest
+}
+
+// All engines of a failure domain are reclaimed at once, and it has no more to give.
+// Asked for each second it would refuse each second; the other one helps out.
+func TestOrdererAfterAReclaim(t *testing.T) {
+	is := is.New(t)
+	o, p, _, clock := newOrderer()
+	o.Demand.Asked("m", 64, clock.Now())
+	look(o, p, clock, 1)
+	list(o, map[string]int{"a": 5, "b": 5})
+	look(o, p, clock, 2)
+	p.err["a"] = ErrNone
+	list(o, map[string]int{"b": 5})
+	orders := look(o, p, clock, 5)
+	is.Equal(orders, []Order{
+		{Service: "s", Domain: "a", Count: 5, Reclaimable: true},
+		{Service: "s", Domain: "b", Count: 10, Reclaimable: true},
+	})
+	delete(p.err, "a")
+	is.True(len(look(o, p, clock, 10)) > 0) // asked again later
+}
+
+// An order without an answer is made again, whether it was taken or not.
+func TestOrdererRepeatsWhatWasLost(t *testing.T) {
+	is := is.New(t)
+	o, p, _, clock := newOrderer()
+	o.Demand.Asked("m", 8, clock.Now())
+	p.err["a"] = errors.New("lost")
+	is.Equal(len(look(o, p, clock, 1)), 2)
+	is.Equal(len(look(o, p, clock, 1)), 1)
+	delete(p.err, "a")
+	look(o, p, clock, 1)
+	is.Equal(len(look(o, p, clock, 5)), 0)
+	is.Equal(len(look(o, p, clock, 8)), 2) // no engine came
+}
+
+// One domain stands in for another that is dry. Once that one gives engines again, those
+// that boot in the first must not be taken back and ordered anew.
+func TestOrdererKeepsWhatBoots(t *testing.T) {
+	is := is.New(t)
+	o, p, _, clock := newOrderer()
+	o.Demand.Asked("m", 64, clock.Now())
+	p.err["a"] = ErrNone
+	is.Equal(look(o, p, clock, 2), []Order{
+		{Service: "s", Domain: "a", Count: 5, Reclaimable: true},
+		{Service: "s", Domain: "b", Count: 5, Reclaimable: true},
+		{Service: "s", Domain: "b", Count: 10, Reclaimable: true},
+	})
+	delete(p.err, "a")
+	for _, order := range look(o, p, clock, 9) {
+		is.True(order.Domain != "b" || order.Count == 10)
+	}
+}
--- a/internal/route/catalog/configuration.go
+++ b/internal/route/catalog/configuration.go
@@ -86,12 +86,27 @@
 	Models []string
 }
 
-// Service is a group of upstreams. Engine is nil for a plain one.
+// Scaling bounds how many upstreams of a service may be ordered, and says what they cost.
+type Scaling struct {
+	// Least and Most are per failure domain.
+	Least int
+	Most  int
+	// BootTime is how long after its order an upstream serves.
+	BootTime time.Duration
+	// Prices are those of an upstream by failure domain, relative to each other.
+	Prices map[string]float64
+	// ReclaimablePrice is that of one that may be taken away, relative to the others.
+	ReclaimablePrice float64
+}
+
+// Service is a group of upstreams. Engine is nil for a plain one, Scaling for one whose
+// upstreams can't be ordered.
 type Service struct {
 	Name        string
 	HealthPath  string
 	Connections int
 	Engine      *Engine
+	Scaling     *Scaling
 }
 
 // Limits bound what callers may send.
--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -18,6 +18,8 @@
 	FailureDomain string
 	Slots         int
 	Leaving       bool
+	// Reclaimable ones may be taken away by the platform with short notice.
+	Reclaimable bool
 	// Born tells two lives under one id apart.
 	Born int64
 	// Versions are the weight versions by model.
