--- a/internal/fleet/confirmation/keeper.go
+++ b/internal/fleet/confirmation/keeper.go
@@ -19,7 +19,7 @@
 	// lookEvery is how often a keeper looks at the age of its confirmation.
 	lookEvery = 500 * time.Millisecond
 	// sourceAge is the age at which an instance that others hear from asks again.
-	sourceAge = 800 * time.Millisecond
+	sourceAge = 1200 * time.Millisecond
 	// followerAge is the age at which any other one asks by itself: what the others
 	// tell is about two seconds old at most.
 	followerAge = 2500 * time.Millisecond
--- a/internal/fleet/registry/lease.go
+++ b/internal/fleet/registry/lease.go
@@ -94,38 +94,45 @@
 }
 
 // writeTries is how often a write is made that meets another one of this instance.
-const writeTries = 2
+const writeTries = 3
 
 // write writes this instance under a lease, in place of what stands there now. A
 // write without an answer may be carried out seconds later; were it not bound to
 // what it replaces, it would put the key back under a lease that nobody renews, and
-// others would take this instance for dead while it goes on.
+// others would take this instance for dead while it goes on. What stands there is
+// known from the write before, or shows in the conflict: all instances that start
+// together would else read their keys first.
 func (r *Registry) write(ctx context.Context, lease uint64) error {
+	r.writing.Lock()
+	defer r.writing.Unlock()
 	self := r.Self()
 	value, err := json.Marshal(self)
 	if err != nil {
 		return err
 	}
 	for range writeTries {
-		var item keyvalue.Item
-		item, err = r.Space.Get(ctx, Key(self.Name))
-		if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
-			return err
-		}
-		if item.Lease == lease && bytes.Equal(item.Value, value) {
-			return nil
-		}
-		_, err = r.Space.Commit(ctx, keyvalue.Transaction{
+		var revision uint64
+		revision, err = r.Space.Commit(ctx, keyvalue.Transaction{
 			Expects: []keyvalue.Expect{
-				{Key: Key(self.Name), Revision: item.Revision},
+				{Key: Key(self.Name), Revision: r.stored},
 			},
 			Writes: []keyvalue.Write{
 				{Key: Key(self.Name), Value: value, Lease: lease},
 			},
 		})
-		if !errors.Is(err, keyvalue.ErrConflict) {
+		if err == nil {
+			r.stored = revision
+			return nil
+		}
+		var conflict *keyvalue.ConflictError
+		if !errors.As(err, &conflict) {
 			return err
 		}
+		item := conflict.Item(Key(self.Name))
+		r.stored = item.Revision
+		if item.Lease == lease && bytes.Equal(item.Value, value) {
+			return nil
+		}
 	}
 	return err
 }
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -72,8 +72,12 @@
 	// one: others may have taken it for dead meanwhile. nil is not called.
 	Lapsed func()
 
-	self    atomic.Pointer[Member]
-	lease   uint64
+	self  atomic.Pointer[Member]
+	lease uint64
+	// writing is held while this instance writes its key; stored is the revision of
+	// that key as far as it is known.
+	writing sync.Mutex
+	stored  uint64
 	ttl     atomic.Int64
 	number  atomic.Uint64
 	renewed atomic.Int64
