configuration, caller, command: organisations in the product's own configuration

The documented interface knows organisations as the platform's does: a name, digests of keys, a priority that goes before a caller's. A key ends at the instance that read it; a request that has to go to the issuer of its ticket goes with a voucher, which is a keyed digest over this request. egretbend digest prints the digest of a key from the standard input; check names digests that are none or stand twice without printing them; the questionnaire asks for customers. Not built here: the bound by age of confirmation, which the platform's doors have.

--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -48,6 +48,7 @@
 // envelope is what the headers of a request say.
 type envelope struct {
 	requestID  string
+	identity   identity
 	caller     string
 	class      limit.Class
 	weight     float64
@@ -81,13 +82,21 @@
 	if len(e.requestID) > maxIDLength || len(e.caller) > maxIDLength {
 		return e, problem.BadRequest.Withf("%s and %s: expected at most %d characters", relay.HeaderRequestID, relay.HeaderCaller, maxIDLength)
 	}
+	var err error
+	if e.identity, err = identify(r, doc, e.requestID); err != nil {
+		return e, err
+	}
 	return e, e.read(r, cfg)
 }
 
 func (e *envelope) read(r *http.Request, cfg *configuration.Configuration) error {
 	caller := cfg.Caller(e.caller)
 	e.weight = caller.Weight
-	highest, err := limit.ParseClass(caller.Priority)
+	priority := caller.Priority
+	if org, ok := cfg.Organisation(e.identity.organisation); ok {
+		priority = org.Priority
+	}
+	highest, err := limit.ParseClass(priority)
 	if err != nil {
 		return problem.BadRequest.With(err)
 	}
--- a/internal/entry/caller/services.go
+++ b/internal/entry/caller/services.go
@@ -128,6 +128,8 @@
 	req.Header = r.Header.Clone()
 	req.Header.Set(headerPassedOn, s.Members.Self().ID)
 	req.Header.Set(relay.HeaderRequestID, e.requestID)
+	req.Header.Set(headerOrganisation, e.identity.organisation)
+	req.Header.Set(headerVoucher, e.identity.voucher)
 	res, _, err := s.Client.Do(req, wire.Fresh)
 	if err != nil {
 		problem.Write(w, problem.TicketHolderGone.Withf("the issuer %s does not answer: %w", t.Address, err))
--- a/internal/entry/command/command_test.go
+++ b/internal/entry/command/command_test.go
@@ -111,3 +111,28 @@
 	code, _, _ = run("why", "batch-1", "--log", log+".gone")
 	is.Equal(code, ExitInput)
 }
+
+// A key given as an argument would stand in the list of processes. It is read from the
+// standard input, and a configuration takes what is printed.
+func TestDigest(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	a := &app{
+		out: &out,
+	}
+	is.NoErr(a.digest(strings.NewReader("a key\n")))
+	config := filepath.Join(t.TempDir(), "c.json")
+	text := func(digest string) []byte {
+		return []byte(`{"format":1,"team":"t","deployments":[],"organisations":[{"name":"saddlers","key_digests":["` + digest + `"]},
+			{"name":"bookbinders","key_digests":["` + digest + `"]}]}`)
+	}
+	is.NoErr(os.WriteFile(config, text(strings.TrimSpace(out.String())), 0o600))
+	code, _, errOut := run("check", "--config", config)
+	is.Equal(code, ExitInput)
+	is.True(strings.Contains(errOut, `organisations[1].key_digests[0]: expected a key of one organisation, got one that "saddlers" holds too`))
+	is.NoErr(os.WriteFile(config, text("a key"), 0o600))
+	code, _, errOut = run("check", "--config", config)
+	is.Equal(code, ExitInput)
+	is.True(!strings.Contains(errOut, "a key\"")) // what may be a key is not printed
+	is.True(a.digest(strings.NewReader(" \n")) != nil)
+}
--- a/internal/entry/command/root.go
+++ b/internal/entry/command/root.go
@@ -89,6 +89,7 @@
 	root.AddCommand(
 		a.serveCommand(),
 		a.checkCommand(),
+		a.digestCommand(),
 		a.schemaCommand(),
 		a.generateCommand(),
 		a.explainCommand(),
--- a/internal/fleet/configuration/configuration.go
+++ b/internal/fleet/configuration/configuration.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/egretbend/egretbend/internal/kernel/setting"
+	"github.com/egretbend/egretbend/internal/route/organisation"
 )
 
 // Format is the version of the configuration format.
@@ -17,6 +18,15 @@
 	Callers     []Caller     `json:"callers" doc:"callers with a priority or weight of their own"`
 	Trainers    []Trainer    `json:"trainers" doc:"trainers with a weight of their own"`
 	Addresses   Addresses    `json:"addresses" doc:"what callers are told to connect to"`
+	// Organisations are those whose keys requests bear.
+	Organisations []Organisation `json:"organisations,omitempty" doc:"organisations whose keys requests must bear; without any, requests need no key"`
+}
+
+// Organisation is who requests are made for.
+type Organisation struct {
+	Name       string   `json:"name" need:"true" doc:"name of the organisation"`
+	KeyDigests []string `json:"key_digests" doc:"SHA-256 digests of its keys in hexadecimal, as printed by egretbend digest"`
+	Priority   string   `json:"priority" default:"interactive" oneof:"interactive,training,background" doc:"highest priority of its requests; goes before that of a caller"`
 }
 
 // Kind says what the upstreams of a deployment are.
@@ -107,9 +117,78 @@
 		}
 		seen[d.Name] = true
 	}
+	return append(faults, c.checkOrganisations()...)
+}
+
+// checkOrganisations finds names and keys that stand twice, and what is no digest.
+func (c *Configuration) checkOrganisations() []setting.Fault {
+	var faults []setting.Fault
+	names := make(map[string]bool)
+	holders := make(map[organisation.Digest]string)
+	for i, o := range c.Organisations {
+		path := fmt.Sprintf("organisations[%d]", i)
+		if names[o.Name] {
+			faults = append(faults, setting.Fault{
+				Path:     path + ".name",
+				Expected: "a name used once",
+				Got:      fmt.Sprintf("%q again", o.Name),
+				Remedy:   "rename or remove one of them",
+			})
+		}
+		names[o.Name] = true
+		for j, text := range o.KeyDigests {
+			fault := setting.Fault{
+				Path: fmt.Sprintf("%s.key_digests[%d]", path, j),
+			}
+			digest, err := organisation.ParseDigest(text)
+			holder, taken := holders[digest]
+			switch {
+			case err != nil:
+				fault.Expected = "a SHA-256 digest in hexadecimal"
+				fault.Got = "something else"
+				fault.Remedy = err.Error()
+			case taken:
+				fault.Expected = "a key of one organisation"
+				fault.Got = fmt.Sprintf("one that %q holds too", holder)
+				fault.Remedy = "make another key"
+			default:
+				holders[digest] = o.Name
+				continue
+			}
+			faults = append(faults, fault)
+		}
+	}
 	return faults
 }
 
+// Directory returns what finds organisations by their keys.
+func (c *Configuration) Directory() organisation.Directory {
+	list := make([]organisation.Organisation, 0, len(c.Organisations))
+	for _, o := range c.Organisations {
+		entry := organisation.Organisation{
+			Name: o.Name,
+		}
+		for _, text := range o.KeyDigests {
+			// What is no digest was refused by Check.
+			if digest, err := organisation.ParseDigest(text); err == nil {
+				entry.Digests = append(entry.Digests, digest)
+			}
+		}
+		list = append(list, entry)
+	}
+	return organisation.NewDirectory(list)
+}
+
+// Organisation returns the organisation called name.
+func (c *Configuration) Organisation(name string) (Organisation, bool) {
+	for _, o := range c.Organisations {
+		if o.Name == name {
+			return o, true
+		}
+	}
+	return Organisation{}, false
+}
+
 // Deployment returns the deployment called name.
 func (c *Configuration) Deployment(name string) (Deployment, bool) {
 	for _, d := range c.Deployments {
--- a/internal/fleet/configuration/document.go
+++ b/internal/fleet/configuration/document.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/egretbend/egretbend/internal/kernel/setting"
+	"github.com/egretbend/egretbend/internal/route/organisation"
 )
 
 // Key is where the document lies in the key-value service.
@@ -31,12 +32,16 @@
 	History       []Change        `json:"history"`
 	Configuration json.RawMessage `json:"configuration"`
 
-	parsed Configuration
+	parsed        Configuration
+	organisations organisation.Directory
 }
 
 // Parsed returns the configuration.
 func (d *Document) Parsed() *Configuration { return &d.parsed }
 
+// Organisations finds organisations by their keys.
+func (d *Document) Organisations() organisation.Directory { return d.organisations }
+
 // Encode returns the stored value.
 func (d *Document) Encode() ([]byte, error) { return json.Marshal(d) }
 
@@ -50,6 +55,7 @@
 	if err := setting.Decode(d.Configuration, &d.parsed); err != nil {
 		return nil, fmt.Errorf("configuration revision %d: %w", revision, err)
 	}
+	d.organisations = d.parsed.Directory()
 	return d, nil
 }
 
--- a/internal/fleet/questionnaire/answers.go
+++ b/internal/fleet/questionnaire/answers.go
@@ -17,6 +17,8 @@
 	Services []Service `json:"services" doc:"plain services that callers use"`
 	Models   []Model   `json:"models" doc:"models that are trained or served"`
 	Callers  []Caller  `json:"callers" doc:"who sends requests"`
+	// Organisations are customers that must show a key.
+	Organisations []Organisation `json:"organisations" doc:"customers whose requests must bear a key; without any, nobody needs one"`
 	// EntryInstances is how many instances the team runs.
 	EntryInstances int `json:"entry_instances" default:"18" min:"1" max:"2000" doc:"how many entry instances there are"`
 	// ReplaceSeconds is how quickly an instance must be free to be replaced.
@@ -68,6 +70,14 @@
 	Share    float64 `json:"share" default:"1" min:"0.01" max:"1000" doc:"its share relative to other callers when capacity is short"`
 }
 
+// Organisation is a customer with keys.
+type Organisation struct {
+	Name       string   `json:"name" need:"true" doc:"name of the organisation"`
+	KeyDigests []string `json:"key_digests" doc:"digests of its keys, as printed by egretbend digest"`
+	// WhoWaits says who waits for its answers.
+	WhoWaits string `json:"who_waits" default:"a_person" oneof:"a_person,a_trainer,nobody" doc:"who waits for its answers"`
+}
+
 // Check implements setting.Checker. It refuses answers that contradict each
 // other.
 func (a *Answers) Check(string) []setting.Fault {
--- a/internal/fleet/questionnaire/generate.go
+++ b/internal/fleet/questionnaire/generate.go
@@ -55,6 +55,9 @@
 	for i, c := range a.Callers {
 		cfg.Callers = append(cfg.Callers, g.caller(i, c))
 	}
+	for i, o := range a.Organisations {
+		cfg.Organisations = append(cfg.Organisations, g.organisation(i, o))
+	}
 	data, err := json.MarshalIndent(cfg, "", "  ")
 	if err != nil {
 		return nil, nil, err
@@ -177,18 +180,33 @@
 	}
 }
 
-func (g *generator) caller(i int, c Caller) configuration.Caller {
+// priority returns the priority that follows from who waits.
+func (g *generator) priority(path, whoWaits string) string {
 	priority := "interactive"
-	switch c.WhoWaits {
+	switch whoWaits {
 	case "a_trainer":
 		priority = "training"
 	case "nobody":
 		priority = "background"
 	}
+	return because(g, path+".priority", priority, path+".who_waits",
+		"what a person waits for goes first; what nobody waits for gives way")
+}
+
+func (g *generator) organisation(i int, o Organisation) configuration.Organisation {
+	path := fmt.Sprintf("organisations[%d]", i)
+	return configuration.Organisation{
+		Name: o.Name,
+		KeyDigests: because(g, path+".key_digests", o.KeyDigests, path+".key_digests",
+			"a configuration holds no keys, only what tells them"),
+		Priority: g.priority(path, o.WhoWaits),
+	}
+}
+
+func (g *generator) caller(i int, c Caller) configuration.Caller {
 	return configuration.Caller{
-		Name: c.Name,
-		Priority: because(g, fmt.Sprintf("callers[%d].priority", i), priority, fmt.Sprintf("callers[%d].who_waits", i),
-			"what a person waits for goes first; what nobody waits for gives way"),
+		Name:     c.Name,
+		Priority: g.priority(fmt.Sprintf("callers[%d]", i), c.WhoWaits),
 		Weight: because(g, fmt.Sprintf("callers[%d].weight", i), c.Share, fmt.Sprintf("callers[%d].share", i),
 			"callers share by weight when capacity is short"),
 	}
--- a/internal/fleet/questionnaire/questionnaire_test.go
+++ b/internal/fleet/questionnaire/questionnaire_test.go
@@ -59,7 +59,7 @@
 		"0", // no services
 		"1", "label", "writers", "", "", "", "", "",
 		"staleness", "100", "", "", "", "", "", "0", // a model whose samples may be too old
-		"0", "", "", // callers, instances, replacing
+		"0", "0", "", "", // callers, organisations, instances, replacing
 		"2", // the age again
 	}
 	var out bytes.Buffer
--- a/internal/route/organisation/organisation_test.go
+++ b/internal/route/organisation/organisation_test.go
@@ -34,6 +34,29 @@
 	is.True(!NewDirectory([]Organisation{{Name: "saddlers"}}).Empty())
 }
 
+// An instance that passes a request on shows whose it is without the key. Nobody else
+// can, and not for another request.
+func TestVouched(t *testing.T) {
+	is := is.New(t)
+	d := NewDirectory([]Organisation{
+		{Name: "saddlers", Digests: []Digest{DigestOf("k1"), DigestOf("k2")}},
+		{Name: "bookbinders", Digests: []Digest{DigestOf("k3")}},
+	})
+	voucher := Vouch("k2", "request 1")
+	o, ok := d.Vouched("saddlers", "request 1", voucher)
+	is.True(ok)
+	is.Equal(o.Name, "saddlers")
+	for _, c := range [][3]string{
+		{"bookbinders", "request 1", voucher},
+		{"saddlers", "request 2", voucher},
+		{"saddlers", "request 1", Vouch("k3", "request 1")},
+		{"saddlers", "request 1", ""},
+	} {
+		_, ok = d.Vouched(c[0], c[1], c[2])
+		is.True(!ok)
+	}
+}
+
 func TestParseDigest(t *testing.T) {
 	is := is.New(t)
 	d := DigestOf("k")
