timeofday: the middle one of many clocks tells in which window a request began

Cause: instances' clocks are off and may jump by seconds; a request would be counted in another window of usage. Change: heartbeats carry the sender's time of day; the middle one of those heard within ten seconds, this instance's own among them, is the estimate, and an instance that hears few takes its watcher's. Between words it goes on with the boot clock.

--- a/internal/batch/standby/heartbeat.go
+++ b/internal/batch/standby/heartbeat.go
@@ -41,6 +41,8 @@
 	// Leaves says that it is the last one: the owner stops.
 	Leaves bool
 	Deltas []Delta
+	// UnixMicro is the sender's time of day in microseconds since the start of 1970.
+	UnixMicro int64
 }
 
 // Done is the mark of an item whose end the receiver has.
--- a/internal/batch/standby/peers.go
+++ b/internal/batch/standby/peers.go
@@ -46,8 +46,9 @@
 	Incarnation string
 	Peers       Peers
 	Timer       timer.Service
-	// Heard is called for each heartbeat; nil is not called.
-	Heard func()
+	// Heard is called for each heartbeat with its sender and the time of day there; nil
+	// is not called.
+	Heard func(instance string, wall time.Time)
 }
 
 // Register makes the server callable by other instances.
@@ -75,7 +76,7 @@
 func (c *calls) Send(b *Heartbeat, r *Reply) error {
 	err := c.server.Copies.Take(*b, c.server.Timer.Now())
 	if c.server.Heard != nil {
-		c.server.Heard()
+		c.server.Heard(b.Owner.Instance, time.UnixMicro(b.UnixMicro))
 	}
 	r.Gap = errors.Is(err, ErrGap)
 	return nil
--- a/internal/batch/standby/sender.go
+++ b/internal/batch/standby/sender.go
@@ -44,8 +44,10 @@
 	// Successors returns the peer addresses of those that would take over.
 	Successors func() []string
 	Peers      Peers
-	Timer      timer.Service
-	Journal    *journal.Journal
+	// Wall returns this instance's time of day.
+	Wall    func() time.Time
+	Timer   timer.Service
+	Journal *journal.Journal
 
 	mu sync.Mutex
 	// marks are what each successor has; missing ones were never reached.
@@ -127,6 +129,13 @@
 	return begin, former
 }
 
+func (s *Sender) wall() time.Time {
+	if s.Wall == nil {
+		return time.Now()
+	}
+	return s.Wall()
+}
+
 // send sends one heartbeat and notes what the successor has then.
 func (s *Sender) send(ctx context.Context, address string, every time.Duration, leaves bool) {
 	s.mu.Lock()
@@ -134,12 +143,13 @@
 	s.mu.Unlock()
 	open, news, has := s.Work.Changes(had)
 	err := s.Peers.Send(ctx, address, Heartbeat{
-		Owner:  s.Self,
-		Lease:  s.Lease(),
-		Open:   open,
-		Every:  every,
-		Leaves: leaves,
-		Deltas: news,
+		Owner:     s.Self,
+		Lease:     s.Lease(),
+		Open:      open,
+		Every:     every,
+		Leaves:    leaves,
+		Deltas:    news,
+		UnixMicro: s.wall().UnixMicro(),
 	})
 	switch {
 	case err == nil:
--- a/internal/fleet/relay/space.go
+++ b/internal/fleet/relay/space.go
@@ -10,6 +10,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/fleet/peer"
 	"github.com/egretbend/egretbend/internal/fleet/registry"
+	"github.com/egretbend/egretbend/internal/fleet/timeofday"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
@@ -56,6 +57,13 @@
 	List(ctx context.Context, address, prefix string) (Whole, error)
 }
 
+// Clock estimates the time of day.
+type Clock interface {
+	Read() timeofday.Reading
+	// Told takes the estimate of another instance, made at an instant or just after.
+	Told(r timeofday.Reading, at timer.Instant)
+}
+
 // Query asks for the changes of prefixes after revisions.
 type Query struct {
 	After  map[string]uint64
@@ -67,6 +75,8 @@
 type Reply struct {
 	Stale bool
 	News  map[string]News
+	// Time is the watcher's estimate of the time of day when the query arrived.
+	Time timeofday.Reading
 	// Current says how current the watcher's copies are, of those for which that
 	// is known.
 	Current map[string]Current
@@ -109,6 +119,8 @@
 	// Confirmed is called when a watcher says that the newest item below a prefix, of
 	// a revision, was current at an instant; nil is not called.
 	Confirmed func(prefix string, revision uint64, at timer.Instant)
+	// Clock takes the watcher's estimate of the time of day; nil takes none.
+	Clock Clock
 	// Eager reports whether this instance waits for Confirmed, so that its queries
 	// should be answered soon also without news; nil means never.
 	Eager func() bool
@@ -225,6 +237,9 @@
 	if r.Stale {
 		return r, errStale
 	}
+	if s.Clock != nil {
+		s.Clock.Told(r.Time, sent)
+	}
 	if s.Confirmed != nil {
 		for prefix, c := range r.Current {
 			s.Confirmed(prefix, c.Revision, sent.Add(c.Lead))
@@ -255,6 +270,9 @@
 // Poll answers one query.
 func (s *Server) Poll(q *Query, r *Reply) error {
 	arrived := s.space.Timer.Now()
+	if s.space.Clock != nil {
+		r.Time = s.space.Clock.Read()
+	}
 	if !s.space.answers() {
 		r.Stale = true
 		return nil
