--- a/internal/entry/command/command_test.go
+++ b/internal/entry/command/command_test.go
@@ -98,7 +98,7 @@
 	is := is.New(t)
 	log := filepath.Join(t.TempDir(), "gent-a-1.log")
 	is.NoErr(os.WriteFile(log, []byte(
-		"timestamp=2026-12-03T02:43:08Z level=info decision=end request_id=batch-1\n"+
+		"timestamp=2026-12-03T02:43:08Z level=info decision=end request_id=batch-1@saddlers\n"+
 			"timestamp=2026-12-03T02:43:07Z level=info decision=accept request_id=batch-1\n"+
 			"timestamp=2026-12-03T02:43:07Z level=info decision=item batch=batch-1 request_id=item-1\n"+
 			"timestamp=2026-12-03T02:43:07Z level=info decision=accept request_id=batch-12\n"), 0o600))
--- a/internal/entry/command/why.go
+++ b/internal/entry/command/why.go
@@ -40,10 +40,11 @@
 	return nil
 }
 
-// names reports whether a line has id as the value of one of its fields.
+// names reports whether a line has id as the value of one of its fields, or id in the
+// name that a batch has with its organisation.
 func names(line, id string) bool {
 	for _, field := range strings.Fields(line) {
-		if _, value, ok := strings.Cut(field, "="); ok && value == id {
+		if _, value, ok := strings.Cut(field, "="); ok && (value == id || strings.HasPrefix(value, id+"@")) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/fleet/usage/metrics.go
@@ -0,0 +1,41 @@
+package usage
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics counts what is reported. A nil one counts nothing.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	windows  prometheus.Counter
+	leftOut  prometheus.Counter
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretbend_usage_requests_total",
+			Help: "Requests that were reported by organisation, at the instance that reports.",
+		}, []string{"organisation"}),
+		windows: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "egretbend_usage_windows_total",
+			Help: "Windows of usage that were reported.",
+		}),
+		leftOut: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "egretbend_usage_left_out_total",
+			Help: "Failure domains whose counts a report had to leave out.",
+		}),
+	}
+	r.MustRegister(m.requests, m.windows, m.leftOut)
+	return m
+}
+
+func (m *Metrics) reported(r Report, leftOut int) {
+	if m == nil {
+		return
+	}
+	m.windows.Inc()
+	m.leftOut.Add(float64(leftOut))
+	for organisation, n := range r.Counts {
+		m.requests.WithLabelValues(organisation).Add(float64(n))
+	}
+}
--- a/internal/fleet/usage/reporter.go
+++ b/internal/fleet/usage/reporter.go
@@ -66,6 +66,7 @@
 	Receiver   Receiver
 	Timer      timer.Service
 	Journal    *journal.Journal
+	Metrics    *Metrics
 
 	// fence is that under which the record was read.
 	fence    uint64
@@ -231,10 +232,12 @@
 	}
 	r.revision = revision
 	r.last, r.pending = &report, true
+	r.Metrics.reported(report, len(missing))
 	r.Journal.Decision("report_usage", log.Fields{
 		"window":        report.Window,
 		"requests":      total(report.Counts),
 		"organisations": len(report.Counts),
+		"counts":        string(value),
 		"left_out":      len(missing),
 		"fencing":       r.fence,
 		"age_ms":        r.Meter.Now().Sub(report.Window.End(r.Meter.Length)).Milliseconds(),
--- /dev/null
+++ b/internal/route/forward/usage_test.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/standin/proof"
+)
+
+// counter counts by organisation.
+type counter map[string]int
+
+// Began implements Counter.
+func (c counter) Began(organisation string) (undo func()) {
+	c[organisation]++
+	return func() { c[organisation]-- }
+}
+
+// A customer is billed for a request that no upstream ran, or twice for one that two of
+// them ran.
+func TestRequestsCountOnceIfTheyRan(t *testing.T) {
+	proof.CheckN(t, 200, func(t *rapid.T) {
+		is := is.New(t)
+		all := []fate{answers, fails, refuses, unsent, breaks, redirect}
+		s := &sender{
+			fates: rapid.SliceOfN(rapid.SampledFrom(all), 1, 5).Draw(t, "fates"),
+		}
+		f, stop := newForwarder(s, 3)
+		defer stop()
+		counted := counter{}
+		f.Usage = counted
+		_, _ = f.Do(context.Background(), Request{
+			ID:           "r",
+			Organisation: "saddlers",
+			Route: catalog.Route{
+				Kind:     catalog.Idempotent,
+				Split:    []catalog.Share{{Service: "s", Weight: 1}},
+				Attempts: 3,
+			},
+		})
+		is.Equal(counted["saddlers"], min(1, s.runs))
+	})
+}
+
+// A request for nobody counts for nobody.
+func TestRequestsForNobodyDontCount(t *testing.T) {
+	is := is.New(t)
+	f, stop := newForwarder(&sender{fates: []fate{answers}}, 1)
+	defer stop()
+	counted := counter{}
+	f.Usage = counted
+	_, err := f.Do(context.Background(), Request{
+		ID: "r",
+		Route: catalog.Route{
+			Split: []catalog.Share{{Service: "s", Weight: 1}},
+		},
+	})
+	is.NoErr(err)
+	is.Equal(len(counted), 0)
+}
