--- a/internal/route/forward/usage_test.go
+++ b/internal/route/forward/count_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -62,3 +64,35 @@
 	is.NoErr(err)
 	is.Equal(len(counted), 0)
 }
+
+// statuses is a Sender whose upstreams answer with these statuses in turn.
+type statuses []int
+
+// Send implements Sender.
+func (s *statuses) Send(context.Context, *catalog.Upstream, Request, time.Duration) (*Answer, error) {
+	status := (*s)[0]
+	if len(*s) > 1 {
+		*s = (*s)[1:]
+	}
+	return &Answer{Status: status}, nil
+}
+
+// An upstream that runs out of time has not failed a request. Counted as failed, the
+// reward call of an item would be given up, and the item be dead, too early.
+func TestRunningOutOfTimeIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	f, stop := newForwarder(&sender{fates: []fate{answers}}, 3)
+	defer stop()
+	f.Sender = &statuses{http.StatusInternalServerError, http.StatusGatewayTimeout, http.StatusGatewayTimeout}
+	answer, err := f.Do(context.Background(), Request{
+		ID: "r",
+		Route: catalog.Route{
+			Kind:     catalog.Idempotent,
+			Split:    []catalog.Share{{Service: "s", Weight: 1}},
+			Attempts: 3,
+		},
+	})
+	is.NoErr(err)
+	is.Equal(answer.Status, http.StatusGatewayTimeout)
+	is.Equal(answer.Failures, 1)
+}
--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -46,7 +46,8 @@
 	Load     *engine.Report
 	Upstream string
 	Attempts int
-	// Failures is how many upstreams answered with a failure of their own.
+	// Failures is how many upstreams answered that they failed; running out of time is
+	// no failure of theirs.
 	Failures int
 }
 
--- a/internal/route/forward/trip.go
+++ b/internal/route/forward/trip.go
@@ -38,7 +38,8 @@
 	sent    int
 	refused int
 	flying  int
-	// failures counts answers by which an upstream says that it failed.
+	// failures counts answers by which an upstream says that it failed. One that ran out
+	// of time did not.
 	failures int
 	ran      bool
 	last     error
@@ -90,7 +91,9 @@
 		return true, r.answer, nil
 	}
 	if r.err == nil {
-		t.failures++
+		if r.answer.Status == http.StatusInternalServerError {
+			t.failures++
+		}
 		r.answer.Failures = t.failures
 		r.err = problem.UpstreamFailed.Withf("upstream %s answered with status %d", r.u.ID, r.answer.Status)
 	}
