schedule, runner: reads are timed for the end of scoring

Reads are answered so that the next one waits when the step ends, but the estimate of that end left out the reward call of the last text, a quarter of a second; the read ran out of its wait just before. Ruled out: pages that don't fit, reads that fail (a part of the rest is reads from earlier positions, which trainers begin on their own and after which they pause). Change: Scoring learns how long reward calls take; the estimate adds it.

--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -235,7 +235,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := r.Timer.Now()
-	t.spent.scored += t.spent.lap(now)
+	scored := t.spent.lap(now)
+	t.spent.scored += scored
+	if t.item.Reward != nil {
+		r.scoring.Took(scored)
+	}
 	r.Metrics.item(now.Sub(b.begun))
 	r.lengths.Finished(t.item.Estimate(), t.last)
 	r.lengths.Capped(t.item.MostTokens, t.last)
--- a/internal/batch/runner/ending.go
+++ b/internal/batch/runner/ending.go
@@ -37,15 +37,25 @@
 		if t.phase == finished {
 			continue
 		}
-		left := time.Duration(0)
-		if t.phase != scoring {
-			left = r.itemLeft(b, t, now)
-		}
-		groups[t.item.Group] = max(groups[t.item.Group], left)
+		groups[t.item.Group] = max(groups[t.item.Group], r.resultLeft(b, t, now))
 	}
 	return groups
 }
 
+// resultLeft returns the time until an item is expected to be made and scored. The lock
+// is held.
+func (r *Runner) resultLeft(b *Batch, t *task, now timer.Instant) time.Duration {
+	switch {
+	case t.item.Reward == nil && t.phase == scoring:
+		return 0
+	case t.item.Reward == nil:
+		return r.itemLeft(b, t, now)
+	case t.phase == scoring:
+		return r.scoring.Left(now.Sub(t.spent.since))
+	}
+	return r.itemLeft(b, t, now) + r.scoring.Left(0)
+}
+
 // itemLeft returns the time until an item is expected to be made. The lock is
 // held.
 func (r *Runner) itemLeft(b *Batch, t *task, now timer.Instant) time.Duration {
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -68,6 +68,7 @@
 	Copies Copies
 
 	lengths schedule.Lengths
+	scoring schedule.Scoring
 	tomb    tomb.Tomb
 	begun   chan struct{}
 	mu      sync.Mutex
