--- a/internal/fleet/confirmation/keeper_test.go
+++ b/internal/fleet/confirmation/keeper_test.go
@@ -23,8 +23,8 @@
 	return a.Watch(ctx, prefix, after, 0)
 }
 
-// desk is a keeper on a store of its own.
-type desk struct {
+// fixture is a keeper on a store of its own.
+type fixture struct {
 	Keeper
 	clock *timer.Manual
 	store *space.Space
@@ -34,8 +34,8 @@
 
 const key = "configuration"
 
-func newDesk(t *testing.T) *desk {
-	d := &desk{
+func newFixture(t *testing.T) *fixture {
+	d := &fixture{
 		clock: &timer.Manual{},
 	}
 	d.clock.Advance(time.Hour)
@@ -58,7 +58,7 @@
 }
 
 // put writes a configuration and returns its revision.
-func (d *desk) put(is *is.I) uint64 {
+func (d *fixture) put(is *is.I) uint64 {
 	rev, err := d.store.Commit(context.Background(), keyvalue.Transaction{
 		Writes: []keyvalue.Write{{Key: key, Value: []byte("c")}},
 	})
@@ -68,7 +68,7 @@
 
 func TestConfirmTakesWhatIsNew(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
+	d := newFixture(t)
 	d.held = d.put(is)
 	is.NoErr(d.Confirm(context.Background()))
 	is.True(d.Record.Within(d.clock.Now(), time.Millisecond))
@@ -83,7 +83,7 @@
 // force, and the keys that it takes away would hold for good.
 func TestConfigurationThatIsNotTakenIsNotConfirmed(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
+	d := newFixture(t)
 	d.held = d.put(is)
 	d.Take = func([]keyvalue.Change) {}
 	d.put(is)
@@ -96,7 +96,7 @@
 // must not make the old one count as current.
 func TestWordOfAnotherInstanceCountsForItsRevisionOnly(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
+	d := newFixture(t)
 	d.held = 4
 	d.Accept(d.clock.Now(), 5)
 	is.True(!d.Record.Within(d.clock.Now(), time.Second))
@@ -107,7 +107,7 @@
 // Someone tries keys at random. Each would cost a call of the service.
 func TestUnknownKeysCauseFewCalls(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
+	d := newFixture(t)
 	d.held = d.put(is)
 	for range 1000 {
 		d.Refresh(context.Background())
@@ -119,7 +119,7 @@
 // A follower whose service is away would ask at each look, and each call is counted.
 func TestFollowersAskLessAndLessInAnOutage(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
+	d := newFixture(t)
 	d.Tells = func() bool { return false }
 	var r rests
 	asked := 0
@@ -139,7 +139,7 @@
 // request with a key, and clients that met one before have no other try left.
 func TestFirstConfirmationComesSoon(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
+	d := newFixture(t)
 	d.held = d.put(is)
 	var tomb tomb.Tomb
 	tomb.Go(func() error { return d.Run(&tomb) })
--- a/internal/route/catalog/configuration.go
+++ b/internal/route/catalog/configuration.go
@@ -88,15 +88,12 @@
 
 // Scaling bounds how many upstreams of a service may be ordered, and says what they cost.
 type Scaling struct {
-	// Least and Most are per failure domain.
-	Least int
-	Most  int
+	// Most is the most of them in a failure domain.
+	Most int
 	// BootTime is how long after its order an upstream serves.
 	BootTime time.Duration
 	// Prices are those of an upstream by failure domain, relative to each other.
 	Prices map[string]float64
-	// ReclaimablePrice is that of one that may be taken away, relative to the others.
-	ReclaimablePrice float64
 }
 
 // Service is a group of upstreams. Engine is nil for a plain one, Scaling for one whose
