--- a/internal/fleet/relay/space.go
+++ b/internal/fleet/relay/space.go
@@ -16,10 +16,10 @@
 
 // How watchers are chosen and asked.
 const (
-	// followers is how many instances hear from one watcher: some hundred answers
-	// a second at most, a fiftieth of a large instance's processor. Each watcher
+	// followers is how many instances hear from one watcher: some fifty answers
+	// a second at most, a hundredth of a large instance's processor. Each watcher
 	// costs a call of the service for each change of the list of upstreams.
-	followers = 48
+	followers = 24
 	// spareWatchers stand by, so that the death of one leaves no gap.
 	spareWatchers = 1
 	// askedWatchers is how many are asked before the service itself. The service
