wake: one signal in place of six

A channel of one, made when first used, and a send that does not wait stood in desk, standby, weights and usage, and without the making in runner and platform. wake.Signal serves all of them; its zero value works.

--- a/internal/batch/desk/desk.go
+++ b/internal/batch/desk/desk.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/kernel/wake"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
 
@@ -92,7 +93,7 @@
 	storing map[string]chan error
 	whole   shelf
 	// failed tells of take-overs that failed.
-	failed chan struct{}
+	failed wake.Signal
 }
 
 // Submit accepts a batch. A nil error means that it is kept whole from now on.
--- a/internal/batch/desk/takeover.go
+++ b/internal/batch/desk/takeover.go
@@ -50,7 +50,7 @@
 	for {
 		select {
 		case <-next.C:
-		case <-d.again():
+		case <-d.failed.C():
 			f = keyvalue.Fresh
 			timer.Wait(d.Timer, sweepAgain, t.Dying())
 		case <-gone:
@@ -70,16 +70,6 @@
 	}
 }
 
-// again returns a channel that tells of take-overs that failed.
-func (d *Desk) again() chan struct{} {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.failed == nil {
-		d.failed = make(chan struct{}, 1)
-	}
-	return d.failed
-}
-
 // errNotReady means that this instance can't take over batches yet.
 var errNotReady = errors.New("no configuration yet")
 
@@ -261,10 +251,7 @@
 			"owner":      seen.Owner.Instance,
 		})
 		// The next look by itself is seconds away; the step would stand still.
-		select {
-		case d.again() <- struct{}{}:
-		default:
-		}
+		d.failed.Set()
 		return
 	}
 	d.tell(News{
--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -10,6 +10,7 @@
 	"github.com/egretbend/egretbend/internal/batch/schedule"
 	"github.com/egretbend/egretbend/internal/batch/submission"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/kernel/wake"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
 
@@ -84,16 +85,8 @@
 	turned int
 	// waiting are the reads that wait for results, and since when.
 	waiting map[*waiter]timer.Instant
-	wake    chan struct{}
-	write   chan struct{}
-}
-
-// signal wakes one waiter on c without waiting itself.
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
+	wake    wake.Signal
+	write   wake.Signal
 }
 
 // tell wakes all readers. The lock is held.
@@ -124,7 +117,7 @@
 			b.critical = t.item.ID
 		}
 	}
-	signal(b.write)
+	b.write.Set()
 }
 
 // list takes results that are stored. The lock is held.
@@ -225,8 +218,6 @@
 		again:   make(map[string]bool),
 		listed:  stored,
 		changed: make(chan struct{}),
-		wake:    make(chan struct{}, 1),
-		write:   make(chan struct{}, 1),
 	}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	done := make(map[string]bool, len(stored))
--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -24,7 +24,7 @@
 			return
 		}
 		select {
-		case <-b.wake:
+		case <-b.wake.C():
 		case <-b.ctx.Done():
 			return
 		case <-r.tomb.Dying():
@@ -138,7 +138,7 @@
 	if err == nil {
 		t.phase = scoring
 		b.mu.Unlock()
-		signal(b.wake)
+		b.wake.Set()
 		r.score(b, t)
 		return
 	}
@@ -168,7 +168,7 @@
 		b.queue = append([]*task{t}, b.queue...)
 	}
 	b.mu.Unlock()
-	signal(b.wake)
+	b.wake.Set()
 }
 
 // account notes what an attempt tells of its engine. The lock is held.
--- a/internal/batch/runner/look.go
+++ b/internal/batch/runner/look.go
@@ -14,7 +14,7 @@
 func (r *Runner) watch() error {
 	for {
 		select {
-		case <-r.begun:
+		case <-r.begun.C():
 		case <-r.tomb.Dying():
 			return nil
 		}
@@ -86,7 +86,7 @@
 	r.rescue(b, now)
 	r.speedUp(b, now)
 	b.mu.Unlock()
-	signal(b.wake)
-	signal(b.write)
+	b.wake.Set()
+	b.write.Set()
 	return true
 }
--- a/internal/batch/runner/prepare.go
+++ b/internal/batch/runner/prepare.go
@@ -69,7 +69,7 @@
 		"open":       b.open,
 		"age_ms":     b.age(r.Timer.Now()).Milliseconds(),
 	})
-	signal(b.write)
+	b.write.Set()
 	return true
 }
 
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/batch/submission"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/kernel/wake"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
 
@@ -70,14 +71,13 @@
 	lengths schedule.Lengths
 	scoring schedule.Scoring
 	tomb    tomb.Tomb
-	begun   chan struct{}
+	begun   wake.Signal
 	mu      sync.Mutex
 	batches map[string]*Batch
 }
 
 // Start begins the runner's look-out.
 func (r *Runner) Start() {
-	r.begun = make(chan struct{}, 1)
 	r.tomb.Go(r.watch)
 }
 
@@ -224,7 +224,7 @@
 		"service":    b.service,
 		"age_ms":     age.Milliseconds(),
 	})
-	signal(r.begun)
+	r.begun.Set()
 	go r.drive(b)
 	go r.writeOut(b)
 }
--- a/internal/batch/runner/write.go
+++ b/internal/batch/runner/write.go
@@ -17,7 +17,7 @@
 func (r *Runner) writeOut(b *Batch) {
 	for {
 		select {
-		case <-b.write:
+		case <-b.write.C():
 		case <-b.ctx.Done():
 			return
 		case <-r.tomb.Dying():
--- a/internal/batch/standby/watcher.go
+++ b/internal/batch/standby/watcher.go
@@ -13,6 +13,7 @@
 	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/kernel/wake"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
@@ -51,33 +52,18 @@
 	// asking are the instances about which questions are under way, or were a
 	// moment ago.
 	asking map[string]bool
-	wake   chan struct{}
+	wake   wake.Signal
 }
 
 // Heard wakes the watch.
-func (w *Watcher) Heard() {
-	select {
-	case w.waker() <- struct{}{}:
-	default:
-	}
-}
-
-func (w *Watcher) waker() chan struct{} {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.wake == nil {
-		w.wake = make(chan struct{}, 1)
-	}
-	return w.wake
-}
+func (w *Watcher) Heard() { w.wake.Set() }
 
 // Run watches until t dies. While nobody sends heartbeats nothing wakes it.
 func (w *Watcher) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
-	wake := w.waker()
 	for {
 		select {
-		case <-wake:
+		case <-w.wake.C():
 		case <-t.Dying():
 			return nil
 		}
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -12,6 +12,7 @@
 
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/kernel/wake"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
 
@@ -111,7 +112,7 @@
 	divided map[string]divided
 	since   map[string]timer.Instant
 	last    map[string]*standing
-	wake    chan struct{}
+	wake    wake.Signal
 }
 
 // standing is what is known of the orders to one engine.
@@ -139,17 +140,7 @@
 		o.named[model] = version
 		o.since[model] = o.Timer.Now()
 	}
-	select {
-	case o.wakeChannel() <- struct{}{}:
-	default:
-	}
-}
-
-func (o *Orderer) wakeChannel() chan struct{} {
-	if o.wake == nil {
-		o.wake = make(chan struct{}, 1)
-	}
-	return o.wake
+	o.wake.Set()
 }
 
 // Run gives orders until t dies, while this instance has the right to.
@@ -157,7 +148,6 @@
 	ctx := t.Context(context.Background())
 	o.mu.Lock()
 	o.last = make(map[string]*standing)
-	wake := o.wakeChannel()
 	o.mu.Unlock()
 	look := o.Timer.Every(lookEvery)
 	defer look.Close()
@@ -180,7 +170,7 @@
 		case <-look.C:
 		case <-due:
 			o.round(ctx)
-		case <-wake:
+		case <-o.wake.C():
 			o.round(ctx)
 		case <-t.Dying():
 			return nil
