confirmation, usage, relay, capacity: less state, and a keeper that rests where nothing needs it

Found on reading the change once more. - A keeper checked each 0.15 s until its first confirmation, and where there are no organisations there never is one: every instance of the other deployments woke up seven times a second for nothing. It rests there now, and does not run where keys have no bound. No check is changed; the proofs' action and fixtures have the new names.

--- a/internal/batch/standby/sender.go
+++ b/internal/batch/standby/sender.go
@@ -44,10 +44,8 @@
 	// Successors returns the peer addresses of those that would take over.
 	Successors func() []string
 	Peers      Peers
-	// Wall returns this instance's time of day.
-	Wall    func() time.Time
-	Timer   timer.Service
-	Journal *journal.Journal
+	Timer      timer.Service
+	Journal    *journal.Journal
 
 	mu sync.Mutex
 	// marks are what each successor has; missing ones were never reached.
@@ -129,13 +127,6 @@
 	return begin, former
 }
 
-func (s *Sender) wall() time.Time {
-	if s.Wall == nil {
-		return time.Now()
-	}
-	return s.Wall()
-}
-
 // send sends one heartbeat and notes what the successor has then.
 func (s *Sender) send(ctx context.Context, address string, every time.Duration, leaves bool) {
 	s.mu.Lock()
@@ -149,7 +140,7 @@
 		Every:     every,
 		Leaves:    leaves,
 		Deltas:    news,
-		UnixMicro: s.wall().UnixMicro(),
+		UnixMicro: time.Now().UnixMicro(),
 	})
 	switch {
 	case err == nil:
--- a/internal/fleet/capacity/decision_test.go
+++ b/internal/fleet/capacity/decision_test.go
@@ -39,8 +39,7 @@
 	return list
 }
 
-// Three steps come at once, with one and a half times as many items as there are slots:
-// the long ones among those that wait end their steps late.
+// Guards against long items that wait for a slot when several steps come at once.
 func TestDecideHasSlotsForAllItemsAtOnce(t *testing.T) {
 	is := is.New(t)
 	is.Equal(counts(Decide(four(0))), []int{0, 0, 0, 0})
@@ -60,8 +59,7 @@
 	is.Equal(counts(Decide(g)), []int{8, 3, 8, 8})
 }
 
-// While trainers are at work no engine is given back, and no domain gets more than it may
-// have; what can be had is had.
+// Guards against engines given back under work, too many in a domain, and too few in all.
 func TestDecideKeepsItsBounds(t *testing.T) {
 	proof.Check(t, func(t *rapid.T) {
 		g := Group{
@@ -163,12 +161,12 @@
 	}, p, h, clock
 }
 
-// look lets some seconds go by and returns the orders made in them.
-func look(o *Orderer, p *platform, clock *timer.Manual, seconds int) []Order {
+// pass lets some seconds go by and returns the orders made in them.
+func pass(o *Orderer, p *platform, clock *timer.Manual, seconds int) []Order {
 	p.orders = nil
 	for range seconds {
 		clock.Advance(time.Second)
-		o.Look(context.Background())
+		o.Reconcile(context.Background())
 	}
 	return p.orders
 }
@@ -197,41 +195,40 @@
 func TestOrderer(t *testing.T) {
 	is := is.New(t)
 	o, p, h, clock := newOrderer()
-	is.Equal(len(look(o, p, clock, 3)), 0) // nobody asks for steps
+	is.Equal(len(pass(o, p, clock, 3)), 0) // nobody asks for steps
 	o.Demand.Asked("m", 64, clock.Now())
-	first := look(o, p, clock, 3)
+	first := pass(o, p, clock, 3)
 	is.Equal(first, []Order{
 		{Service: "s", Domain: "a", Count: 5, Reclaimable: true},
 		{Service: "s", Domain: "b", Count: 5, Reclaimable: true},
 	})
 	list(o, map[string]int{"a": 5, "b": 5})
-	is.Equal(len(look(o, p, clock, 20)), 0) // they came
+	is.Equal(len(pass(o, p, clock, 20)), 0) // they came
 	h.fence = 0
-	is.Equal(len(look(o, p, clock, 5)), 0)
+	is.Equal(len(pass(o, p, clock, 5)), 0)
 	h.fence = 8
-	is.Equal(len(look(o, p, clock, 2)), 2) // a new holder says it once
+	is.Equal(len(pass(o, p, clock, 2)), 2) // a new holder says it once
 	clock.Advance(2 * time.Minute)
-	is.Equal(look(o, p, clock, 1)[0].Count, 0) // all trainers rest
+	is.Equal(pass(o, p, clock, 1)[0].Count, 0) // all trainers rest
 }
 
-// All engines of a failure domain are reclaimed at once, and it has no more to give.
-// Asked for each second it would refuse each second; the other one helps out.
+// Guards against a dry failure domain that is asked each second and made up for by none.
 func TestOrdererAfterAReclaim(t *testing.T) {
 	is := is.New(t)
 	o, p, _, clock := newOrderer()
 	o.Demand.Asked("m", 64, clock.Now())
-	look(o, p, clock, 1)
+	pass(o, p, clock, 1)
 	list(o, map[string]int{"a": 5, "b": 5})
-	look(o, p, clock, 2)
+	pass(o, p, clock, 2)
 	p.err["a"] = ErrNone
 	list(o, map[string]int{"b": 5})
-	orders := look(o, p, clock, 5)
+	orders := pass(o, p, clock, 5)
 	is.Equal(orders, []Order{
 		{Service: "s", Domain: "a", Count: 5, Reclaimable: true},
 		{Service: "s", Domain: "b", Count: 10, Reclaimable: true},
 	})
 	delete(p.err, "a")
-	is.True(len(look(o, p, clock, 10)) > 0) // asked again later
+	is.True(len(pass(o, p, clock, 10)) > 0) // asked again later
 }
 
 // An order without an answer is made again, whether it was taken or not.
@@ -240,28 +237,27 @@
 	o, p, _, clock := newOrderer()
 	o.Demand.Asked("m", 8, clock.Now())
 	p.err["a"] = errors.New("lost")
-	is.Equal(len(look(o, p, clock, 1)), 2)
-	is.Equal(len(look(o, p, clock, 1)), 1)
+	is.Equal(len(pass(o, p, clock, 1)), 2)
+	is.Equal(len(pass(o, p, clock, 1)), 1)
 	delete(p.err, "a")
-	look(o, p, clock, 1)
-	is.Equal(len(look(o, p, clock, 5)), 0)
-	is.Equal(len(look(o, p, clock, 8)), 2) // no engine came
+	pass(o, p, clock, 1)
+	is.Equal(len(pass(o, p, clock, 5)), 0)
+	is.Equal(len(pass(o, p, clock, 8)), 2) // no engine came
 }
 
-// One domain stands in for another that is dry. Once that one gives engines again, those
-// that boot in the first must not be taken back and ordered anew.
+// Guards against engines that are taken back while they boot and ordered anew.
 func TestOrdererKeepsWhatBoots(t *testing.T) {
 	is := is.New(t)
 	o, p, _, clock := newOrderer()
 	o.Demand.Asked("m", 64, clock.Now())
 	p.err["a"] = ErrNone
-	is.Equal(look(o, p, clock, 2), []Order{
+	is.Equal(pass(o, p, clock, 2), []Order{
 		{Service: "s", Domain: "a", Count: 5, Reclaimable: true},
 		{Service: "s", Domain: "b", Count: 5, Reclaimable: true},
 		{Service: "s", Domain: "b", Count: 10, Reclaimable: true},
 	})
 	delete(p.err, "a")
-	for _, order := range look(o, p, clock, 9) {
+	for _, order := range pass(o, p, clock, 9) {
 		is.True(order.Domain != "b" || order.Count == 10)
 	}
 }
--- a/internal/fleet/capacity/orderer.go
+++ b/internal/fleet/capacity/orderer.go
@@ -1,10 +1,11 @@
 package capacity
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/apex/log"
@@ -17,8 +18,8 @@
 
 // The times of orders.
 const (
-	// lookEvery is how often the targets are worked out.
-	lookEvery = time.Second
+	// reconcileEvery is how often the targets are worked out.
+	reconcileEvery = time.Second
 	// orderTimeout bounds one order.
 	orderTimeout = 900 * time.Millisecond
 	// dryFor is how long a failure domain that refused an order gets none.
@@ -80,20 +81,20 @@
 // Run orders until t dies.
 func (o *Orderer) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
-	look := o.Timer.Every(lookEvery)
-	defer look.Close()
+	tick := o.Timer.Every(reconcileEvery)
+	defer tick.Close()
 	for {
 		select {
-		case <-look.C:
-			o.Look(ctx)
+		case <-tick.C:
+			o.Reconcile(ctx)
 		case <-t.Dying():
 			return nil
 		}
 	}
 }
 
-// Look works out the targets and orders what differs.
-func (o *Orderer) Look(ctx context.Context) {
+// Reconcile works out the targets and orders what differs.
+func (o *Orderer) Reconcile(ctx context.Context) {
 	fence, ok := o.Holder.Fence()
 	cfg := o.Config.Current()
 	if !ok || cfg == nil {
@@ -104,16 +105,11 @@
 		o.fence = fence
 		o.states = make(map[place]*state)
 	}
-	names := make([]string, 0, len(cfg.Services))
-	for name, s := range cfg.Services {
-		if s.Scaling != nil && s.Engine != nil {
-			names = append(names, name)
+	for _, name := range slices.Sorted(maps.Keys(cfg.Services)) {
+		if s := cfg.Services[name]; s.Scaling != nil && s.Engine != nil {
+			o.service(ctx, s)
 		}
 	}
-	sort.Strings(names)
-	for _, name := range names {
-		o.service(ctx, cfg.Services[name])
-	}
 }
 
 // service orders for one upstream group.
@@ -171,12 +167,7 @@
 		}
 		g.Domains = append(g.Domains, *d)
 	}
-	slices.SortFunc(g.Domains, func(a, b Domain) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(g.Domains, func(a, b Domain) int { return cmp.Compare(a.Name, b.Name) })
 	return g
 }
 
--- a/internal/fleet/confirmation/keeper.go
+++ b/internal/fleet/confirmation/keeper.go
@@ -16,17 +16,17 @@
 
 // The times of confirmations.
 const (
-	// lookEvery is how often a keeper looks at the age of its confirmation.
-	lookEvery = 500 * time.Millisecond
-	// firstEvery is how often it looks before its first one. All requests with keys are
+	// checkEvery is how often a keeper checks the age of its confirmation.
+	checkEvery = 500 * time.Millisecond
+	// firstEvery is how often it checks before its first one. All requests with keys are
 	// refused until then.
 	firstEvery = 150 * time.Millisecond
-	// sourceAge is the age at which an instance that others hear from asks again.
+	// sourceAge is the age at which an instance that relays confirmations asks again.
 	sourceAge = 1200 * time.Millisecond
-	// followerAge is the age at which any other one asks by itself: what the others
-	// tell is about two seconds old at most.
+	// followerAge is the age at which any other one asks by itself: what it is
+	// relayed is about two seconds old at most.
 	followerAge = 2500 * time.Millisecond
-	// firstAge is how long after its start an instance waits for the word of another
+	// firstAge is how long after its start an instance waits for that of another
 	// one before it asks by itself. All instances may start at the same moment.
 	firstAge = time.Second
 	// askTimeout bounds one confirmation.
@@ -62,13 +62,13 @@
 	Take func([]keyvalue.Change)
 	// Needed reports whether anything depends on confirmations.
 	Needed func() bool
-	// Tells reports whether other instances hear from this one.
-	Tells func() bool
-	// Told hears of each confirmation with the revision that it is about; nil is not
-	// called.
-	Told    func(at timer.Instant, revision uint64)
-	Timer   timer.Service
-	Journal *journal.Journal
+	// Relays reports whether other instances get confirmations from this one.
+	Relays func() bool
+	// Confirmed is called for each confirmation with the revision that it is about; nil
+	// is not called.
+	Confirmed func(at timer.Instant, revision uint64)
+	Timer     timer.Service
+	Journal   *journal.Journal
 
 	// asking is held during a confirmation.
 	asking sync.Mutex
@@ -85,27 +85,25 @@
 // Run keeps the configuration confirmed until t dies.
 func (k *Keeper) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
-	sub := k.Timer.Every(firstEvery)
-	defer func() { sub.Close() }()
-	first := true
 	var r rests
-	for {
-		select {
-		case <-sub.C:
-		case <-t.Dying():
-			return nil
-		}
+	for timer.Wait(k.Timer, k.pause(), t.Dying()) {
 		now := k.Timer.Now()
-		if _, confirmed := k.Record.Age(now); first && confirmed {
-			first = false
-			sub.Close()
-			sub = k.Timer.Every(lookEvery)
-		}
 		if k.due(now) && now >= r.until {
 			err := k.Confirm(ctx)
-			r = r.after(err, k.Timer.Now(), k.Tells())
+			r = r.after(err, k.Timer.Now(), k.Relays())
 		}
 	}
+	return nil
+}
+
+// pause returns how soon to check again: soon until the first confirmation, if there is
+// to be one.
+func (k *Keeper) pause() time.Duration {
+	_, confirmed := k.Record.Age(k.Timer.Now())
+	if !confirmed && (k.Held() == 0 || k.Needed()) {
+		return firstEvery
+	}
+	return checkEvery
 }
 
 // rests is the pause after confirmations that failed. Its zero value is none.
@@ -114,10 +112,10 @@
 	until timer.Instant
 }
 
-// after returns the pause after a confirmation. One that tells others goes on asking:
-// by its word all of them know that the service is back.
-func (r rests) after(err error, now timer.Instant, tells bool) rests {
-	if err == nil || tells {
+// after returns the pause after a confirmation. One that relays them goes on asking: all
+// others learn from it that the service is back.
+func (r rests) after(err error, now timer.Instant, relays bool) rests {
+	if err == nil || relays {
 		return rests{}
 	}
 	pause := min(max(pauseFirst, 2*r.pause), pauseMost)
@@ -137,11 +135,11 @@
 	}
 	age, ok := k.Record.Age(now)
 	switch {
-	case !ok && !k.Tells():
+	case !ok && !k.Relays():
 		return now.Sub(k.begun) >= firstAge
 	case !ok:
 		return true
-	case k.Tells():
+	case k.Relays():
 		return age >= sourceAge
 	}
 	return age >= followerAge
@@ -182,8 +180,8 @@
 	}
 	k.after = max(k.after, after)
 	k.Record.Confirm(began)
-	if k.Told != nil {
-		k.Told(began, k.Held())
+	if k.Confirmed != nil {
+		k.Confirmed(began, k.Held())
 	}
 	return nil
 }
@@ -218,8 +216,8 @@
 	k.note(k.confirm(ctx))
 }
 
-// Accept takes the word of another instance that the configuration of a revision was
-// current at an instant.
+// Accept takes the confirmation of another instance that the configuration of a revision
+// was current at an instant.
 func (k *Keeper) Accept(at timer.Instant, revision uint64) {
 	if k.Held() >= revision {
 		k.Record.Confirm(at)
--- a/internal/fleet/confirmation/keeper_test.go
+++ b/internal/fleet/confirmation/keeper_test.go
@@ -51,7 +51,7 @@
 		Held:   func() uint64 { return d.held },
 		Take:   func(changes []keyvalue.Change) { d.held = changes[len(changes)-1].Revision },
 		Needed: func() bool { return true },
-		Tells:  func() bool { return true },
+		Relays: func() bool { return true },
 		Timer:  d.clock,
 	}
 	return d
@@ -79,8 +79,7 @@
 	is.True(d.Record.Within(d.clock.Now(), time.Millisecond))
 }
 
-// A configuration that this release does not understand would else count as the one in
-// force, and the keys that it takes away would hold for good.
+// Guards against a configuration that can not be read and leaves the keys of the one before in force.
 func TestConfigurationThatIsNotTakenIsNotConfirmed(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(t)
@@ -92,8 +91,7 @@
 	is.True(!ok)
 }
 
-// A watcher knows a newer configuration than its follower has in force: its word
-// must not make the old one count as current.
+// Guards against a confirmation of a newer configuration that makes an older one current.
 func TestWordOfAnotherInstanceCountsForItsRevisionOnly(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(t)
@@ -120,7 +118,7 @@
 func TestFollowersAskLessAndLessInAnOutage(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(t)
-	d.Tells = func() bool { return false }
+	d.Relays = func() bool { return false }
 	var r rests
 	asked := 0
 	for second := range 12 {
@@ -135,8 +133,7 @@
 	is.Equal(rests{}.after(errNotTaken, 9, true).until, timer.Instant(0)) // others wait for its word
 }
 
-// All instances lose power and start again. Until they are confirmed they refuse every
-// request with a key, and clients that met one before have no other try left.
+// Guards against requests with keys that are refused long after a start of all instances.
 func TestFirstConfirmationComesSoon(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(t)
@@ -157,3 +154,14 @@
 	age, _ := d.Record.Age(d.clock.Now())
 	is.True(d.clock.Now().Sub(began)-age <= firstEvery+100*time.Millisecond)
 }
+
+// Guards against an instance that wakes up many times a second for confirmations that nobody needs.
+func TestKeeperRestsWhereNoneIsNeeded(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(t)
+	is.Equal(d.pause(), firstEvery) // no configuration says yet
+	d.held = d.put(is)
+	is.Equal(d.pause(), firstEvery)
+	d.Needed = func() bool { return false }
+	is.Equal(d.pause(), checkEvery)
+}
--- a/internal/fleet/relay/space.go
+++ b/internal/fleet/relay/space.go
@@ -59,8 +59,8 @@
 // Clock estimates the time of day.
 type Clock interface {
 	Read() timeofday.Reading
-	// Told takes the estimate of another instance, made at an instant or just after.
-	Told(r timeofday.Reading, at timer.Instant)
+	// Adopt takes the estimate of another instance, made at an instant or just after.
+	Adopt(r timeofday.Reading, at timer.Instant)
 }
 
 // Query asks for the changes of prefixes after revisions.
@@ -170,11 +170,20 @@
 	return ranked
 }
 
+// Watches reports whether this instance is a watcher.
+func (s *Space) Watches() bool {
+	return contains(Watchers(s.Registry.Members()), s.Registry.Self().Name)
+}
+
+func contains(members []registry.Member, name string) bool {
+	return slices.ContainsFunc(members, func(m registry.Member) bool { return m.Name == name })
+}
+
 // ask returns whom to ask, or nothing if this instance is a watcher itself.
 func (s *Space) ask() []registry.Member {
 	self := s.Registry.Self().Name
 	watchers := Watchers(s.Registry.Members())
-	if slices.ContainsFunc(watchers, func(m registry.Member) bool { return m.Name == self }) {
+	if contains(watchers, self) {
 		return nil
 	}
 	list := rank(watchers, self)
@@ -237,7 +246,7 @@
 		return r, errStale
 	}
 	if s.Clock != nil {
-		s.Clock.Told(r.Time, sent)
+		s.Clock.Adopt(r.Time, sent)
 	}
 	if s.Confirmed != nil {
 		for prefix, c := range r.Current {
--- a/internal/fleet/timeofday/clock.go
+++ b/internal/fleet/timeofday/clock.go
@@ -34,7 +34,8 @@
 
 	mu    sync.Mutex
 	heard map[string]sample
-	told  sample
+	// adopted is the estimate of another instance.
+	adopted sample
 }
 
 // sample is how far a time of day was ahead of the timer service.
@@ -43,7 +44,7 @@
 	at    timer.Instant
 }
 
-func (c *Clock) sample(wall time.Time, at timer.Instant) sample {
+func sampleOf(wall time.Time, at timer.Instant) sample {
 	return sample{
 		ahead: time.Duration(wall.UnixNano() - int64(at)),
 		at:    at,
@@ -64,7 +65,7 @@
 			return
 		}
 	}
-	c.heard[instance] = c.sample(wall, now)
+	c.heard[instance] = sampleOf(wall, now)
 }
 
 // forget drops the clocks that were not heard lately. The lock is held.
@@ -76,15 +77,15 @@
 	}
 }
 
-// Told takes the estimate of another instance, which was made at an instant or shortly
+// Adopt takes the estimate of another instance, which was made at an instant or shortly
 // after. One from few clocks is no better than this instance's own.
-func (c *Clock) Told(r Reading, at timer.Instant) {
+func (c *Clock) Adopt(r Reading, at timer.Instant) {
 	if r.Clocks < enough {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.told = c.sample(time.UnixMicro(r.UnixMicro), at)
+	c.adopted = sampleOf(time.UnixMicro(r.UnixMicro), at)
 }
 
 // Read returns the estimate of now from what this instance heard itself.
@@ -105,9 +106,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ahead, clocks := c.middle(now)
-	if clocks < enough && c.told.at != 0 {
-		// An older word is still better than a single clock, which may have jumped.
-		ahead = c.told.ahead
+	if clocks < enough && c.adopted.at != 0 {
+		// An older one is still better than a single clock, which may have jumped.
+		ahead = c.adopted.ahead
 	}
 	return time.Unix(0, int64(now)+int64(ahead))
 }
@@ -116,7 +117,7 @@
 // how many there are. The lock is held.
 func (c *Clock) middle(now timer.Instant) (time.Duration, int) {
 	all := make([]time.Duration, 0, len(c.heard)+1)
-	all = append(all, c.sample(c.Wall(), now).ahead)
+	all = append(all, sampleOf(c.Wall(), now).ahead)
 	for _, s := range c.heard {
 		if now.Sub(s.at) <= keep {
 			all = append(all, s.ahead)
--- a/internal/fleet/timeofday/clock_test.go
+++ b/internal/fleet/timeofday/clock_test.go
@@ -26,8 +26,7 @@
 
 func now(t *timer.Manual) time.Time { return truth.Add(time.Duration(t.Now())) }
 
-// Two clocks of five jump by seconds, this instance's among them. Requests that began in
-// one window would be counted in another.
+// Guards against requests that are counted in another window by a clock that jumped.
 func TestClocksThatJumpDontCount(t *testing.T) {
 	is := is.New(t)
 	c, svc := newClock(4 * time.Second)
@@ -44,8 +43,7 @@
 	is.Equal(c.Read().Clocks, 1) // old ones don't count
 }
 
-// An instance that hears nobody takes the word of one that hears many, and keeps it when
-// its own clock jumps.
+// Guards against the single clock of an instance that gets few heartbeats.
 func TestWordOfOneThatHearsManyCounts(t *testing.T) {
 	is := is.New(t)
 	c, svc := newClock(-4 * time.Second)
@@ -53,10 +51,10 @@
 		UnixMicro: now(svc).UnixMicro(),
 		Clocks:    enough - 1,
 	}
-	c.Told(reading, svc.Now())
+	c.Adopt(reading, svc.Now())
 	is.Equal(c.Now(), now(svc).Add(-4*time.Second)) // it hears no more than this one
 	reading.Clocks = enough
-	c.Told(reading, svc.Now())
+	c.Adopt(reading, svc.Now())
 	is.Equal(c.Now(), now(svc))
 	svc.Advance(time.Minute)
 	is.Equal(c.Now(), now(svc))
--- a/internal/fleet/timeofday/doc.go
+++ b/internal/fleet/timeofday/doc.go
@@ -10,6 +10,6 @@
 //	clock.Heard("gent-a-1", sent)
 //	now := clock.Now()
 //
-// One that hears few heartbeats takes the word of one that hears many. Between two
-// words the time goes on with the timer service, which does not jump.
+// One that gets few heartbeats adopts the estimate of one that gets many. Between two
+// estimates the time goes on with the timer service, which does not jump.
 package timeofday
--- a/internal/fleet/usage/collector.go
+++ b/internal/fleet/usage/collector.go
@@ -85,15 +85,15 @@
 	collector *Collector
 }
 
-// Register lets other instances tell this one what they counted, and ask for it.
+// Register lets other instances store here what they counted, and ask for it.
 func (c *Collector) Register(s *peer.Server) error {
 	return s.Register(receiver, &Server{
 		collector: c,
 	})
 }
 
-// Tell keeps a record.
-func (s *Server) Tell(r *Record, taken *bool) error {
+// Store keeps a record.
+func (s *Server) Store(r *Record, taken *bool) error {
 	s.collector.Take(*r)
 	*taken = true
 	return nil
--- a/internal/fleet/usage/doc.go
+++ b/internal/fleet/usage/doc.go
@@ -1,8 +1,8 @@
 // Package usage counts how many requests of each organisation began to run in each
 // window of time, and reports each window once.
 //
-// An instance counts with its Meter and tells two collectors of its failure domain,
-// each time all that it counted lately:
+// An instance counts with its Meter and sends two collectors of its failure domain,
+// each time, all that it counted lately:
 //
 //	meter := &usage.Meter{
 //		Length: 5 * time.Second,
--- a/internal/fleet/usage/proof_test.go
+++ b/internal/fleet/usage/proof_test.go
@@ -37,7 +37,7 @@
 	store *space.Space
 	fault space.Fault
 	nodes []*node
-	peers toldPeers
+	peers collectorPeers
 	taken map[Window]Counts
 }
 
@@ -100,7 +100,7 @@
 		off:   off,
 		now:   time.UnixMilli(1_000_000),
 		taken: make(map[Window]Counts),
-		peers: toldPeers{
+		peers: collectorPeers{
 			down: make(map[string]bool),
 			at:   map[string]*Collector{"x": {}, "y": {}},
 		},
@@ -141,10 +141,10 @@
 	}
 }
 
-// tell lets the collectors know what an instance counted, those that answer.
-func (w *world) tell(n *node) {
+// send sends the collectors that answer what an instance counted.
+func (w *world) send(n *node) {
 	for _, address := range []string{"x", "y"} {
-		_ = w.peers.Tell(context.Background(), address, n.meter.Record())
+		_ = w.peers.Store(context.Background(), address, n.meter.Record())
 	}
 }
 
@@ -163,7 +163,7 @@
 		faults := []space.Fault{space.None, space.Down, space.LostBefore, space.LostAfter, space.Late}
 		t.Repeat(map[string]func(*rapid.T){
 			"request": func(*rapid.T) { some().meter.Began("saddlers") },
-			"tell":    func(*rapid.T) { w.tell(some()) },
+			"send":    func(*rapid.T) { w.send(some()) },
 			"step": func(*rapid.T) {
 				w.fault = rapid.SampledFrom(faults).Draw(t, "fault")
 				_ = some().reporter.Step(context.Background())
@@ -186,9 +186,7 @@
 	}
 }
 
-// The holder is suspended between its record and its call, answers are lost, collectors
-// are replaced and counts come late. A customer would be billed by two reports of one
-// window that differ.
+// Guards against two reports of one window that differ, after suspension, losses and takeovers.
 func TestEachWindowIsReportedOnce(t *testing.T) { proof.Check(t, history(mechanisms{})) }
 
 // Without the record, whoever takes over reports the window once more as it knows it.
@@ -196,8 +194,7 @@
 	proof.Refute(t, history(mechanisms{record: true}))
 }
 
-// Without the fencing token, one that has lost the duty writes over what its successor
-// sent.
+// Without the fencing token, one that lost the duty writes over the report of its successor.
 func TestWindowsAreReportedTwiceWithoutTheFence(t *testing.T) {
 	proof.Refute(t, history(mechanisms{fence: true}))
 }
--- a/internal/fleet/usage/reporter.go
+++ b/internal/fleet/usage/reporter.go
@@ -20,7 +20,7 @@
 	// reportEvery is how often the reporter looks whether a report is due.
 	reportEvery = 500 * time.Millisecond
 	// settle is how long after the end of a window all that was counted in it has been
-	// told.
+	// sent.
 	settle = 1500 * time.Millisecond
 	// patience is how long after its end a window waits for a failure domain of which
 	// no collector answers.
@@ -29,8 +29,8 @@
 	findTimeout = 600 * time.Millisecond
 	// storeTimeout bounds one call of the key-value service.
 	storeTimeout = 900 * time.Millisecond
-	// sendTimeout bounds one report.
-	sendTimeout = 900 * time.Millisecond
+	// reportTimeout bounds one report.
+	reportTimeout = 900 * time.Millisecond
 )
 
 // Report is what is told of one window.
@@ -160,52 +160,43 @@
 	return max(next, now-keptWindows+1)
 }
 
-// gather sums up a window, and returns the failure domains of which nobody answered.
+// gather sums up a window, and returns the failure domains of which nobody answered. All
+// collectors of a domain are asked: what one missed the other may have.
 func (r *Reporter) gather(ctx context.Context, w Window) (Counts, []string) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	records := []Record{r.Meter.Record()}
-	var missing []string
+	answered := make(map[string]bool)
+	domains := r.Collectors()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for domain, addresses := range r.Collectors() {
-		wg.Go(func() {
-			found, ok := r.ask(ctx, addresses, w)
-			mu.Lock()
-			defer mu.Unlock()
-			records = append(records, found...)
-			if !ok {
-				missing = append(missing, domain)
-			}
-		})
+	for domain, addresses := range domains {
+		for _, address := range addresses {
+			wg.Go(func() {
+				found, err := r.Peers.Find(ctx, address, w)
+				if err != nil {
+					r.Journal.Detail("collector does not answer", log.Fields{
+						"collector": address,
+						"window":    w,
+						"error":     err.Error(),
+					})
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				answered[domain] = true
+				records = append(records, found...)
+			})
+		}
 	}
 	wg.Wait()
-	return Sum(w, records), missing
-}
-
-// ask asks all collectors of a failure domain: what one missed the other may have.
-func (r *Reporter) ask(ctx context.Context, addresses []string, w Window) (records []Record, answered bool) {
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for _, address := range addresses {
-		wg.Go(func() {
-			found, err := r.Peers.Find(ctx, address, w)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				r.Journal.Detail("collector does not answer", log.Fields{
-					"collector": address,
-					"window":    w,
-					"error":     err.Error(),
-				})
-				return
-			}
-			answered = true
-			records = append(records, found...)
-		})
+	var missing []string
+	for domain := range domains {
+		if !answered[domain] {
+			missing = append(missing, domain)
+		}
 	}
-	wg.Wait()
-	return records, answered
+	return Sum(w, records), missing
 }
 
 // report writes a report down and sends it.
@@ -258,7 +249,7 @@
 	if fence, ok := r.Holder.Fence(); !ok || fence != r.fence {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	if err := r.Receiver.Report(ctx, r.fence, *r.last); err != nil {
 		return err
--- a/internal/fleet/usage/sender.go
+++ b/internal/fleet/usage/sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -11,26 +12,27 @@
 	"github.com/egretbend/egretbend/internal/fleet/peer"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/kernel/wake"
 )
 
-// The times of telling.
+// The times of sending.
 const (
-	// gatherTime gathers counts before they are told. What an instance counted in it
+	// gatherTime gathers counts before they are sent. What an instance counted in it
 	// is lost if it loses power.
 	gatherTime = 250 * time.Millisecond
-	// tellTimeout bounds the telling of one collector.
-	tellTimeout = 500 * time.Millisecond
-	// againAfter is how soon what was not told is told again.
+	// sendTimeout bounds a call to one collector.
+	sendTimeout = 500 * time.Millisecond
+	// againAfter is how soon what was not taken is sent again.
 	againAfter = 500 * time.Millisecond
 )
 
 // Peers calls collectors.
 type Peers interface {
-	Tell(ctx context.Context, address string, r Record) error
+	Store(ctx context.Context, address string, r Record) error
 	Find(ctx context.Context, address string, w Window) ([]Record, error)
 }
 
-// Sender tells the collectors what this instance counts.
+// Sender sends the collectors what this instance counts.
 type Sender struct {
 	Meter *Meter
 	// Collectors returns the peer addresses of those that keep it.
@@ -39,26 +41,16 @@
 	Timer      timer.Service
 	Journal    *journal.Journal
 
-	once  sync.Once
-	woken chan struct{}
-	mu    sync.Mutex
-	told  map[string]uint64
+	wake wake.Signal
+	mu   sync.Mutex
+	// acked are the sequences that each collector has.
+	acked map[string]uint64
 }
 
-func (s *Sender) wake() chan struct{} {
-	s.once.Do(func() { s.woken = make(chan struct{}, 1) })
-	return s.woken
-}
+// Wake says that there is something to send.
+func (s *Sender) Wake() { s.wake.Set() }
 
-// Wake says that there is something to tell.
-func (s *Sender) Wake() {
-	select {
-	case s.wake() <- struct{}{}:
-	default:
-	}
-}
-
-// Run tells the collectors until t dies. All that was counted lately is told once more
+// Run sends to the collectors until t dies. All that was counted lately is sent once more
 // in each window, as a collector may have been replaced.
 func (s *Sender) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
@@ -66,73 +58,69 @@
 	defer every.Close()
 	for {
 		select {
-		case <-s.wake():
+		case <-s.wake.C():
 			timer.Wait(s.Timer, gatherTime, t.Dying())
 		case <-every.C:
 			s.forget()
 		case <-t.Dying():
 			return nil
 		}
-		if !s.Tell(ctx) {
+		if !s.Send(ctx) {
 			timer.Wait(s.Timer, againAfter, t.Dying())
 			s.Wake()
 		}
 	}
 }
 
-// forget makes the next telling a whole one.
+// forget makes the next record go to all collectors.
 func (s *Sender) forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.told = nil
+	s.acked = nil
 }
 
-// Tell tells the collectors what they may not have, and reports whether all have it.
-func (s *Sender) Tell(ctx context.Context) bool {
+// Send sends the collectors what they may not have, and reports whether all have it.
+func (s *Sender) Send(ctx context.Context) bool {
 	r := s.Meter.Record()
 	if len(r.Windows) == 0 {
 		return true
 	}
 	var wg sync.WaitGroup
-	var failed sync.Map
+	var failed atomic.Bool
 	for _, address := range s.Collectors() {
-		s.mu.Lock()
-		told := s.told[address]
-		s.mu.Unlock()
-		if told >= r.Sequence {
-			continue
-		}
 		wg.Go(func() {
-			if err := s.tell(ctx, address, r); err != nil {
-				failed.Store(address, err)
+			if err := s.send(ctx, address, r); err != nil {
+				failed.Store(true)
+				s.Journal.Detail("usage not sent", log.Fields{
+					"collector": address,
+					"error":     err.Error(),
+				})
 			}
 		})
 	}
 	wg.Wait()
-	all := true
-	failed.Range(func(address, err any) bool {
-		all = false
-		s.Journal.Detail("usage not told", log.Fields{
-			"collector": address,
-			"error":     err,
-		})
-		return true
-	})
-	return all
+	return !failed.Load()
 }
 
-func (s *Sender) tell(ctx context.Context, address string, r Record) error {
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+// send sends a record to a collector unless that has it.
+func (s *Sender) send(ctx context.Context, address string, r Record) error {
+	s.mu.Lock()
+	acked := s.acked[address]
+	s.mu.Unlock()
+	if acked >= r.Sequence {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	if err := s.Peers.Tell(ctx, address, r); err != nil {
+	if err := s.Peers.Store(ctx, address, r); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.told == nil {
-		s.told = make(map[string]uint64)
+	if s.acked == nil {
+		s.acked = make(map[string]uint64)
 	}
-	s.told[address] = r.Sequence
+	s.acked[address] = r.Sequence
 	return nil
 }
 
@@ -141,10 +129,10 @@
 	Client *peer.Client
 }
 
-// Tell implements Peers.
-func (p *PeerCalls) Tell(ctx context.Context, address string, r Record) error {
+// Store implements Peers.
+func (p *PeerCalls) Store(ctx context.Context, address string, r Record) error {
 	var taken bool
-	return p.Client.Call(ctx, address, receiver+".Tell", &r, &taken)
+	return p.Client.Call(ctx, address, receiver+".Store", &r, &taken)
 }
 
 // Find implements Peers.
--- a/internal/fleet/usage/usage_test.go
+++ b/internal/fleet/usage/usage_test.go
@@ -49,9 +49,7 @@
 	is.Equal(len(m.Record().Windows), 1) // the others are forgotten
 }
 
-// An instance tells two collectors, starts again, and tells of its new life. Counted
-// by collector its requests would count twice, counted by instance the first life's
-// would be lost.
+// Guards against requests counted once a collector, or lost with the first life of an instance.
 func TestSumCountsEachLifeOnce(t *testing.T) {
 	is := is.New(t)
 	record := func(life string, sequence uint64, n int) Record {
@@ -85,37 +83,36 @@
 	is.Equal(c.count, 1) // nothing is kept of what has no windows left
 }
 
-// toldPeers is a set of collectors, some of which don't answer.
-type toldPeers struct {
-	down map[string]bool
-	at   map[string]*Collector
-	told int
+// collectorPeers is a set of collectors, some of which don't answer.
+type collectorPeers struct {
+	down   map[string]bool
+	at     map[string]*Collector
+	stored int
 }
 
-// Tell implements Peers.
-func (p *toldPeers) Tell(_ context.Context, address string, r Record) error {
+// Store implements Peers.
+func (p *collectorPeers) Store(_ context.Context, address string, r Record) error {
 	if p.down[address] {
 		return errors.New("no answer")
 	}
-	p.told++
+	p.stored++
 	p.at[address].Take(r)
 	return nil
 }
 
 // Find implements Peers.
-func (p *toldPeers) Find(_ context.Context, address string, w Window) ([]Record, error) {
+func (p *collectorPeers) Find(_ context.Context, address string, w Window) ([]Record, error) {
 	if p.down[address] {
 		return nil, errors.New("no answer")
 	}
 	return p.at[address].Find(w), nil
 }
 
-// A collector is killed and comes back empty: what it should keep is told again in the
-// next window, and meanwhile the other one has it.
-func TestSenderTellsAgain(t *testing.T) {
+// Guards against counts that are lost with a collector that comes back empty.
+func TestSenderSendsAgain(t *testing.T) {
 	is := is.New(t)
 	now := time.UnixMilli(12_000)
-	peers := &toldPeers{
+	peers := &collectorPeers{
 		down: map[string]bool{},
 		at:   map[string]*Collector{"x": {}, "y": {}},
 	}
@@ -127,13 +124,13 @@
 	}
 	s.Meter.Began("saddlers")
 	peers.down["x"] = true
-	is.True(!s.Tell(context.Background()))
+	is.True(!s.Send(context.Background()))
 	peers.down["x"] = false
-	is.True(s.Tell(context.Background()))
-	is.True(s.Tell(context.Background()))
-	is.Equal(peers.told, 1) // nothing is new
+	is.True(s.Send(context.Background()))
+	is.True(s.Send(context.Background()))
+	is.Equal(peers.stored, 1) // nothing is new
 	peers.at["x"] = &Collector{}
 	s.forget()
-	is.True(s.Tell(context.Background()))
+	is.True(s.Send(context.Background()))
 	is.Equal(Sum(2, peers.at["x"].Find(2)), Counts{"saddlers": 1})
 }
