--- a/internal/batch/desk/inherit_test.go
+++ b/internal/batch/desk/inherit_test.go
@@ -14,8 +14,7 @@
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
 
-// Guards against a successor that takes over from an owner that shows itself again, or
-// that another has succeeded already; an owner that is gone is succeeded at once.
+// Guards against a successor that takes over from an owner that is back, or was succeeded already.
 func TestOnlyTheLostAreInherited(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
--- a/internal/batch/desk/prepare_test.go
+++ b/internal/batch/desk/prepare_test.go
@@ -27,9 +27,7 @@
 	}
 }
 
-// Guards against a step that its home has half made and that another instance accepts
-// and begins anew when the service is back: the home stores it by itself, before
-// its trainer comes again.
+// Guards against a step that another instance begins anew though its home has half made it.
 func TestHomeStoresWhatItBegan(t *testing.T) {
 	is := is.New(t)
 	var down atomic.Bool
@@ -68,8 +66,7 @@
 	return ErrPrepared
 }
 
-// Guards against an instance that accepts a step although its home is making it. Where
-// the service answers here and not at the home the step is accepted here.
+// Guards against an instance that accepts a step although its home is making it.
 func TestStepIsLeftToTheHomeThatBeganIt(t *testing.T) {
 	is := is.New(t)
 	d, _ := newDesk(t, nil)
--- a/internal/batch/runner/changes_test.go
+++ b/internal/batch/runner/changes_test.go
@@ -22,8 +22,7 @@
 // Find implements Copies.
 func (c copyOf) Find(context.Context, string) standby.Copy { return standby.Copy(c) }
 
-// Guards against texts that are made once more after the loss of their owner, though
-// its successor has a copy of them: the step would last for seconds longer.
+// Guards against texts that are made once more though the successor of their owner has a copy.
 func TestSuccessorGoesOnFromTheCopy(t *testing.T) {
 	is := is.New(t)
 	var mu sync.Mutex
@@ -66,8 +65,7 @@
 	is.Equal(after, map[string]int{"y": 3, "z": 0})
 }
 
-// Guards against a copy of a copy whose text lacks the events that its second owner did
-// not have one by one.
+// Guards against a copy of a copy without the events that its second owner did not have one by one.
 func TestRestoredTextIsCopiedWhole(t *testing.T) {
 	is := is.New(t)
 	sub := &submission.Submission{
@@ -86,8 +84,7 @@
 	is.Equal(marks["x"], standby.Done)
 }
 
-// Guards against the loss of all texts of a batch whose owner stops while the service
-// is away: it can't be handed over, and its successors must still hold it.
+// Guards against the loss of all texts of a batch whose owner stops while the service is away.
 func TestBatchThatIsNotHandedOverStaysWithTheCopies(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, func(ctx context.Context, _ *catalog.Upstream, _ Generation, emit func(Event) error) error {
@@ -110,8 +107,7 @@
 	is.Equal(len(news[0].Pieces[0].Events), 3)
 }
 
-// What was sent is not sent again, what is listed is not sent at all, and a batch that
-// is over is not open.
+// Guards against copies of what was sent, listed or ended already.
 func TestChangesAreWhatIsNew(t *testing.T) {
 	is := is.New(t)
 	goOn := make(chan struct{})
--- a/internal/batch/runner/list_test.go
+++ b/internal/batch/runner/list_test.go
@@ -11,8 +11,7 @@
 	"github.com/egretbend/egretbend/internal/batch/submission"
 )
 
-// Guards against a read that is answered by the write before the one that ends the
-// step: the trainer looks at the next answer half a second later.
+// Guards against a read that is answered by the write before the one that ends the step.
 func TestReadWaitsForTheResultsThatEndTheStep(t *testing.T) {
 	is := is.New(t)
 	sub := &submission.Submission{
@@ -49,8 +48,7 @@
 	<-waits
 }
 
-// Guards against an end of a step that takes two reads where one page has room for all
-// of its long texts.
+// Guards against an end of a step that takes two reads where one page has room for it.
 func TestEndOfAStepFitsOnePage(t *testing.T) {
 	is := is.New(t)
 	var listed []submission.Result
@@ -69,8 +67,7 @@
 	is.Equal(PageOf(1, large, 0).Next, 1) // one at least
 }
 
-// Guards against a read that is answered close to the end of a step with results that
-// were only written for their age.
+// Guards against a read that is answered near the end of a step with results written for their age.
 func TestOldResultsDoNotAnswerReadsNearTheEnd(t *testing.T) {
 	is := is.New(t)
 	sub := &submission.Submission{
--- a/internal/batch/schedule/place_test.go
+++ b/internal/batch/schedule/place_test.go
@@ -262,8 +262,7 @@
 	is.True(before[54] > 7500*time.Millisecond) // the load does bring the fault about
 }
 
-// Guards against an item at an engine of another model at work, unless that engine has
-// just told of a free slot.
+// Guards against an item at an engine of another model that has not just reported a free slot.
 func TestLentEnginesAreOpenWhereTheyTellRoom(t *testing.T) {
 	is := is.New(t)
 	is.True(Engine{}.Open())
@@ -272,8 +271,7 @@
 	is.True(Engine{Lent: true, Room: 1, Told: lentTold}.Open())
 }
 
-// Guards against a step with few items that keeps to the older engines of its own model while
-// fast ones of others are free: its long items took 1.4 s longer.
+// Guards against a step with few items that keeps to older engines while fast ones of others are free.
 func TestSmallStepsUseAllEngines(t *testing.T) {
 	is := is.New(t)
 	is.Equal(Crowds(90, 128), false)
--- a/internal/batch/schedule/rank_test.go
+++ b/internal/batch/schedule/rank_test.go
@@ -153,9 +153,7 @@
 	is.True(after >= 5)
 }
 
-// Guards against steps of a little more work than there is time for that end late
-// with all groups made, a tenth of them for nobody: twice the groups on the engines of one
-// trainer.
+// Guards against a crowded step that ends late with groups made for nobody.
 func TestCrowdedStepMakesWhatIsWaitedFor(t *testing.T) {
 	is := is.New(t)
 	for _, slots := range []int{56, 52, 48} {
@@ -166,8 +164,7 @@
 	}
 }
 
-// Guards against a step with time enough that ends later than longest first, since
-// groups that turn out to be short were put last.
+// Guards against a step with time enough whose short groups were put last.
 func TestStepWithTimeIsNotRanked(t *testing.T) {
 	is := is.New(t)
 	for _, slots := range []int{120, 90} {
--- a/internal/batch/schedule/scoring_test.go
+++ b/internal/batch/schedule/scoring_test.go
@@ -20,9 +20,7 @@
 	is.True(s.Left(time.Second) > 50*time.Millisecond) // it may be answered any moment
 }
 
-// The last text of a step is made and then scored, which takes a quarter of a second. A
-// read that is timed for the end of the making runs out of its wait just before the
-// trainer's step ends, and the trainer sees that end half a second later.
+// Guards against a read that runs out while the last text of a step is scored.
 func TestReadsAreTimedForTheEndOfScoring(t *testing.T) {
 	is := is.New(t)
 	const plays = 400
--- a/internal/batch/standby/copies_test.go
+++ b/internal/batch/standby/copies_test.go
@@ -193,8 +193,7 @@
 	proof.Refute(t, func(t *rapid.T) { copied(t, true) })
 }
 
-// Guards against an instance that starts again and wipes out what its successors
-// hold of its life before, which it is about to ask for.
+// Guards against an instance that starts again and wipes out the copies of its life before.
 func TestCopyOutlivesItsOwner(t *testing.T) {
 	is := is.New(t)
 	var c Copies
@@ -277,9 +276,7 @@
 	return nil
 }
 
-// Guards against callers that go on trying an instance without batches that lost power:
-// its first successor misses its heartbeats. A successor that gets none any more is told,
-// or it would ask again and again.
+// Guards against callers that go on trying an instance without batches that lost power.
 func TestInstanceWithoutWorkIsMissedAsWell(t *testing.T) {
 	is := is.New(t)
 	peers := beats{
--- a/internal/batch/standby/watcher_test.go
+++ b/internal/batch/standby/watcher_test.go
@@ -97,8 +97,7 @@
 	return any
 }
 
-// Guards against batches that wait for the lease of an instance that lost power: its
-// successor ends the lease as soon as another instance hears nothing either.
+// Guards against batches that wait for the lease of an instance that lost power.
 func TestLostOwnerIsReplacedBeforeItsLeaseEnds(t *testing.T) {
 	is := is.New(t)
 	w, store, lease, lost := watched(is, answers{own: Silent, other: Silent})
@@ -122,8 +121,7 @@
 	return Silent
 }
 
-// Guards against the end of an owner's lease whose heartbeat comes while others are
-// asked about it.
+// Guards against the end of an owner's lease whose heartbeat comes while others are asked about it.
 func TestHeartbeatEndsTheSuspicion(t *testing.T) {
 	is := is.New(t)
 	w, store, lease, lost := watched(is, answers{other: Silent})
@@ -146,8 +144,7 @@
 	is.NoErr(store.KeepAlive(context.Background(), lease))
 }
 
-// Guards against the end of a living owner's lease where only the path between two
-// instances is cut.
+// Guards against the end of a living owner's lease where only one path between instances is cut.
 func TestOwnerThatAnotherReachesStays(t *testing.T) {
 	is := is.New(t)
 	w, store, lease, lost := watched(is, answers{own: Silent, other: Alive})
@@ -158,8 +155,7 @@
 	is.True(settle(w)) // it is watched on
 }
 
-// Guards against an instance that does not reach the service itself and takes all
-// others for lost.
+// Guards against an instance that does not reach the service and takes all others for lost.
 func TestInstanceWithoutLeaseJudgesNobody(t *testing.T) {
 	is := is.New(t)
 	w, _, _, lost := watched(is, answers{own: Silent, other: Silent})
@@ -169,8 +165,7 @@
 	is.Equal(len(lost), 0)
 }
 
-// Guards against batches that stay behind when their owner stops while the service is
-// away: they are taken over as soon as its lease can be ended.
+// Guards against batches that stay behind when their owner stops while the service is away.
 func TestOwnerThatStopsInAnOutageIsReplacedAfterIt(t *testing.T) {
 	is := is.New(t)
 	w, store, lease, lost := watched(is, answers{own: Refused})
--- a/internal/batch/submission/submission_test.go
+++ b/internal/batch/submission/submission_test.go
@@ -6,8 +6,7 @@
 	"github.com/matryer/is"
 )
 
-// Two organisations that use the same name, or one that makes its own look like
-// another's, must not reach each other's batches.
+// Guards against organisations that reach each other's batches by a name.
 func TestScope(t *testing.T) {
 	is := is.New(t)
 	is.Equal(Scope("7c", ""), "7c")
--- a/internal/entry/command/command_test.go
+++ b/internal/entry/command/command_test.go
@@ -112,8 +112,7 @@
 	is.Equal(code, ExitInput)
 }
 
-// A key given as an argument would stand in the list of processes. It is read from the
-// standard input, and a configuration takes what is printed.
+// Guards against keys in the list of processes, and against configurations that print them.
 func TestDigest(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
--- a/internal/entry/identity/proof_test.go
+++ b/internal/entry/identity/proof_test.go
@@ -229,9 +229,7 @@
 	}
 }
 
-// A key that was taken away is used on at instances that are cut off, suspended,
-// restarted with an old configuration, or told by others. It stops within its bound,
-// and no key that holds is denied.
+// Guards against keys that run past their bound, and against the denial of keys that hold.
 func TestKeysStopWithinTheirBound(t *testing.T) { proof.Check(t, history(mechanisms{})) }
 
 // Without a bound an instance that is cut off serves a key for good.
@@ -244,8 +242,7 @@
 	proof.Refute(t, history(mechanisms{revisions: true}))
 }
 
-// An instance that was suspended takes an old confirmation for a new one if its clock
-// stood still.
+// Guards against a suspended instance that takes an old confirmation for a new one.
 func TestClockThatStandsStillKeepsOldKeys(t *testing.T) {
 	proof.Refute(t, history(mechanisms{suspended: true}))
 }
--- a/internal/fleet/duty/holder_test.go
+++ b/internal/fleet/duty/holder_test.go
@@ -65,9 +65,7 @@
 	}, p
 }
 
-// All instances lose power and are back in a second. The one that gave orders
-// goes on at once; if another one took over it would wait for seconds, while
-// most engines have weights that are too old for the next step.
+// Guards against a holder that waits for seconds after a loss of power of all instances.
 func TestHolderThatStartsAgainGoesOn(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
@@ -202,10 +200,7 @@
 	return clock, store, h, p
 }
 
-// The instance that gives orders loses power. The next one waited for its absence,
-// and then once more for orders that it might have given at the very end: eight
-// seconds in which no engine got new weights, and the steps that wanted them stood
-// still for four.
+// Guards against a new holder that waits for the one before twice.
 func TestNextHolderWaitsFromTheDeparture(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
@@ -230,9 +225,7 @@
 	t.Fatal("no orders for longer than a lease and a turn")
 }
 
-// The holder comes back and takes its right again while another one counts its
-// absence. Counted from the first absence, the other would give orders just after
-// those of the holder.
+// Guards against a new holder that counts an absence which the one before has ended.
 func TestDepartureEndsWhenTheHolderComesBack(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
@@ -262,10 +255,7 @@
 
 const tickOf = 100 * time.Millisecond
 
-// An instance that gives orders is frozen, or its lease is taken away, and
-// another one takes over. Engines that don't check fencing tokens must not hear
-// both within three seconds: a late order of the first would undo one of the
-// second.
+// Guards against engines that get orders of two holders within three seconds.
 func TestHoldersTakeNoQuickTurns(t *testing.T) {
 	proof.CheckN(t, 200, func(t *rapid.T) { turns(t, false) })
 }
--- a/internal/fleet/relay/space_test.go
+++ b/internal/fleet/relay/space_test.go
@@ -255,9 +255,7 @@
 	is.Equal(store.Calls(space.Watch)+store.Calls(space.Range), 0)
 }
 
-// A follower takes the word of its watcher for when the configuration was current. It
-// counts from when it sent the query, not from when the answer came: that may be long
-// after the watcher heard last.
+// Guards against a confirmation that counts from its answer, long after its source was confirmed.
 func TestFollowersLearnWhenACopyWasCurrent(t *testing.T) {
 	is := is.New(t)
 	clock, store := newStore(t)
--- a/internal/fleet/weights/division_test.go
+++ b/internal/fleet/weights/division_test.go
@@ -49,9 +49,7 @@
 	return n
 }
 
-// Guards against three homes that begin their first steps at the same moment at all
-// engines: at twice the groups each engine held three times the streams that it has
-// slots for, and it took fourteen seconds to recover.
+// Guards against homes that begin their first steps at the same moment at all engines.
 func TestHomesDivideTheEnginesBeforeTheyHearOfEachOther(t *testing.T) {
 	is := is.New(t)
 	homes := make([]map[string]string, 3)
@@ -66,8 +64,7 @@
 	}
 }
 
-// The news of all steps has come: engines of models that nobody trains are for all, and
-// one model alone has all of them.
+// Guards against engines that are kept for models that nobody trains.
 func TestIdleModelsLeaveTheirEngines(t *testing.T) {
 	is := is.New(t)
 	o, clock := dividing()
--- a/internal/kernel/journal/journal_test.go
+++ b/internal/kernel/journal/journal_test.go
@@ -63,9 +63,7 @@
 	return len(data), nil
 }
 
-// Guards against lines that are torn where a pipe splits a large write: the half
-// lines of many instances ran into each other, and a third of the steps of a day had no
-// account.
+// Guards against lines that are torn where a pipe splits a large write.
 func TestLinesAreWrittenWhole(t *testing.T) {
 	is := is.New(t)
 	var w pieces
--- a/internal/route/forward/count_test.go
+++ b/internal/route/forward/count_test.go
@@ -22,8 +22,7 @@
 	return func() { c[organisation]-- }
 }
 
-// A customer is billed for a request that no upstream ran, or twice for one that two of
-// them ran.
+// Guards against a bill for a request that no upstream ran, or twice for one that two ran.
 func TestRequestsCountOnceIfTheyRan(t *testing.T) {
 	proof.CheckN(t, 200, func(t *rapid.T) {
 		is := is.New(t)
@@ -77,8 +76,7 @@
 	return &Answer{Status: status}, nil
 }
 
-// An upstream that runs out of time has not failed a request. Counted as failed, the
-// reward call of an item would be given up, and the item be dead, too early.
+// Guards against an item that is dead too early as its reward call ran out of time.
 func TestRunningOutOfTimeIsNoFailure(t *testing.T) {
 	is := is.New(t)
 	f, stop := newForwarder(&sender{fates: []fate{answers}}, 3)
--- a/internal/route/organisation/organisation_test.go
+++ b/internal/route/organisation/organisation_test.go
@@ -34,8 +34,7 @@
 	is.True(!NewDirectory([]Organisation{{Name: "saddlers"}}).Empty())
 }
 
-// An instance that passes a request on shows whose it is without the key. Nobody else
-// can, and not for another request.
+// Guards against a voucher that is taken for another organisation or another request.
 func TestVouched(t *testing.T) {
 	is := is.New(t)
 	d := NewDirectory([]Organisation{
