crash, fingerprint, secret, forward: which upstreams end under which request

What operators saw: a decision of a failed request had a number of attempts and the last error.

A decision now lists what was tried and how each attempt ended (tried=), and the counter of attempts has those outcomes in place of broken and not_run. A request that is cut before an answer has a line of its own (decision=cut) with a fingerprint, equal at all instances for the same organisation, method, host, path and body, and with whether its upstream's port is closed. One question a life of an upstream; memory is bounded and what is dropped is counted.

Ruled out: a plain digest (short bodies can be tried), the caller's address as a part (callers come again through others). No decision changes.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -26,6 +26,7 @@
 const (
 	instancePrefix = Prefix + "instance/"
 	dutyPrefix     = Prefix + "duty/"
+	boardPrefix    = Prefix + "board/"
 )
 
 // The times of a lease.
@@ -58,6 +59,9 @@
 // its name.
 func DutyKey(duty string) string { return dutyPrefix + duty }
 
+// BoardKey returns where something lies that all instances hear of with the view.
+func BoardKey(name string) string { return boardPrefix + name }
+
 // Registry writes this instance and follows the others.
 type Registry struct {
 	Space   keyvalue.Space
@@ -66,6 +70,8 @@
 	// Gone is called with the names of instances that left the view, and with
 	// this one's when the view is first known; nil is not called.
 	Gone func(names []string)
+	// Posted is called with changes of keys made by BoardKey; nil is not called.
+	Posted func(changes []keyvalue.Change)
 	// Following says how the view is followed; nil follows Space itself.
 	Following func(m *mirror.Mirror)
 	// Lapsed is called when this instance holds a lease again after it had lost
@@ -244,7 +250,12 @@
 		r.members = make(map[string]Member)
 		r.duties = make(map[string]string)
 	}
+	var posted []keyvalue.Change
 	for _, c := range changes {
+		if strings.HasPrefix(c.Key, boardPrefix) {
+			posted = append(posted, c)
+			continue
+		}
 		if duty, ok := strings.CutPrefix(c.Key, dutyPrefix); ok {
 			r.duties[duty] = string(c.Value)
 			continue
@@ -266,6 +277,12 @@
 		r.members[name] = m
 	}
 	r.mu.Unlock()
+	if len(posted) > 0 && r.Posted != nil {
+		r.Posted(posted)
+	}
+	if len(posted) == len(changes) && len(gone) == 0 {
+		return
+	}
 	r.publish()
 	r.Journal.Event("instances", log.Fields{
 		"known":   len(r.Members()),
--- a/internal/outside/engine/adapter.go
+++ b/internal/outside/engine/adapter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/fleet/version"
@@ -84,6 +85,9 @@
 	ErrNotSent = errors.New("the request was not sent")
 	// ErrBroken means that the stream ended before its end.
 	ErrBroken = errors.New("the stream ended early")
+	// ErrCut is an ErrBroken of a connection that was closed or reset before an
+	// answer began.
+	ErrCut = fmt.Errorf("%w, before an answer", ErrBroken)
 	// ErrCrossed means that the answer belongs to another attempt.
 	ErrCrossed = errors.New("the answer is for another attempt")
 	// ErrMisdirected means that another upstream has the address now, or the
--- /dev/null
+++ b/internal/route/crash/reporter.go
@@ -0,0 +1,187 @@
+package crash
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/egretbend/egretbend/internal/kernel/journal"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/route/fingerprint"
+)
+
+// The limits of a Reporter.
+const (
+	// dialTimeout bounds the question whether a port is closed. A closed one answers
+	// within a round trip.
+	dialTimeout = 300 * time.Millisecond
+	// secretTimeout bounds the call for the secret.
+	secretTimeout = time.Second
+	// keepsEnds is for how long an upstream's end is remembered, longer than any
+	// request that it cut takes to be noticed.
+	keepsEnds = 10 * time.Second
+	// askAgain is how soon an upstream whose port was open is asked again.
+	askAgain = time.Second
+	// maxLives bounds the upstreams that are remembered or asked at a time.
+	maxLives = 256
+	// maxWaiting bounds the requests that wait for the answer of one upstream.
+	maxWaiting = 32
+)
+
+// Life names one life of an upstream: one that starts again is another.
+type Life string
+
+// LifeOf returns the name of a life.
+func LifeOf(id string, incarnation uint64) Life { return Life(fmt.Sprintf("%s/%d", id, incarnation)) }
+
+// Cut is a request whose connection to an upstream was cut before an answer.
+type Cut struct {
+	RequestID string
+	Life      Life
+	Address   string
+	Sum       fingerprint.Sum
+}
+
+// Secret is what prints are made with.
+type Secret interface {
+	Get(ctx context.Context) ([]byte, error)
+}
+
+// Reporter finds out which upstreams have ended.
+type Reporter struct {
+	Secret  Secret
+	Timer   timer.Service
+	Journal *journal.Journal
+	Metrics *Metrics
+	// Dial asks an address for a connection and closes it; nil does so over TCP.
+	Dial func(ctx context.Context, address string) error
+
+	mu    sync.Mutex
+	lives map[Life]*life
+}
+
+// life is what is known of one life of an upstream.
+type life struct {
+	asking bool
+	ended  bool
+	// at is when it was known.
+	at      timer.Instant
+	waiting []Cut
+}
+
+// Cut notes a request that was cut. It does not wait.
+func (r *Reporter) Cut(c Cut) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Timer.Now()
+	l := r.lives[c.Life]
+	if l != nil && !l.asking && !l.knows(now) {
+		delete(r.lives, c.Life)
+		l = nil
+	}
+	switch {
+	case l == nil:
+		r.ask(c, now)
+	case l.asking && len(l.waiting) < maxWaiting:
+		l.waiting = append(l.waiting, c)
+	case l.asking:
+		r.Metrics.dropped()
+	default:
+		go r.report(c, l.ended)
+	}
+}
+
+// knows reports whether what is known still holds.
+func (l *life) knows(now timer.Instant) bool {
+	keeps := askAgain
+	if l.ended {
+		keeps = keepsEnds
+	}
+	return now.Sub(l.at) < keeps
+}
+
+// ask begins to find out about a life. The lock is held.
+func (r *Reporter) ask(c Cut, now timer.Instant) {
+	if r.lives == nil {
+		r.lives = make(map[Life]*life)
+	}
+	if len(r.lives) >= maxLives {
+		r.forget(now)
+	}
+	if len(r.lives) >= maxLives {
+		r.Metrics.dropped()
+		return
+	}
+	l := &life{
+		asking:  true,
+		waiting: []Cut{c},
+	}
+	r.lives[c.Life] = l
+	go func() {
+		ended := r.closed(c.Address)
+		r.mu.Lock()
+		l.asking, l.ended, l.at = false, ended, r.Timer.Now()
+		waiting := l.waiting
+		l.waiting = nil
+		r.mu.Unlock()
+		for _, c := range waiting {
+			r.report(c, ended)
+		}
+	}()
+}
+
+// forget drops the lives of which nothing is known any more. The lock is held.
+func (r *Reporter) forget(now timer.Instant) {
+	for name, l := range r.lives {
+		if !l.asking && !l.knows(now) {
+			delete(r.lives, name)
+		}
+	}
+}
+
+// closed reports whether nobody listens at an address.
+func (r *Reporter) closed(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	dial := r.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	return errors.Is(dial(ctx, address), syscall.ECONNREFUSED)
+}
+
+func dialTCP(ctx context.Context, address string) error {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
+// report tells of one request what became of its upstream.
+func (r *Reporter) report(c Cut, ended bool) {
+	r.Metrics.cut(ended)
+	print := ""
+	ctx, cancel := context.WithTimeout(context.Background(), secretTimeout)
+	defer cancel()
+	if secret, err := r.Secret.Get(ctx); err == nil {
+		print = c.Sum.Under(secret).String()
+	} else {
+		r.Journal.Trouble("no secret for fingerprints", err, log.Fields{
+			"request_id": c.RequestID,
+		})
+	}
+	r.Journal.Decision("cut", log.Fields{
+		"request_id":  c.RequestID,
+		"fingerprint": print,
+		"upstream":    string(c.Life),
+		"ended":       ended,
+	})
+}
--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -11,6 +11,8 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/crash"
+	"github.com/egretbend/egretbend/internal/route/fingerprint"
 	"github.com/egretbend/egretbend/internal/route/policy"
 )
 
@@ -30,6 +32,17 @@
 	Deadline time.Time
 }
 
+// sum returns the digest by which the request is known when it is sent again.
+func (r *Request) sum() fingerprint.Sum {
+	return fingerprint.Of(fingerprint.Parts{
+		Organisation: r.Organisation,
+		Method:       r.Method,
+		Host:         r.Host,
+		Target:       r.Target,
+		Body:         r.Body,
+	})
+}
+
 // Answer is an upstream's answer. Body is read to its end by whoever passes it
 // on; for other than streaming routes it was read whole before.
 type Answer struct {
@@ -67,6 +80,13 @@
 	Metrics *Metrics
 	// Usage counts the requests that begin to run; nil counts nothing.
 	Usage Counter
+	// Crashes finds out which upstreams end under a request; nil does not.
+	Crashes Crashes
+}
+
+// Crashes hears of requests that were cut before an answer.
+type Crashes interface {
+	Cut(c crash.Cut)
 }
 
 // Counter counts requests by organisation.
--- a/internal/route/forward/metrics.go
+++ b/internal/route/forward/metrics.go
@@ -48,12 +48,5 @@
 	if m == nil {
 		return
 	}
-	outcome := "answered"
-	switch {
-	case r.err != nil && mayHaveRun(r.err):
-		outcome = "broken"
-	case r.err != nil:
-		outcome = "not_run"
-	}
-	m.attempts.WithLabelValues(outcome).Inc()
+	m.attempts.WithLabelValues(outcomeOf(r)).Inc()
 }
--- a/internal/route/forward/trip.go
+++ b/internal/route/forward/trip.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -12,6 +13,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/crash"
 	"github.com/egretbend/egretbend/internal/route/policy"
 	"github.com/egretbend/egretbend/internal/route/upstream"
 )
@@ -43,6 +45,8 @@
 	failures int
 	ran      bool
 	last     error
+	// outcomes say of each attempt how it ended, for the log.
+	outcomes []string
 	// undo takes back that the request was counted; nil if it is not.
 	undo func()
 }
@@ -82,6 +86,7 @@
 func (t *trip) take(ctx context.Context, r result) (bool, *Answer, error) {
 	t.flying--
 	t.account(r)
+	t.report(r)
 	if r.answer != nil {
 		r.answer.Upstream = r.u.ID
 		r.answer.Attempts = t.sent
@@ -173,6 +178,42 @@
 	t.f.Metrics.attempt(r)
 }
 
+// report notes how an attempt ended, and tells of one that was cut before an answer.
+func (t *trip) report(r result) {
+	t.outcomes = append(t.outcomes, r.u.ID+" "+outcomeOf(r))
+	if t.f.Crashes == nil || !errors.Is(r.err, engine.ErrCut) {
+		return
+	}
+	t.f.Crashes.Cut(crash.Cut{
+		RequestID: t.req.ID,
+		Life:      crash.LifeOf(r.u.ID, r.u.Incarnation),
+		Address:   r.u.Address,
+		Sum:       t.req.sum(),
+	})
+}
+
+// outcomeOf says in a word how an attempt ended.
+func outcomeOf(r result) string {
+	var refused *engine.RefusedError
+	switch {
+	case r.err == nil && r.answer.Status < http.StatusInternalServerError:
+		return "answered"
+	case r.err == nil:
+		return "failed"
+	case errors.Is(r.err, engine.ErrMisdirected):
+		return "misdirected"
+	case errors.As(r.err, &refused):
+		return "refused"
+	case errors.Is(r.err, engine.ErrNotSent):
+		return "not_sent"
+	case errors.Is(r.err, engine.ErrCut):
+		return "cut"
+	case errors.Is(r.err, context.Canceled):
+		return "cancelled"
+	}
+	return "broken"
+}
+
 // mayHaveRun reports whether an attempt's error leaves open that it ran.
 func mayHaveRun(err error) bool {
 	var refused *engine.RefusedError
@@ -209,6 +250,7 @@
 		"service":    service,
 		"for":        t.req.Organisation,
 		"attempts":   t.sent,
+		"tried":      strings.Join(t.outcomes, ", "),
 		"of":         len(t.group.Upstreams),
 		"took_ms":    t.f.Timer.Now().Sub(t.started).Milliseconds(),
 	}
