--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,11 @@
 soak: build
 	bin/egretplay soak --seeds $(SEEDS) --folder run
 
-# test runs everything that CI runs but the linters.
+# test runs everything that CI runs but the linters. TESTFLAGS are further flags of
+# go test.
+TESTFLAGS ?=
 test: build
-	go test -race ./...
+	go test -race $(TESTFLAGS) ./...
 
 # fuzz runs the proofs with fresh seeds, each for FUZZTIME.
 FUZZTIME ?= 30s
