runner, standby: failures of an item outlive its owner

An item that fails at each run was counted by its batch's owner alone; each owner that took the batch over gave it all attempts of its route anew.

Failures go along with the heartbeats that carry texts to successors, and with the progress that is stored when a batch is handed over.

TestFailuresOutliveTheOwner failed before (the copy had nothing of the item) and holds now: two runs in all with two attempts, one at each of two owners.

--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -249,7 +249,12 @@
 	}
 	b.wholeGroups = len(whole)
 	for _, p := range progress {
-		if t := b.tasks[p.Item]; t != nil && !slices.ContainsFunc(p.Versions, func(v uint64) bool { return v < sub.OldestVersion }) {
+		t := b.tasks[p.Item]
+		if t == nil {
+			continue
+		}
+		t.failures = p.Failures
+		if !slices.ContainsFunc(p.Versions, func(v uint64) bool { return v < sub.OldestVersion }) {
 			t.events = p.Events
 			t.last = len(p.Events)
 			t.spent.restored = t.last
@@ -259,16 +264,17 @@
 	return b
 }
 
-// progress returns the texts of unfinished items with at least some events, the
-// longest first. The lock is held.
+// progress returns the texts of unfinished items with at least some events, and of those
+// that failed, the longest first. The lock is held.
 func (b *Batch) progress(least int) []submission.Progress {
 	var list []submission.Progress
 	for _, t := range b.tasks {
-		if t.phase != finished && t.phase != scoring && len(t.events) >= least {
+		if t.phase != finished && t.phase != scoring && (len(t.events) >= least || t.failures > 0) {
 			list = append(list, submission.Progress{
 				Item:     t.item.ID,
 				Events:   slices.Clone(t.events),
 				Versions: slices.Clone(t.versions),
+				Failures: t.failures,
 			})
 		}
 	}
--- a/internal/batch/runner/changes.go
+++ b/internal/batch/runner/changes.go
@@ -72,18 +72,19 @@
 			if mark != standby.Done && !t.stored {
 				d.Pieces = append(d.Pieces, t.endPiece(mark))
 			}
-		case t.last > 0 || known && mark > 0:
+		case t.last > 0 || t.failures > 0 || known && mark > 0:
 			if mark > t.last || mark < 0 {
 				// The text begins anew.
 				mark = 0
 			}
 			marks[id] = t.last
-			if mark < t.last || had[id] > t.last {
+			if mark < t.last || had[id] > t.last || t.failures > 0 {
 				d.Pieces = append(d.Pieces, standby.Piece{
 					Item:     id,
 					From:     mark,
 					Events:   slices.Clone(t.events[mark:]),
 					Versions: slices.Clone(t.versions),
+					Failures: t.failures,
 				})
 			}
 		}
@@ -125,14 +126,17 @@
 	return n
 }
 
-// longer returns the longer text of each item.
+// longer returns the longer text of each item, and the most failures.
 func longer(stored, copied []submission.Progress) []submission.Progress {
 	best := make(map[string]submission.Progress, len(stored)+len(copied))
 	for _, list := range [][]submission.Progress{stored, copied} {
 		for _, p := range list {
-			if len(p.Events) > len(best[p.Item].Events) {
-				best[p.Item] = p
+			old := best[p.Item]
+			p.Failures = max(p.Failures, old.Failures)
+			if len(p.Events) <= len(old.Events) {
+				p.Events, p.Versions = old.Events, old.Versions
 			}
+			best[p.Item] = p
 		}
 	}
 	list := make([]submission.Progress, 0, len(best))
--- a/internal/batch/runner/changes_test.go
+++ b/internal/batch/runner/changes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -11,6 +12,7 @@
 	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/batch/standby"
 	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/standin/space"
@@ -132,3 +134,48 @@
 		return len(open) == 0
 	}))
 }
+
+// Guards against an item that fails at each run and gets all attempts of its route anew from
+// each successor of its owner.
+func TestFailuresOutliveTheOwner(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	owner := func(fails int32) *bench {
+		until := runs.Load() + fails
+		return newBench(t, func(ctx context.Context, _ *catalog.Upstream, _ Generation, _ func(Event) error) error {
+			if runs.Load() < until {
+				runs.Add(1)
+				return engine.ErrAttemptFailed
+			}
+			<-ctx.Done()
+			return ctx.Err()
+		})
+	}
+	first := owner(1)
+	is.NoErr(first.submit("bad"))
+	is.True(until(func() bool { return runs.Load() == 1 }))
+	var copies standby.Copies
+	is.True(until(func() bool {
+		open, news, _ := first.runner.Changes(nil)
+		is.NoErr(copies.Take(standby.Heartbeat{Open: open, Deltas: news}, 1))
+		found, _ := copies.Find("b")
+		return len(found.Progress) == 1
+	}))
+	found, _ := copies.Find("b")
+
+	second := owner(10)
+	other := &ledger.Ledger{
+		Space: second.store,
+		Self:  ledger.Owner{Instance: "lost", Incarnation: "1"},
+	}
+	seen, err := other.Accept(context.Background(), second.batch("bad"))
+	is.NoErr(err)
+	second.runner.Copies = copyOf(found)
+	claim, err := second.runner.Ledger.TakeOver(context.Background(), seen, "")
+	is.NoErr(err)
+	is.NoErr(second.runner.Adopt(context.Background(), claim))
+	got := second.results(1)
+	is.Equal(len(got), 1)
+	is.Equal(got[0].State, submission.Dead)
+	is.Equal(int(runs.Load()), second.route.Attempts)
+}
--- a/internal/batch/standby/copies.go
+++ b/internal/batch/standby/copies.go
@@ -136,6 +136,7 @@
 			Item:     p.Item,
 			Events:   events,
 			Versions: p.Versions,
+			Failures: p.Failures,
 		}
 		return true
 	}
--- a/internal/batch/standby/heartbeat.go
+++ b/internal/batch/standby/heartbeat.go
@@ -15,6 +15,8 @@
 	Events []string
 	// Versions are all that made the text so far.
 	Versions []uint64
+	// Failures is how many engines said that they failed it.
+	Failures int
 	// Result is the end of the item, nil until then. Without a text it has that of all
 	// events.
 	Result *submission.Result
--- a/internal/batch/submission/submission.go
+++ b/internal/batch/submission/submission.go
@@ -124,4 +124,6 @@
 	Item     string   `json:"item"`
 	Events   []string `json:"events"`
 	Versions []uint64 `json:"versions,omitempty"`
+	// Failures is how many engines said that they failed the item.
+	Failures int `json:"failures,omitempty"`
 }
