runner: an item under which engines are lost is put off

An item whose engine ended under it was sent to the next one at once, without a bound: only answers of failure count against an item, and an engine that ends gives none.

The fourth engine in a row that is lost without an event of the item puts it off for half a second, each further one for twice as long up to four seconds; the others of its batch go ahead. Three losses cost nothing, and an event of the item ends the count, so that items of engines that are lost by chance, or that break off streams, go on as before.

--- a/internal/batch/runner/drive.go
+++ b/internal/batch/runner/drive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/apex/log"
 
@@ -35,16 +36,16 @@
 
 // pump begins as many items as there is room for. The lock is held.
 func (r *Runner) pump(b *Batch) {
-	if b.over() || len(b.queue) == 0 {
+	now := r.Timer.Now()
+	if b.over() || b.next(now) < 0 {
 		return
 	}
-	now := r.Timer.Now()
 	list := r.engines(b, now)
 	plain := plainOf(list)
 	usual := r.usual(b)
 	b.usual = usual
-	for len(b.queue) > 0 {
-		t := b.queue[0]
+	for i := b.next(now); i >= 0; i = b.next(now) {
+		t := b.queue[i]
 		need := r.needOf(b, t, usual, now)
 		at := pickBut(plain, list, t.left, need)
 		if at < 0 {
@@ -52,7 +53,7 @@
 		}
 		plain[at].Room--
 		plain[at].Reserved += need.Memory
-		b.queue = b.queue[1:]
+		b.queue = slices.Delete(b.queue, i, i+1)
 		r.begin(b, t, list[at].u, need, now)
 	}
 }
@@ -117,6 +118,7 @@
 	if !t.add(e, now) {
 		return errDisorder
 	}
+	t.setback.gotOn()
 	return nil
 }
 
@@ -148,6 +150,7 @@
 			"batch":      b.sub.ID,
 			"upstream":   u.ID,
 			"after":      t.last,
+			"losses":     t.setback.losses,
 			"error":      err.Error(),
 		})
 	}
@@ -161,6 +164,8 @@
 		}
 	case errors.Is(err, errStale):
 		t.restart()
+	case errors.Is(err, engine.ErrBroken) && !t.moving && t.made == 0:
+		t.setback.lost(now)
 	}
 	if t.phase != finished {
 		t.phase = waiting
--- a/internal/batch/runner/move.go
+++ b/internal/batch/runner/move.go
@@ -71,7 +71,7 @@
 // speedUp moves streams to faster engines that have become free, those first
 // that gain the most. The lock is held.
 func (r *Runner) speedUp(b *Batch, now timer.Instant) {
-	if len(b.queue) > 0 {
+	if b.next(now) >= 0 {
 		// Items that wait need the free slots more.
 		return
 	}
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -79,6 +79,8 @@
 	end    *submission.Result
 	stored bool
 	spent  spent
+	// setback puts it off after engines were lost under it.
+	setback setback
 }
 
 // paceSpan is how many events measure the pace of an engine: the time of one
