--- a/internal/fleet/bulletin/board.go
+++ b/internal/fleet/bulletin/board.go
@@ -1,6 +1,7 @@
 package bulletin
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -21,12 +22,18 @@
 	Known() []byte
 }
 
+// Poster makes known to all instances what this one tells.
+type Poster interface {
+	Post(ctx context.Context, value []byte) error
+	// Renew keeps alive what was told last.
+	Renew(ctx context.Context) error
+}
+
 // Board is what this instance knows of crashes, and tells of them.
 type Board struct {
-	Space  keyvalue.Space
 	Secret Secret
-	// Key is where this life of the instance tells what it has seen. What an earlier one
-	// told must stay where it is.
+	Poster Poster
+	// Key is where this life of the instance tells what it has seen.
 	Key string
 	// Instances returns how many there are.
 	Instances func() int
@@ -42,9 +49,8 @@
 	evidence suspect.Evidence
 	// own is what this instance has seen, in order.
 	own []notice
-	// pace bounds the writes of the key, lease is what the key ends with.
-	pace  pace
-	lease lease
+	// pace bounds the writes of the key.
+	pace pace
 }
 
 // Judge decides about a request. sum is called only if anything is known.
--- a/internal/fleet/bulletin/board_test.go
+++ b/internal/fleet/bulletin/board_test.go
@@ -38,9 +38,13 @@
 
 func (d *desk) board(key string) *Board {
 	return &Board{
-		Space:     d.store,
-		Secret:    known{},
-		Key:       key,
+		Secret: known{},
+		Key:    key,
+		Poster: &Key{
+			Space: d.store,
+			Name:  key,
+			Timer: d.clock,
+		},
 		Instances: func() int { return 20 },
 		Timer:     d.clock,
 	}
@@ -127,7 +131,7 @@
 	b.Take([]keyvalue.Change{gone})
 	is.True(judge(b, "deadly").Refused())
 	is.True(!a.untold())
-	d.store.Lapse(a.lease.id)
+	d.store.Lapse(a.Poster.(*Key).lease)
 	a.Take([]keyvalue.Change{gone})
 	is.True(a.untold())
 	is.True(a.write(context.Background()) != nil) // finds that the lease has ended
--- a/internal/fleet/bulletin/doc.go
+++ b/internal/fleet/bulletin/doc.go
@@ -1,10 +1,14 @@
 // Package bulletin lets all instances know which requests crash upstreams.
 //
 //	board := &bulletin.Board{
-//		Space:  space,
 //		Secret: secret,
-//		Key:    registry.BoardKey("crashes/" + name),
-//		Timer:  clock,
+//		Key:    name,
+//		Poster: &bulletin.Key{
+//			Space: space,
+//			Name:  name,
+//			Timer: clock,
+//		},
+//		Timer: clock,
 //	}
 //	t.Go(func() error { return board.Run(t) })
 //	verdict := board.Judge(sum)
--- a/internal/fleet/bulletin/publish.go
+++ b/internal/fleet/bulletin/publish.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -10,7 +9,6 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
-	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
 // The times of a board.
@@ -22,9 +20,6 @@
 	tidyEvery = 10 * time.Second
 	// keepsAnswered is for how long others are told that a request was answered.
 	keepsAnswered = time.Minute
-	// leaseTTL is how long what was told outlives this instance. It is renewed in half
-	// of that time as long as anything is to be told.
-	leaseTTL = 10 * time.Minute
 	// callTimeout bounds a call of the service, retryPause is the pause after one that
 	// failed.
 	callTimeout = 2 * time.Second
@@ -57,12 +52,6 @@
 	return time.Duration(max(0, p.spent-burst) * float64(each))
 }
 
-// lease is what the key ends with.
-type lease struct {
-	id      uint64
-	renewed timer.Instant
-}
-
 // Run tells the others until t dies.
 func (b *Board) Run(t *tomb.Tomb) error {
 	tidy := b.Timer.Every(tidyEvery)
@@ -110,9 +99,6 @@
 func (b *Board) write(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := b.renew(ctx); err != nil {
-		return err
-	}
 	b.mu.Lock()
 	sent := slices.Clone(b.own)
 	b.mu.Unlock()
@@ -120,15 +106,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = b.Space.Commit(ctx, keyvalue.Transaction{
-		Writes: []keyvalue.Write{
-			{Key: b.Key, Value: value, Lease: b.lease.id},
-		},
-	})
-	if errors.Is(err, keyvalue.ErrLeaseGone) {
-		b.lease = lease{}
-	}
-	if err != nil {
+	if err := b.Poster.Post(ctx, value); err != nil {
 		return err
 	}
 	b.mu.Lock()
@@ -144,32 +122,6 @@
 	return n.Print == o.Print && n.Upstream == o.Upstream && n.at == o.at
 }
 
-// renew makes the lease, or renews it in time.
-func (b *Board) renew(ctx context.Context) error {
-	now := b.Timer.Now()
-	if b.lease.id != 0 && now.Sub(b.lease.renewed) < leaseTTL/2 {
-		return nil
-	}
-	if b.lease.id != 0 {
-		err := b.Space.KeepAlive(ctx, b.lease.id)
-		if err == nil {
-			b.lease.renewed = now
-		}
-		if !errors.Is(err, keyvalue.ErrLeaseGone) {
-			return err
-		}
-	}
-	id, err := b.Space.Grant(ctx, leaseTTL)
-	if err != nil {
-		return err
-	}
-	b.lease = lease{
-		id:      id,
-		renewed: now,
-	}
-	return nil
-}
-
 // tidy forgets what is over, and keeps the key alive while there is anything to tell.
 func (b *Board) tidy(ctx context.Context) {
 	b.mu.Lock()
@@ -187,14 +139,14 @@
 	})
 	b.changed()
 	b.Metrics.known(b.evidence.Len(), b.evidence.Guilty(now))
-	idle := len(b.own) == 0 || b.lease.id == 0
+	idle := len(b.own) == 0
 	b.mu.Unlock()
 	if idle {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := b.renew(ctx); err != nil {
-		b.Journal.Trouble("lease of notices not renewed", err, log.Fields{})
+	if err := b.Poster.Renew(ctx); err != nil {
+		b.Journal.Trouble("notices of crashes not renewed", err, log.Fields{})
 	}
 }
--- a/internal/fleet/bulletin/simulation_test.go
+++ b/internal/fleet/bulletin/simulation_test.go
@@ -133,10 +133,15 @@
 
 // begin begins a life of an instance, which reads what the store has.
 func (f *simFleet) begin(in *simInstance) {
+	key := fmt.Sprint("crashes/", in.name, "/", f.clock.Now())
 	in.board = &Board{
-		Space:     f.store,
-		Secret:    known{},
-		Key:       fmt.Sprint("crashes/", in.name, "/", f.clock.Now()),
+		Secret: known{},
+		Key:    key,
+		Poster: &Key{
+			Space: f.store,
+			Name:  key,
+			Timer: f.clock,
+		},
 		Instances: func() int { return f.fleetPlan.instances },
 		Timer:     f.clock,
 	}
