relay, bulletin, secret: calls of the documented interface that end services are stopped too

The relay asks the same board for a verdict, tells of cut calls and clears those that are answered. Instances that hear no view from the store tell each other by gossip, with a secret that they agree on by gossip.

TestCallThatEndsServicesIsStopped holds: two instances, three ends at the first call, at most five in all, then refused at both, with other calls served. On the code before there is nothing that it could ask.

--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -8,6 +8,7 @@
 	_ "github.com/egretbend/egretbend/internal/entry/door"
 	_ "github.com/egretbend/egretbend/internal/entry/operator"
 	_ "github.com/egretbend/egretbend/internal/entry/trainer"
+	_ "github.com/egretbend/egretbend/internal/fleet/bulletin"
 	_ "github.com/egretbend/egretbend/internal/fleet/configuration"
 	_ "github.com/egretbend/egretbend/internal/fleet/listing"
 	_ "github.com/egretbend/egretbend/internal/fleet/member"
--- a/internal/fleet/gossip/entry.go
+++ b/internal/fleet/gossip/entry.go
@@ -17,6 +17,8 @@
 	KindConfiguration
 	KindUpstream
 	KindDemand
+	KindCrashes
+	KindSecret
 	kindCount
 )
 
@@ -35,6 +37,10 @@
 		return "upstream"
 	case KindDemand:
 		return "demand"
+	case KindCrashes:
+		return "crashes"
+	case KindSecret:
+		return "secret"
 	}
 	return "unknown"
 }
--- /dev/null
+++ b/internal/fleet/secret/gossip_test.go
@@ -0,0 +1,26 @@
+package secret
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/egretbend/egretbend/internal/fleet/gossip"
+)
+
+// Guards against two secrets that are made at the same time and both stay.
+func TestGossipAgreesOnOneSecret(t *testing.T) {
+	is := is.New(t)
+	var x, y gossip.State
+	a, b := Gossip{State: &x}, Gossip{State: &y}
+	_, err := a.Get(context.Background())
+	is.NoErr(err)
+	_, err = b.Get(context.Background())
+	is.NoErr(err)
+	x.MergeAll(y.List(gossip.KindSecret))
+	y.MergeAll(x.List(gossip.KindSecret))
+	is.Equal(len(a.Known()), length)
+	is.True(bytes.Equal(a.Known(), b.Known()))
+}
--- a/internal/route/relay/call.go
+++ b/internal/route/relay/call.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/egretbend/egretbend/internal/route/fingerprint"
 	"github.com/egretbend/egretbend/internal/route/limit"
 )
 
@@ -36,6 +37,17 @@
 	Idempotent bool
 }
 
+// sum returns the digest by which the call is known when it is sent again.
+func (c *Call) sum() fingerprint.Sum {
+	return fingerprint.Of(fingerprint.Parts{
+		Organisation: c.Caller,
+		Method:       c.Method,
+		Host:         c.Deployment,
+		Target:       c.Path,
+		Body:         c.Body,
+	})
+}
+
 // Answer is a service's whole answer.
 type Answer struct {
 	Status   int
--- /dev/null
+++ b/internal/route/relay/crash_test.go
@@ -0,0 +1,164 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/fleet/bulletin"
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/gossip"
+	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/fleet/secret"
+	"github.com/egretbend/egretbend/internal/fleet/version"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/roster"
+	"github.com/egretbend/egretbend/internal/route/crash"
+	"github.com/egretbend/egretbend/internal/route/limit"
+	"github.com/egretbend/egretbend/internal/route/relay"
+	"github.com/egretbend/egretbend/internal/route/router"
+	"github.com/egretbend/egretbend/internal/route/upstream"
+	"github.com/egretbend/egretbend/internal/route/wire"
+)
+
+// services starts services that end when they run a deadly call, and counts the ends.
+func services(t *testing.T, n int) (list []roster.Instance, ends *atomic.Int32) {
+	ends = &atomic.Int32{}
+	for i := range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{
+			ReadHeaderTimeout: time.Second,
+		}
+		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			if string(body) == "deadly" {
+				ends.Add(1)
+				_ = server.Close()
+				return
+			}
+			w.Header().Set(relay.HeaderAttempt, r.Header.Get(relay.HeaderAttempt))
+			_, _ = w.Write([]byte("answer"))
+		})
+		go func() { _ = server.Serve(ln) }()
+		t.Cleanup(func() { _ = server.Close() })
+		list = append(list, roster.Instance{
+			ID:          fmt.Sprint("u", i),
+			Group:       "g",
+			Address:     ln.Addr().String(),
+			Incarnation: 1,
+		})
+	}
+	return list, ends
+}
+
+// instance is one that takes calls, and tells others by gossip of what it sees.
+type instance struct {
+	relay *relay.Relay
+	board *bulletin.Board
+}
+
+func newInstance(t *testing.T, name string, state *gossip.State, list []roster.Instance) *instance {
+	clock := timer.Real{}
+	doc, err := configuration.Decode([]byte(`{"configuration": {"format": 1, "team": "t", "deployments": [
+		{"name": "s", "group": "g", "kind": "service", "attempts": 3, "retry_share": 1}]}}`), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	holder := &configuration.Holder{}
+	holder.Take(doc)
+	table := &upstream.Table{}
+	table.Build(doc.Parsed(), member.Member{ID: name}, list, clock.Now())
+	keeper := &secret.Gossip{
+		State: state,
+	}
+	board := &bulletin.Board{
+		Secret: keeper,
+		Key:    name,
+		Poster: &bulletin.Gossip{
+			State: state,
+			Key:   name,
+		},
+		Instances: func() int { return 2 },
+		Timer:     clock,
+	}
+	var tb tomb.Tomb
+	tb.Go(func() error { return board.Run(&tb) })
+	listener := bulletin.Listener{
+		State: state,
+		Board: board,
+	}
+	tb.Go(func() error { return listener.Run(&tb) })
+	t.Cleanup(func() {
+		tb.Kill(nil)
+		_ = tb.Wait()
+	})
+	return &instance{
+		board: board,
+		relay: &relay.Relay{
+			Router: &router.Router{
+				Table:   table,
+				Holder:  holder,
+				Limiter: &limit.Limiter{Timer: clock},
+				Board:   &version.Board{State: state},
+				Timer:   clock,
+			},
+			Client: &wire.Client{},
+			Timer:  clock,
+			Crashes: &crash.Reporter{
+				Secret: keeper,
+				Timer:  clock,
+				Ended:  board.Report,
+			},
+			Suspects: board,
+		},
+	}
+}
+
+func (i *instance) call(body string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := i.relay.Do(ctx, relay.Call{
+		RequestID:  "r",
+		Deployment: "s",
+		Method:     http.MethodPost,
+		Path:       "/x",
+		Body:       []byte(body),
+		Idempotent: true,
+		Header:     http.Header{},
+	})
+	return err
+}
+
+// Guards against a call that ends services and is sent on by one instance after another.
+func TestCallThatEndsServicesIsStopped(t *testing.T) {
+	is := is.New(t)
+	list, ends := services(t, 20)
+	var state gossip.State
+	a, b := newInstance(t, "a", &state, list), newInstance(t, "b", &state, list)
+	is.True(problem.Is(a.call("deadly"), problem.UpstreamFailed))
+	is.Equal(ends.Load(), int32(3)) // as many as its deployment allows
+	stopped := func() bool { return problem.Is(b.call("deadly"), problem.Quarantined) }
+	is.True(timer.Until(timer.Real{}, 500*time.Millisecond, 20*time.Second, nil, stopped))
+	// The fourth convicts; one more may have run at the other instance meanwhile.
+	is.True(ends.Load() <= 5)
+	for _, i := range []*instance{a, b} {
+		err := i.call("deadly")
+		is.True(problem.Is(err, problem.Quarantined))
+		is.True(problem.From(err).RetryAfter > time.Minute)
+		is.True(!strings.Contains(err.Error(), "deadly"))
+		is.NoErr(i.call("plain"))
+	}
+}
