router, stream: calls and generations share what stops those that end upstreams

The router asks for the verdict, counts the attempts that were cut off and clears what was answered, so that the relay has no copy of it and the completions of callers have it too. Samples of trainers are not judged there: a refused one would be given out again before all others of its session.

--- /dev/null
+++ b/cmd/egretplay/crashes.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/egretbend/egretbend/platform/standin"
+)
+
+// crashesCommand plays requests that crash upstreams, with one seed or several fresh ones.
+func crashesCommand() *cobra.Command {
+	plan := standin.CrashPlan{}
+	var seeds int
+	cmd := &cobra.Command{
+		Use:   "crashes",
+		Short: "Play requests that crash upstreams, and check that they are stopped and others are not",
+		Long: "Play requests that end each upstream that runs them beside other requests, while instances are killed and cut off from " +
+			"the key-value service. The last line of each run is JSON.",
+		Example:       "  egretplay crashes --seed 7\n  egretplay crashes --seeds 5 --instances 20 --seats 11",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var broken error
+			for i := range max(1, seeds) {
+				if seeds > 0 {
+					plan.Seed = rand.Uint64()
+				}
+				fmt.Fprintf(os.Stderr, "crashes %d, seed %d\n", i+1, plan.Seed)
+				report, err := standin.Crashes(cmd.Context(), plan)
+				if err == nil && report.Failed {
+					err = fmt.Errorf("seed %d: %w", plan.Seed, errBroken)
+				}
+				broken = errors.Join(broken, err, printLine(report))
+			}
+			return broken
+		},
+	}
+	planFlags(cmd, &plan.Plan, 12*time.Second)
+	flags := cmd.Flags()
+	flags.IntVar(&plan.Seats, "seats", 8, "how many upstreams can be crashed")
+	flags.IntVar(&plan.Deadly, "deadly", 3, "how many different requests crash them")
+	flags.DurationVar(&plan.Every, "every", time.Second, "how often each of them comes again")
+	flags.DurationVar(&plan.Contact, "contact", 3*time.Second, "time after a fault or a third crash in which instances learn of it")
+	flags.BoolVar(&plan.Faults, "faults", true, "kill instances and cut them off")
+	flags.Uint64Var(&plan.Seed, "seed", 1, "seed of the faults")
+	flags.IntVar(&seeds, "seeds", 0, "play so many fresh seeds instead")
+	return cmd
+}
--- a/cmd/egretplay/main.go
+++ b/cmd/egretplay/main.go
@@ -18,7 +18,7 @@
 
 func main() {
 	cmd := playCommand()
-	cmd.AddCommand(soakCommand())
+	cmd.AddCommand(soakCommand(), crashesCommand())
 	if err := cmd.Execute(); err != nil {
 		fmt.Fprintf(os.Stderr, "egretplay: %v\n", err)
 		os.Exit(1)
--- a/internal/entry/caller/part.go
+++ b/internal/entry/caller/part.go
@@ -4,12 +4,10 @@
 	"goji.io/pat"
 
 	"github.com/egretbend/egretbend/internal/entry/door"
-	"github.com/egretbend/egretbend/internal/fleet/bulletin"
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/kernel/part"
 	"github.com/egretbend/egretbend/internal/rollout/stream"
-	"github.com/egretbend/egretbend/internal/route/crash"
 	"github.com/egretbend/egretbend/internal/route/relay"
 	"github.com/egretbend/egretbend/internal/route/router"
 	"github.com/egretbend/egretbend/internal/route/ticket"
@@ -36,11 +34,9 @@
 		Members: members,
 		Holder:  part.Get[*configuration.Holder](h),
 		Relay: &relay.Relay{
-			Router:   part.Get[*router.Router](h),
-			Client:   client,
-			Timer:    h.Timer,
-			Crashes:  part.Get[*crash.Reporter](h),
-			Suspects: part.Get[*bulletin.Board](h),
+			Router: part.Get[*router.Router](h),
+			Client: client,
+			Timer:  h.Timer,
 		},
 		Generator: part.Get[*stream.Generator](h),
 		Tickets: &ticket.Book{
--- a/internal/rollout/stream/generator.go
+++ b/internal/rollout/stream/generator.go
@@ -14,6 +14,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/route/fingerprint"
 	"github.com/egretbend/egretbend/internal/route/limit"
 	"github.com/egretbend/egretbend/internal/route/router"
 	"github.com/egretbend/egretbend/internal/route/upstream"
@@ -55,6 +56,15 @@
 	Chosen func(upstream string)
 }
 
+// sum returns the digest by which the generation is known when it is asked for again.
+func (t *Task) sum() fingerprint.Sum {
+	return fingerprint.Of(fingerprint.Parts{
+		Organisation: t.Caller,
+		Host:         t.Deployment,
+		Body:         []byte(t.Prompt),
+	})
+}
+
 // Finish says how a generation ended and where it ran.
 type Finish struct {
 	Reason    string
@@ -64,7 +74,7 @@
 // Enter lets a generation in, or refuses it at once. The trip is given to Run,
 // or closed.
 func (g *Generator) Enter(task Task) (*router.Trip, error) {
-	trip, err := g.Router.Enter(router.Job{
+	job := router.Job{
 		RequestID:  task.RequestID,
 		Caller:     task.Caller,
 		Class:      task.Class,
@@ -74,7 +84,11 @@
 		Staleness:  task.Staleness,
 		Lead:       task.Lead,
 		Share:      task.Share,
-	})
+	}
+	if task.Class != limit.Training {
+		job.Sum = task.sum
+	}
+	trip, err := g.Router.Enter(job)
 	if err != nil {
 		return nil, err
 	}
@@ -217,6 +231,9 @@
 		if !errors.Is(err, engine.ErrNotSent) {
 			r.began = true
 		}
+		if errors.Is(err, engine.ErrBroken) {
+			r.trip.CutOff(u)
+		}
 		u.Failed(now)
 	}
 }
--- a/internal/route/relay/crash_test.go
+++ b/internal/route/relay/crash_test.go
@@ -114,15 +114,15 @@
 				Limiter: &limit.Limiter{Timer: clock},
 				Board:   &version.Board{State: state},
 				Timer:   clock,
+				Crashes: &crash.Reporter{
+					Secret: keeper,
+					Timer:  clock,
+					Ended:  board.Report,
+				},
+				Suspects: board,
 			},
 			Client: &wire.Client{},
 			Timer:  clock,
-			Crashes: &crash.Reporter{
-				Secret: keeper,
-				Timer:  clock,
-				Ended:  board.Report,
-			},
-			Suspects: board,
 		},
 	}
 }
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -15,11 +15,8 @@
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
-	"github.com/egretbend/egretbend/internal/route/crash"
-	"github.com/egretbend/egretbend/internal/route/fingerprint"
 	"github.com/egretbend/egretbend/internal/route/limit"
 	"github.com/egretbend/egretbend/internal/route/router"
-	"github.com/egretbend/egretbend/internal/route/suspect"
 	"github.com/egretbend/egretbend/internal/route/upstream"
 	"github.com/egretbend/egretbend/internal/route/wire"
 )
@@ -29,40 +26,17 @@
 	Router *router.Router
 	Client *wire.Client
 	Timer  timer.Service
-	// Crashes finds out which upstreams end under a call, Suspects tells which calls end
-	// them; nil does not.
-	Crashes  Crashes
-	Suspects Suspects
-}
-
-// Crashes hears of calls that were cut before their answer was whole.
-type Crashes interface {
-	Cut(c crash.Cut)
-}
-
-// Suspects knows which calls crash the upstreams that run them.
-type Suspects interface {
-	// Judge decides about a call. It calls sum only if it knows of any crash.
-	Judge(sum func() fingerprint.Sum) suspect.Verdict
-	// Answered takes it that a call ran to its end.
-	Answered(sum fingerprint.Sum)
 }
 
 // Do sends a call until it is answered or given up. ctx carries the deadline.
 func (r *Relay) Do(ctx context.Context, c Call) (*Answer, error) {
-	var verdict suspect.Verdict
-	if r.Suspects != nil {
-		verdict = r.Suspects.Judge(c.sum)
-	}
-	if verdict.Refused() {
-		return nil, problem.Quarantined.Withf("%s", verdict).WithRetryAfter(verdict.RetryAfter)
-	}
 	trip, err := r.Router.Enter(router.Job{
 		RequestID:  c.RequestID,
 		Caller:     c.Caller,
 		Class:      c.Class,
 		Weight:     c.Weight,
 		Deployment: c.Deployment,
+		Sum:        c.sum,
 	})
 	if err != nil {
 		return nil, err
@@ -71,16 +45,16 @@
 		trip.Close(limit.Neutral)
 		return nil, problem.UnknownDeployment.Withf("deployment %q is not a service", c.Deployment)
 	}
-	answer, err := r.attempts(ctx, trip, c, verdict)
+	answer, err := r.attempts(ctx, trip, c)
 	trip.Close(result(err))
 	return answer, err
 }
 
 // attempts sends the call to one upstream after the other. ran remembers that
 // an earlier attempt may have run, which no later refusal can take back.
-func (r *Relay) attempts(ctx context.Context, trip *router.Trip, c Call, verdict suspect.Verdict) (*Answer, error) {
+func (r *Relay) attempts(ctx context.Context, trip *router.Trip, c Call) (*Answer, error) {
 	var last error
-	ran, cut := false, 0
+	ran := false
 	for {
 		u, err := trip.Next()
 		if err != nil {
@@ -90,36 +64,19 @@
 		if failure == nil {
 			answer.Upstream = u.ID
 			answer.Attempts = trip.Attempts()
-			if r.Suspects != nil && (cut > 0 || verdict.Suspects()) {
-				r.Suspects.Answered(c.sum())
-			}
 			return answer, nil
 		}
 		last = failure
 		if errors.Is(failure, engine.ErrCut) {
-			cut++
-			r.cutOff(c, u)
+			trip.CutOff(u)
 		}
 		ran = ran || problem.From(failure).Kind.Outcome == problem.Unknown
-		if ctx.Err() != nil || ran && (!c.Idempotent || !verdict.MayRepeat(cut, 0)) || !trip.MayRetry() {
+		if ctx.Err() != nil || (ran && !c.Idempotent) || !trip.MayRetry() {
 			return nil, final(nil, last, ran)
 		}
 	}
 }
 
-// cutOff notes that an upstream was lost before its answer was whole.
-func (r *Relay) cutOff(c Call, u *upstream.Upstream) {
-	if r.Crashes == nil {
-		return
-	}
-	r.Crashes.Cut(crash.Cut{
-		RequestID: c.RequestID,
-		Life:      crash.LifeOf(u.ID, u.Incarnation),
-		Address:   u.Address,
-		Sum:       c.sum(),
-	})
-}
-
 // final chooses the error for the caller: the last attempt's, unless there was
 // none. "Not run" is said only if no attempt may have run.
 func final(choice, last error, ran bool) error {
--- a/internal/route/router/part.go
+++ b/internal/route/router/part.go
@@ -4,12 +4,14 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gopkg.in/tomb.v2"
 
+	"github.com/egretbend/egretbend/internal/fleet/bulletin"
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
 	"github.com/egretbend/egretbend/internal/fleet/listing"
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/fleet/version"
 	"github.com/egretbend/egretbend/internal/kernel/part"
 	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/route/crash"
 	"github.com/egretbend/egretbend/internal/route/limit"
 	"github.com/egretbend/egretbend/internal/route/upstream"
 )
@@ -43,13 +45,15 @@
 	part.Put(h, limiter)
 	part.Put(h, adapter)
 	part.Put(h, &Router{
-		Table:   table,
-		Holder:  part.Get[*configuration.Holder](h),
-		Limiter: limiter,
-		Board:   part.Get[*version.Board](h),
-		Timer:   h.Timer,
-		Journal: h.Journal,
-		Metrics: NewMetrics(h.Metrics),
+		Table:    table,
+		Holder:   part.Get[*configuration.Holder](h),
+		Limiter:  limiter,
+		Board:    part.Get[*version.Board](h),
+		Timer:    h.Timer,
+		Journal:  h.Journal,
+		Metrics:  NewMetrics(h.Metrics),
+		Crashes:  part.Get[*crash.Reporter](h),
+		Suspects: part.Get[*bulletin.Board](h),
 	})
 	h.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "egretbend_load_ratio",
--- a/internal/route/router/router.go
+++ b/internal/route/router/router.go
@@ -14,9 +14,11 @@
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/route/fingerprint"
 	"github.com/egretbend/egretbend/internal/route/limit"
 	"github.com/egretbend/egretbend/internal/route/policy"
 	"github.com/egretbend/egretbend/internal/route/retry"
+	"github.com/egretbend/egretbend/internal/route/suspect"
 	"github.com/egretbend/egretbend/internal/route/upstream"
 )
 
@@ -29,6 +31,10 @@
 	Timer   timer.Service
 	Journal *journal.Journal
 	Metrics *Metrics
+	// Crashes finds out which upstreams end under a request, Suspects tells which requests
+	// end them; nil does not.
+	Crashes  Crashes
+	Suspects Suspects
 
 	budgets sync.Map // of string to *retry.Budget
 	usage   sync.Map // of string to *usage
@@ -75,6 +81,9 @@
 	// Share is the share of the deployment that the caller may claim while it
 	// is short; zero claims none in particular.
 	Share float64
+	// Sum returns the digest by which the request is known when it is sent again; nil is
+	// for one that is never suspected.
+	Sum func() fingerprint.Sum
 }
 
 // usage caches the capacity of a set, which takes a pass over all upstreams.
@@ -95,6 +104,10 @@
 	if r.Holder.Current() == nil {
 		return nil, problem.NotReady.Withf("no configuration yet").WithRetryAfter(time.Second)
 	}
+	verdict, err := r.judge(job)
+	if err != nil {
+		return nil, r.refused(job, err)
+	}
 	set := r.Table.Set(job.Deployment)
 	if set == nil {
 		return nil, problem.UnknownDeployment.Withf("no deployment %q", job.Deployment)
@@ -127,11 +140,12 @@
 		return nil, problem.Internal.With(err).WithOutcome(problem.NotRun)
 	}
 	return &Trip{
-		Job:    job,
-		Set:    set,
-		router: r,
-		pass:   pass,
-		policy: find,
+		Job:     job,
+		Set:     set,
+		router:  r,
+		pass:    pass,
+		policy:  find,
+		verdict: verdict,
 	}, nil
 }
 
@@ -186,6 +200,9 @@
 	// not attempts.
 	n       int
 	avoided int
+	// verdict is what is known of the request, cut how many attempts were cut off.
+	verdict suspect.Verdict
+	cut     int
 }
 
 // Attempts returns how many upstreams were chosen so far.
@@ -282,7 +299,7 @@
 // MayRetry reports whether the retry budget allows another attempt, and takes
 // it from there.
 func (t *Trip) MayRetry() bool {
-	if t.n >= t.Set.Deployment.Attempts {
+	if t.n >= t.Set.Deployment.Attempts || t.cut > 0 && !t.verdict.MayRepeat(t.cut, 0) {
 		return false
 	}
 	if !t.router.budget(t.Job.Deployment).Take() {
@@ -298,6 +315,7 @@
 func (t *Trip) Close(r limit.Result) {
 	if r == limit.Good {
 		t.router.budget(t.Job.Deployment).Earn(t.Set.Deployment.RetryShare)
+		t.answered()
 	}
 	t.pass.Close(r)
 }
