suspect, bulletin: upstreams that are lost together are one crash, and one instance tries again

Found when reading the change for what it would do to requests that are no one's own: identical ones, such as a list that all callers fetch.

A crash now counts for as many as were known to have ended under the request when it was sent there, and one more: a request that crashes upstreams moves on from one to the next, one that many ask for was sent to all before any had ended. Each answer clears, also of a request that was let in before anything was known. A convicted request is tried again after 20 s, then eight times as long, by one instance that is chosen by its fingerprint, once at a time; all others go on refusing until that is answered.

--- a/internal/fleet/bulletin/board.go
+++ b/internal/fleet/bulletin/board.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 
@@ -37,9 +38,12 @@
 	Key string
 	// Instances returns how many there are.
 	Instances func() int
-	Timer     timer.Service
-	Journal   *journal.Journal
-	Metrics   *Metrics
+	// Chosen reports whether this is the instance that tries a request again; nil means
+	// that it never is.
+	Chosen  func(p fingerprint.Print) bool
+	Timer   timer.Service
+	Journal *journal.Journal
+	Metrics *Metrics
 
 	// some is set while anything is known, so that a request costs nothing else.
 	some atomic.Bool
@@ -49,6 +53,8 @@
 	evidence suspect.Evidence
 	// own is what this instance has seen, in order.
 	own []notice
+	// tried is when this instance tried a convicted request last.
+	tried map[fingerprint.Print]timer.Instant
 	// pace bounds the writes of the key.
 	pace pace
 }
@@ -65,7 +71,33 @@
 	print := sum().Under(secret)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.evidence.Judge(print, b.Timer.Now())
+	now := b.Timer.Now()
+	v := b.evidence.Judge(print, now)
+	if v.Trial && !b.mayTry(print, now) {
+		v.RetryAfter = untilTried
+	}
+	return v
+}
+
+const (
+	// tryEvery is how long a trial of a convicted request may take before the next one.
+	tryEvery = 5 * time.Second
+	// untilTried is when callers come back that met another instance than the chosen one,
+	// or one that has a trial under way.
+	untilTried = 10 * time.Second
+)
+
+// mayTry reports whether this instance lets a convicted request run once, to see whether
+// upstreams still end under it. The lock is held.
+func (b *Board) mayTry(p fingerprint.Print, now timer.Instant) bool {
+	if at, ok := b.tried[p]; ok && now.Sub(at) < tryEvery || b.Chosen == nil || !b.Chosen(p) {
+		return false
+	}
+	if b.tried == nil {
+		b.tried = make(map[fingerprint.Print]timer.Instant)
+	}
+	b.tried[p] = now
+	return true
 }
 
 // Ended takes it that an upstream ended under a request, and returns what that makes
@@ -78,26 +110,35 @@
 		b.keep(notice{
 			Print:    c.Print,
 			Upstream: c.Life,
+			Row:      c.Row,
 			at:       c.At,
 		})
 		b.changed()
 	}
-	b.Metrics.known(b.evidence.Len(), b.evidence.Guilty(now))
+	b.Metrics.known(b.evidence.Len(), b.evidence.Guilty())
 	return b.evidence.Judge(c.Print, now)
 }
 
-// Answered takes it that a request ran to its end.
-func (b *Board) Answered(sum fingerprint.Sum) {
+// Answered takes it that a request ran to its end. sum is called only if anything is
+// known.
+func (b *Board) Answered(sum func() fingerprint.Sum) {
+	if !b.some.Load() {
+		return
+	}
 	secret := b.Secret.Known()
 	if secret == nil {
 		return
 	}
-	print := sum.Under(secret)
+	print := sum().Under(secret)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Timer.Now()
-	known := b.evidence.Judge(print, now).Crashes
+	known := b.evidence.Ends(print)
+	if known == 0 {
+		return
+	}
 	b.evidence.Clear(print, now)
+	delete(b.tried, print)
 	untold := 0
 	b.own = slices.DeleteFunc(b.own, func(n notice) bool {
 		if n.Print == print && !n.told {
--- a/internal/fleet/bulletin/part.go
+++ b/internal/fleet/bulletin/part.go
@@ -44,9 +44,13 @@
 			Key:   key,
 		},
 		Instances: func() int { return len(members.View().Alive) },
-		Timer:     h.Timer,
-		Journal:   h.Journal,
-		Metrics:   NewMetrics(h.Metrics),
+		Chosen: func(p fingerprint.Print) bool {
+			top := members.View().Top(p.String(), 1)
+			return len(top) == 1 && top[0].ID == self.ID
+		},
+		Timer:   h.Timer,
+		Journal: h.Journal,
+		Metrics: NewMetrics(h.Metrics),
 	}
 	part.Put(h, board)
 	part.Put(h, &crash.Reporter{
@@ -81,5 +85,6 @@
 		Life:  c.Life,
 		Print: print,
 		At:    c.At,
+		Row:   c.Row,
 	}).Fields()
 }
--- a/internal/fleet/bulletin/posting.go
+++ b/internal/fleet/bulletin/posting.go
@@ -19,6 +19,8 @@
 	Print fingerprint.Print `json:"print"`
 	// Upstream is the life that ended; empty if the request ran to its end.
 	Upstream crash.Life `json:"upstream,omitempty"`
+	// Row is that of the crash.
+	Row int `json:"row,omitempty"`
 	// AgeMS is how long ago it was when the key was written.
 	AgeMS int64 `json:"age_ms"`
 
@@ -33,6 +35,7 @@
 		Life:  n.Upstream,
 		Print: n.Print,
 		At:    n.at,
+		Row:   n.Row,
 	}
 }
 
--- a/internal/fleet/bulletin/publish.go
+++ b/internal/fleet/bulletin/publish.go
@@ -137,8 +137,13 @@
 		}
 		return !b.evidence.Judge(n.Print, now).Suspects()
 	})
+	for print, at := range b.tried {
+		if now.Sub(at) >= tryEvery {
+			delete(b.tried, print)
+		}
+	}
 	b.changed()
-	b.Metrics.known(b.evidence.Len(), b.evidence.Guilty(now))
+	b.Metrics.known(b.evidence.Len(), b.evidence.Guilty())
 	idle := len(b.own) == 0
 	b.mu.Unlock()
 	if idle {
--- a/internal/route/crash/reporter.go
+++ b/internal/route/crash/reporter.go
@@ -46,8 +46,11 @@
 	Life      Life
 	Address   string
 	Sum       fingerprint.Sum
-	// At is when it was cut; Cut sets it.
+	// At is when it was cut off.
 	At timer.Instant
+	// Row is the number of this end if the upstream has ended: one more than were known to
+	// have ended under the request when it was sent there.
+	Row int
 }
 
 // Secret is what prints are made with.
@@ -85,7 +88,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Timer.Now()
-	c.At = now
 	l := r.lives[c.Life]
 	if l != nil && !l.asking && !l.knows(now) {
 		delete(r.lives, c.Life)
--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -96,8 +96,9 @@
 type Suspects interface {
 	// Judge decides about a request. It calls sum only if it knows of any crash.
 	Judge(sum func() fingerprint.Sum) suspect.Verdict
-	// Answered takes it that a request ran to its end.
-	Answered(sum fingerprint.Sum)
+	// Answered takes it that a request ran to its end. It calls sum only if it knows of any
+	// crash.
+	Answered(sum func() fingerprint.Sum)
 }
 
 // Counter counts requests by organisation.
--- a/internal/route/forward/suspect.go
+++ b/internal/route/forward/suspect.go
@@ -15,7 +15,8 @@
 	if t.f.Suspects == nil {
 		return t.run(ctx)
 	}
-	t.verdict = t.f.Suspects.Judge(t.req.sum)
+	sum := t.req.sum
+	t.verdict = t.f.Suspects.Judge(sum)
 	if t.verdict.Refused() {
 		return nil, problem.Quarantined.Withf("%s", t.verdict).WithRetryAfter(t.verdict.RetryAfter)
 	}
@@ -29,18 +30,11 @@
 		return answer, err
 	}
 	if answer != nil {
-		t.answered()
+		t.f.Suspects.Answered(sum)
 	}
 	return answer, err
 }
 
-// answered clears the request if anything speaks against it.
-func (t *trip) answered() {
-	if t.cut > 0 || t.verdict.Suspects() {
-		t.f.Suspects.Answered(t.req.sum())
-	}
-}
-
 // cutOff notes that an upstream was lost before its answer was whole.
 func (t *trip) cutOff(u *catalog.Upstream) {
 	t.cut++
@@ -52,6 +46,8 @@
 		Life:      crash.LifeOf(u.ID, u.Incarnation),
 		Address:   u.Address,
 		Sum:       t.req.sum(),
+		At:        t.f.Timer.Now(),
+		Row:       t.verdict.Crashes + t.cut,
 	})
 }
 
@@ -72,7 +68,7 @@
 	w.ended = true
 	switch {
 	case errors.Is(err, io.EOF):
-		w.t.answered()
+		w.t.f.Suspects.Answered(w.t.req.sum)
 	case w.ctx.Err() == nil:
 		w.t.cutOff(w.t.winner)
 	}
--- a/internal/route/router/suspect.go
+++ b/internal/route/router/suspect.go
@@ -17,8 +17,9 @@
 type Suspects interface {
 	// Judge decides about a request. It calls sum only if it knows of any crash.
 	Judge(sum func() fingerprint.Sum) suspect.Verdict
-	// Answered takes it that a request ran to its end.
-	Answered(sum fingerprint.Sum)
+	// Answered takes it that a request ran to its end. It calls sum only if it knows of any
+	// crash.
+	Answered(sum func() fingerprint.Sum)
 }
 
 // judge returns what is known of a request, or an error if no upstream may run it.
@@ -48,12 +49,14 @@
 		Life:      crash.LifeOf(u.ID, u.Incarnation),
 		Address:   u.Address,
 		Sum:       t.Job.Sum(),
+		At:        t.router.Timer.Now(),
+		Row:       t.verdict.Crashes + t.cut,
 	})
 }
 
 // answered clears the request if anything speaks against it.
 func (t *Trip) answered() {
-	if t.router.Suspects != nil && t.Job.Sum != nil && (t.cut > 0 || t.verdict.Suspects()) {
-		t.router.Suspects.Answered(t.Job.Sum())
+	if t.router.Suspects != nil && t.Job.Sum != nil {
+		t.router.Suspects.Answered(t.Job.Sum)
 	}
 }
--- a/internal/route/suspect/evidence.go
+++ b/internal/route/suspect/evidence.go
@@ -27,6 +27,10 @@
 	Life  crash.Life
 	Print fingerprint.Print
 	At    timer.Instant
+	// Row is how many upstreams, with this one, ended under it one after the other, as far as
+	// was known when it was sent there. Upstreams that are lost together under what many ask
+	// for at that moment may have had one cause.
+	Row int
 }
 
 // Evidence is what is known of crashes. Its zero value is empty.
@@ -40,24 +44,39 @@
 
 // end is the end of one upstream.
 type end struct {
-	life   crash.Life
-	at     timer.Instant
-	prints []fingerprint.Print
+	life crash.Life
+	at   timer.Instant
+	seen []Crash
+}
+
+// find returns the place of a request among those that were there, or -1.
+func (x *end) find(p fingerprint.Print) int {
+	return slices.IndexFunc(x.seen, func(c Crash) bool { return c.Print == p })
 }
 
 // blame is how far one request is to blame.
 type blame struct {
-	crashes int
-	share   float64
-	last    timer.Instant
+	// ends is how many upstreams ended under it, row how many of them one after the other.
+	ends, row int
+	share     float64
+	last      timer.Instant
 }
 
+// crashes is how many ends count against the request.
+func (b blame) crashes() int { return min(b.ends, b.row) }
+
 // Empty reports whether nothing is known.
 func (e *Evidence) Empty() bool { return len(e.ends) == 0 }
 
 // Len returns how many ends of upstreams are known.
 func (e *Evidence) Len() int { return len(e.ends) }
 
+// Ends returns how many upstreams ended under a request.
+func (e *Evidence) Ends(p fingerprint.Print) int {
+	e.assess()
+	return e.blame[p].ends
+}
+
 // Add takes a crash and reports whether it was news.
 func (e *Evidence) Add(c Crash) bool {
 	if at, ok := e.cleared[c.Print]; ok && c.At <= at {
@@ -66,17 +85,22 @@
 	at := slices.IndexFunc(e.ends, func(x *end) bool { return x.life == c.Life })
 	if at < 0 {
 		e.insert(&end{
-			life:   c.Life,
-			at:     c.At,
-			prints: []fingerprint.Print{c.Print},
+			life: c.Life,
+			at:   c.At,
+			seen: []Crash{c},
 		})
 		return true
 	}
 	x := e.ends[at]
-	if slices.Contains(x.prints, c.Print) || len(x.prints) >= maxPrints {
+	if i := x.find(c.Print); i >= 0 {
+		e.stale = e.stale || c.Row > x.seen[i].Row
+		x.seen[i].Row = max(x.seen[i].Row, c.Row)
+		return false
+	}
+	if len(x.seen) >= maxPrints {
 		return false
 	}
-	x.prints = append(x.prints, c.Print)
+	x.seen = append(x.seen, c)
 	e.stale = true
 	return true
 }
@@ -95,7 +119,7 @@
 func (e *Evidence) evict() {
 	e.assess()
 	at := slices.IndexFunc(e.ends, func(x *end) bool {
-		return !slices.ContainsFunc(x.prints, func(p fingerprint.Print) bool { return e.blame[p].guilty() })
+		return !slices.ContainsFunc(x.seen, func(c Crash) bool { return e.blame[c.Print].guilty() })
 	})
 	e.ends = slices.Delete(e.ends, max(0, at), max(0, at)+1)
 	e.stale = true
@@ -118,13 +142,13 @@
 func (e *Evidence) drop(p fingerprint.Print, matches func(x *end) bool) bool {
 	dropped := false
 	for _, x := range e.ends {
-		if at := slices.Index(x.prints, p); at >= 0 && matches(x) {
-			x.prints = slices.Delete(x.prints, at, at+1)
+		if at := x.find(p); at >= 0 && matches(x) {
+			x.seen = slices.Delete(x.seen, at, at+1)
 			dropped = true
 		}
 	}
 	if dropped {
-		e.ends = slices.DeleteFunc(e.ends, func(x *end) bool { return len(x.prints) == 0 })
+		e.ends = slices.DeleteFunc(e.ends, func(x *end) bool { return len(x.seen) == 0 })
 		e.stale = true
 	}
 	return dropped
@@ -162,8 +186,9 @@
 	e.blame = make(map[fingerprint.Print]blame)
 	place := make(map[fingerprint.Print]int)
 	for _, x := range e.ends {
-		at := make([]int, len(x.prints))
-		for i, p := range x.prints {
+		at := make([]int, len(x.seen))
+		for i, c := range x.seen {
+			p := c.Print
 			if _, ok := place[p]; !ok {
 				place[p] = len(d.shares)
 				d.shares = append(d.shares, 0)
@@ -171,8 +196,9 @@
 			at[i] = place[p]
 			d.shares[place[p]]++
 			b := e.blame[p]
-			b.crashes++
-			b.last = max(b.last, x.at)
+			b.ends++
+			b.row = max(b.row, c.Row)
+			b.last = max(b.last, c.At)
 			e.blame[p] = b
 		}
 		d.ends = append(d.ends, at)
--- a/internal/route/suspect/verdict.go
+++ b/internal/route/suspect/verdict.go
@@ -20,25 +20,33 @@
 	// the blame that it must bear for them.
 	guiltyFrom  = 4
 	guiltyShare = 2
-	// quarantineFirst is how long a convicted request is refused after its last crash.
-	// Each further crash doubles that, up to quarantineMost.
-	quarantineFirst = 5 * time.Minute
+	// quarantineFirst is how long a convicted request is refused after its last crash,
+	// before one instance tries it again: a service that is lost as a whole takes down
+	// what all ask for. Each further crash makes that quarantineTimes as long, up to
+	// quarantineMost.
+	quarantineFirst = 20 * time.Second
+	quarantineTimes = 8
 	quarantineMost  = time.Hour
-	// remembers is how many times as long the crashes are remembered.
-	remembers = 2
+	// remembers is for how long crashes are remembered at least, and how many quarantines.
+	remembers      = 10 * time.Minute
+	remembersTimes = 2
 )
 
 // Verdict is what is decided about a request, and why. Its zero value suspects nothing.
 type Verdict struct {
 	Print fingerprint.Print
-	// Crashes is how many upstreams ended under it.
+	// Crashes is how many upstreams ended under it, one after the other.
 	Crashes int
+	// Ends is how many ended under it in all.
+	Ends int
 	// Blame is the part that it bears in them.
 	Blame float64
 	// Age is the time since the last one.
 	Age time.Duration
 	// RetryAfter is how long it is refused; zero if it is not.
 	RetryAfter time.Duration
+	// Trial says that it was refused long enough for one instance to try it.
+	Trial bool
 }
 
 // Judge decides about a request.
@@ -50,22 +58,24 @@
 	}
 	v := Verdict{
 		Print:   p,
-		Crashes: b.crashes,
+		Crashes: b.crashes(),
+		Ends:    b.ends,
 		Blame:   b.share,
 		Age:     now.Sub(b.last),
 	}
 	if b.guilty() {
 		v.RetryAfter = max(0, b.last.Add(b.quarantine()).Sub(now))
+		v.Trial = v.RetryAfter == 0
 	}
 	return v
 }
 
-// Guilty returns how many requests are refused now.
-func (e *Evidence) Guilty(now timer.Instant) int {
+// Guilty returns how many requests are convicted.
+func (e *Evidence) Guilty() int {
 	e.assess()
 	n := 0
 	for _, b := range e.blame {
-		if b.guilty() && now < b.last.Add(b.quarantine()) {
+		if b.guilty() {
 			n++
 		}
 	}
@@ -93,19 +103,25 @@
 	return log.Fields{
 		"fingerprint":    v.Print.String(),
 		"crashes":        v.Crashes,
+		"ends":           v.Ends,
 		"blame":          strconv.FormatFloat(v.Blame, 'f', 2, 64),
 		"crash_age_ms":   v.Age.Milliseconds(),
 		"retry_after_ms": v.RetryAfter.Milliseconds(),
 	}
 }
 
-func (b blame) guilty() bool { return b.crashes >= guiltyFrom && b.share >= guiltyShare }
+func (b blame) guilty() bool { return b.crashes() >= guiltyFrom && b.share >= guiltyShare }
 
 // quarantine returns how long after its last crash the request is refused.
 func (b blame) quarantine() time.Duration {
-	doubled := min(max(0, b.crashes-guiltyFrom), 10)
-	return min(quarantineFirst<<doubled, quarantineMost)
+	d := quarantineFirst
+	for range b.crashes() - guiltyFrom {
+		d = min(d*quarantineTimes, quarantineMost)
+	}
+	return d
 }
 
 // forgotten returns when the crashes are forgotten.
-func (b blame) forgotten() timer.Instant { return b.last.Add(remembers * b.quarantine()) }
+func (b blame) forgotten() timer.Instant {
+	return b.last.Add(max(remembers, remembersTimes*b.quarantine()))
+}
