bulletin: what is over is taken out of the key

An instance wrote its key only to tell of something new. What it had told of a request that was answered elsewhere since stayed there, and an instance that started later took it for news: it would have refused for ten minutes what all others serve, as the instance that is chosen to try it again knew nothing against it.

--- a/internal/fleet/bulletin/board.go
+++ b/internal/fleet/bulletin/board.go
@@ -51,8 +51,10 @@
 
 	mu       sync.Mutex
 	evidence suspect.Evidence
-	// own is what this instance has seen, in order.
-	own []notice
+	// own is what this instance has seen, in order. over says that the key holds something
+	// that is not among it any more.
+	own  []notice
+	over bool
 	// tried is when this instance tried a convicted request last.
 	tried map[fingerprint.Print]timer.Instant
 	// pace bounds the writes of the key.
--- a/internal/fleet/bulletin/board_test.go
+++ b/internal/fleet/bulletin/board_test.go
@@ -146,6 +146,28 @@
 	is.NoErr(err)
 }
 
+// Guards against an instance that starts, and takes for news what was answered elsewhere
+// since: it would refuse for minutes what all others serve.
+func TestWhatIsOverIsNotToldToThoseThatStart(t *testing.T) {
+	is := is.New(t)
+	d := newDesk()
+	a, b := d.board("a"), d.board("b")
+	d.ended(a, "popular", 0, 4)
+	is.NoErr(a.write(context.Background()))
+	d.pass(is, a, b)
+	d.clock.Advance(time.Second)
+	answered(b, "popular")
+	is.NoErr(b.write(context.Background()))
+	d.pass(is, b, a)
+	a.tidy(context.Background())
+	is.True(a.untold())
+	is.NoErr(a.write(context.Background()))
+	is.True(!a.untold())
+	started := d.board("c")
+	d.pass(is, a, started)
+	is.True(!judge(started, "popular").Suspects())
+}
+
 // Guards against a flood of requests that crash upstreams, each another one, that fills
 // memory, the key or the service's allowance of calls.
 func TestFloodOfDifferentRequestsIsBounded(t *testing.T) {
--- a/internal/fleet/bulletin/publish.go
+++ b/internal/fleet/bulletin/publish.go
@@ -92,7 +92,7 @@
 func (b *Board) untold() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return slices.ContainsFunc(b.own, func(n notice) bool { return !n.told })
+	return b.over || slices.ContainsFunc(b.own, func(n notice) bool { return !n.told })
 }
 
 // write writes the key.
@@ -111,6 +111,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.over = false
 	for i := range b.own {
 		b.own[i].told = b.own[i].told || slices.ContainsFunc(sent, b.own[i].same)
 	}
@@ -135,7 +136,13 @@
 		if n.Upstream == "" {
 			return now.Sub(n.at) >= keepsAnswered
 		}
-		return !b.evidence.Judge(n.Print, now).Suspects()
+		over := !b.evidence.Judge(n.Print, now).Suspects()
+		if over && n.told {
+			// An instance that starts would take it for news.
+			b.over = true
+			b.wake.Set()
+		}
+		return over
 	})
 	for print, at := range b.tried {
 		if now.Sub(at) >= tryEvery {
