--- a/internal/route/fingerprint/fingerprint.go
+++ b/internal/route/fingerprint/fingerprint.go
@@ -23,7 +23,7 @@
 // Sum is the digest of a request. It must not leave the process.
 type Sum [sha256.Size]byte
 
-// Of returns the digest of a request. It allocates nothing.
+// Of returns the digest of a request.
 func Of(p Parts) Sum {
 	h := sha256.New()
 	var size [8]byte
--- a/internal/route/suspect/verdict.go
+++ b/internal/route/suspect/verdict.go
@@ -24,7 +24,7 @@
 	// before one instance tries it again: a service that is lost as a whole takes down
 	// what all ask for. Each further crash makes that quarantineTimes as long, up to
 	// quarantineMost.
-	quarantineFirst = 20 * time.Second
+	quarantineFirst = 60 * time.Second
 	quarantineTimes = 8
 	quarantineMost  = time.Hour
 	// remembers is for how long crashes are remembered at least, and how many quarantines.
