--- a/internal/fleet/bulletin/board.go
+++ b/internal/fleet/bulletin/board.go
@@ -34,7 +34,7 @@
 type Board struct {
 	Secret Secret
 	Poster Poster
-	// Key is where this life of the instance tells what it has seen.
+	// Key is where this incarnation of the instance tells what it has seen.
 	Key string
 	// Instances returns how many there are.
 	Instances func() int
@@ -111,7 +111,7 @@
 	if b.evidence.Add(c) {
 		b.keep(notice{
 			Print:    c.Print,
-			Upstream: c.Life,
+			Upstream: c.Incarnation,
 			Row:      c.Row,
 			at:       c.At,
 		})
--- a/internal/fleet/bulletin/board_test.go
+++ b/internal/fleet/bulletin/board_test.go
@@ -57,10 +57,10 @@
 	for i := range n {
 		d.clock.Advance(time.Millisecond)
 		b.Ended(suspect.Crash{
-			Life:  crash.LifeOf("u", uint64(from+i)),
-			Print: sumOf(body).Under(known{}.Known()),
-			At:    d.clock.Now(),
-			Row:   judge(b, body).Crashes + 1,
+			Incarnation: crash.IncarnationOf("u", uint64(from+i)),
+			Print:       sumOf(body).Under(known{}.Known()),
+			At:          d.clock.Now(),
+			Row:         judge(b, body).Crashes + 1,
 		})
 	}
 }
@@ -124,7 +124,7 @@
 	is.True(!judge(b, "plain").Suspects())
 }
 
-// Guards against notices that end with the life of the instance that wrote them, or with
+// Guards against notices that end with the instance that wrote them, or with
 // a lease that ran out while the service was away.
 func TestNoticesOutliveTheirInstanceAndTheirLease(t *testing.T) {
 	is := is.New(t)
@@ -159,7 +159,7 @@
 	answered(b, "popular")
 	is.NoErr(b.write(context.Background()))
 	d.pass(is, b, a)
-	a.tidy(context.Background())
+	a.expire(context.Background())
 	is.True(a.untold())
 	is.NoErr(a.write(context.Background()))
 	is.True(!a.untold())
@@ -196,7 +196,7 @@
 	is.NoErr(json.Unmarshal(item.Value, &list))
 	is.True(!strings.Contains(string(item.Value), "deadly"))
 	d.clock.Advance(time.Hour)
-	a.tidy(context.Background())
+	a.expire(context.Background())
 	is.True(!a.some.Load())
 	is.Equal(len(a.own), 0)
 }
--- a/internal/fleet/bulletin/doc.go
+++ b/internal/fleet/bulletin/doc.go
@@ -13,7 +13,7 @@
 //	t.Go(func() error { return board.Run(t) })
 //	verdict := board.Judge(sum)
 //
-// Each life of an instance has one key, which holds what it has seen itself; all hear of
+// Each incarnation of an instance has one key, which holds what it has seen itself; all hear of
 // it with the view of instances. The key ends with a lease, some minutes after its last
 // change, so that what is known outlives the instance. What needs no telling is not told: a
 // request that upstreams ended under and that another one answered soon after.
--- a/internal/fleet/bulletin/key.go
+++ b/internal/fleet/bulletin/key.go
@@ -17,7 +17,7 @@
 // Key is a Poster over the key-value service.
 type Key struct {
 	Space keyvalue.Space
-	// Name is the key. Each life of an instance has another: what an earlier one told
+	// Name is the key. Each incarnation of an instance has another: what an earlier one told
 	// must stay where it is.
 	Name  string
 	Timer timer.Service
--- a/internal/fleet/bulletin/part.go
+++ b/internal/fleet/bulletin/part.go
@@ -82,9 +82,9 @@
 // Report takes what a crash.Reporter found out, and returns what the log says of it.
 func (b *Board) Report(c crash.Cut, print fingerprint.Print) log.Fields {
 	return b.Ended(suspect.Crash{
-		Life:  c.Life,
-		Print: print,
-		At:    c.At,
-		Row:   c.Row,
+		Incarnation: c.Incarnation,
+		Print:       print,
+		At:          c.At,
+		Row:         c.Row,
 	}).Fields()
 }
--- a/internal/fleet/bulletin/posting.go
+++ b/internal/fleet/bulletin/posting.go
@@ -17,8 +17,8 @@
 // or that a request ran to its end.
 type notice struct {
 	Print fingerprint.Print `json:"print"`
-	// Upstream is the life that ended; empty if the request ran to its end.
-	Upstream crash.Life `json:"upstream,omitempty"`
+	// Upstream is the incarnation that ended; empty if the request ran to its end.
+	Upstream crash.Incarnation `json:"upstream,omitempty"`
 	// Row is that of the crash.
 	Row int `json:"row,omitempty"`
 	// AgeMS is how long ago it was when the key was written.
@@ -32,10 +32,10 @@
 // crash returns the notice as evidence.
 func (n notice) crash() suspect.Crash {
 	return suspect.Crash{
-		Life:  n.Upstream,
-		Print: n.Print,
-		At:    n.at,
-		Row:   n.Row,
+		Incarnation: n.Upstream,
+		Print:       n.Print,
+		At:          n.at,
+		Row:         n.Row,
 	}
 }
 
--- a/internal/fleet/bulletin/publish.go
+++ b/internal/fleet/bulletin/publish.go
@@ -16,8 +16,8 @@
 	// gather is how long to wait before a write. Most requests that an upstream ended
 	// under are answered by another one meanwhile, and are not told of.
 	gather = 150 * time.Millisecond
-	// tidyEvery is how often what is over is forgotten.
-	tidyEvery = 10 * time.Second
+	// expireEvery is how often what is over is forgotten.
+	expireEvery = 10 * time.Second
 	// keepsAnswered is for how long others are told that a request was answered.
 	keepsAnswered = time.Minute
 	// callTimeout bounds a call of the service, retryPause is the pause after one that
@@ -54,15 +54,15 @@
 
 // Run tells the others until t dies.
 func (b *Board) Run(t *tomb.Tomb) error {
-	tidy := b.Timer.Every(tidyEvery)
-	defer tidy.Close()
+	ticks := b.Timer.Every(expireEvery)
+	defer ticks.Close()
 	ctx := t.Context(context.Background())
 	for {
 		select {
 		case <-b.wake.C():
 			b.tell(ctx, t)
-		case <-tidy.C:
-			b.tidy(ctx)
+		case <-ticks.C:
+			b.expire(ctx)
 		case <-t.Dying():
 			return nil
 		}
@@ -123,8 +123,8 @@
 	return n.Print == o.Print && n.Upstream == o.Upstream && n.at == o.at
 }
 
-// tidy forgets what is over, and keeps the key alive while there is anything to tell.
-func (b *Board) tidy(ctx context.Context) {
+// expire forgets what is over, and keeps the key alive while there is anything to tell.
+func (b *Board) expire(ctx context.Context) {
 	b.mu.Lock()
 	now := b.Timer.Now()
 	if b.evidence.Expire(now) {
--- a/internal/fleet/bulletin/simulation_test.go
+++ b/internal/fleet/bulletin/simulation_test.go
@@ -52,10 +52,10 @@
 type simInstance struct {
 	name  string
 	board *Board
-	// deaf is until when it hears nothing, hurt when anything was done to it last.
-	deaf, hurt timer.Instant
-	inbox      []delivery
-	due        timer.Instant
+	// cutUntil is until when it hears nothing, hurt when anything was done to it last.
+	cutUntil, hurt timer.Instant
+	inbox          []delivery
+	due            timer.Instant
 }
 
 type delivery struct {
@@ -64,9 +64,9 @@
 }
 
 type simUpstream struct {
-	lives int
-	until timer.Instant
-	runs  []*simRequest
+	starts int
+	until  timer.Instant
+	runs   []*simRequest
 }
 
 // simRequest is a request on its way.
@@ -139,7 +139,7 @@
 
 func (known) Known() []byte { return []byte("secret") }
 
-// begin begins a life of an instance, which reads what the store has.
+// begin begins an incarnation of an instance, which reads what the store has.
 func (f *simFleet) begin(in *simInstance) {
 	key := fmt.Sprint("crashes/", in.name, "/", f.clock.Now())
 	in.board = &Board{
@@ -180,8 +180,8 @@
 		return
 	}
 	at := f.clock.Now().Add(20*time.Millisecond + time.Duration(f.r.Int64N(int64(600*time.Millisecond))))
-	if at < in.deaf {
-		at = in.deaf
+	if at < in.cutUntil {
+		at = in.cutUntil
 	}
 	in.inbox = append(in.inbox, delivery{
 		at:     at,
@@ -269,7 +269,7 @@
 		}
 		if chance(f.cuts) {
 			in := f.instances[f.r.IntN(len(f.instances))]
-			in.deaf, in.hurt = now.Add(4*time.Second), now.Add(4*time.Second)
+			in.cutUntil, in.hurt = now.Add(4*time.Second), now.Add(4*time.Second)
 		}
 		if chance(f.ends) {
 			f.end(f.r.IntN(len(f.upstreams)))
@@ -360,16 +360,16 @@
 		return
 	}
 	u.until = now.Add(simDown)
-	u.lives++
-	life := crash.LifeOf(fmt.Sprint("u", at), uint64(u.lives))
+	u.starts++
+	life := crash.IncarnationOf(fmt.Sprint("u", at), uint64(u.starts))
 	for _, q := range slices.Clone(u.runs) {
 		f.drop(q)
 		q.cut++
 		q.at.board.Ended(suspect.Crash{
-			Life:  life,
-			Print: q.sum.Under(known{}.Known()),
-			At:    now,
-			Row:   q.verdict.Crashes + q.cut,
+			Incarnation: life,
+			Print:       q.sum.Under(known{}.Known()),
+			At:          now,
+			Row:         q.verdict.Crashes + q.cut,
 		})
 		if len(q.tried) < simTries && q.verdict.MayRepeat(q.cut, 0) {
 			f.send(q)
--- a/internal/route/crash/doc.go
+++ b/internal/route/crash/doc.go
@@ -6,7 +6,7 @@
 //	}
 //	reporter.Cut(crash.Cut{
 //		RequestID: "9c41d07be2a35f68",
-//		Life:      crash.LifeOf(u),
+//		Incarnation:      crash.IncarnationOf(u),
 //		Address:   u.Address,
 //		Sum:       sum,
 //	})
--- a/internal/route/crash/reporter.go
+++ b/internal/route/crash/reporter.go
@@ -28,24 +28,26 @@
 	keepsEnds = 10 * time.Second
 	// askAgain is how soon an upstream whose port was open is asked again.
 	askAgain = time.Second
-	// maxLives bounds the upstreams that are remembered or asked at a time.
-	maxLives = 256
+	// maxUpstreams bounds the upstreams that are remembered or asked at a time.
+	maxUpstreams = 256
 	// maxWaiting bounds the requests that wait for the answer of one upstream.
 	maxWaiting = 32
 )
 
-// Life names one life of an upstream: one that starts again is another.
-type Life string
+// Incarnation names one life of an upstream: one that starts again is another.
+type Incarnation string
 
-// LifeOf returns the name of a life.
-func LifeOf(id string, incarnation uint64) Life { return Life(fmt.Sprintf("%s/%d", id, incarnation)) }
+// IncarnationOf returns the name of an incarnation.
+func IncarnationOf(id string, number uint64) Incarnation {
+	return Incarnation(fmt.Sprintf("%s/%d", id, number))
+}
 
 // Cut is a request whose connection to an upstream was cut before an answer.
 type Cut struct {
-	RequestID string
-	Life      Life
-	Address   string
-	Sum       fingerprint.Sum
+	RequestID   string
+	Incarnation Incarnation
+	Address     string
+	Sum         fingerprint.Sum
 	// At is when it was cut off.
 	At timer.Instant
 	// Row is the number of this end if the upstream has ended: one more than were known to
@@ -70,12 +72,12 @@
 	// Dial asks an address for a connection and closes it; nil does so over TCP.
 	Dial func(ctx context.Context, address string) error
 
-	mu    sync.Mutex
-	lives map[Life]*life
+	mu        sync.Mutex
+	upstreams map[Incarnation]*upstream
 }
 
-// life is what is known of one life of an upstream.
-type life struct {
+// upstream is what is known of one incarnation.
+type upstream struct {
 	asking bool
 	ended  bool
 	// at is when it was known.
@@ -88,55 +90,55 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Timer.Now()
-	l := r.lives[c.Life]
-	if l != nil && !l.asking && !l.knows(now) {
-		delete(r.lives, c.Life)
-		l = nil
+	u := r.upstreams[c.Incarnation]
+	if u != nil && !u.asking && !u.knows(now) {
+		delete(r.upstreams, c.Incarnation)
+		u = nil
 	}
 	switch {
-	case l == nil:
+	case u == nil:
 		r.ask(c, now)
-	case l.asking && len(l.waiting) < maxWaiting:
-		l.waiting = append(l.waiting, c)
-	case l.asking:
+	case u.asking && len(u.waiting) < maxWaiting:
+		u.waiting = append(u.waiting, c)
+	case u.asking:
 		r.Metrics.dropped()
 	default:
-		go r.report(c, l.ended)
+		go r.report(c, u.ended)
 	}
 }
 
 // knows reports whether what is known still holds.
-func (l *life) knows(now timer.Instant) bool {
+func (u *upstream) knows(now timer.Instant) bool {
 	keeps := askAgain
-	if l.ended {
+	if u.ended {
 		keeps = keepsEnds
 	}
-	return now.Sub(l.at) < keeps
+	return now.Sub(u.at) < keeps
 }
 
-// ask begins to find out about a life. The lock is held.
+// ask begins to find out about an incarnation. The lock is held.
 func (r *Reporter) ask(c Cut, now timer.Instant) {
-	if r.lives == nil {
-		r.lives = make(map[Life]*life)
+	if r.upstreams == nil {
+		r.upstreams = make(map[Incarnation]*upstream)
 	}
-	if len(r.lives) >= maxLives {
+	if len(r.upstreams) >= maxUpstreams {
 		r.forget(now)
 	}
-	if len(r.lives) >= maxLives {
+	if len(r.upstreams) >= maxUpstreams {
 		r.Metrics.dropped()
 		return
 	}
-	l := &life{
+	u := &upstream{
 		asking:  true,
 		waiting: []Cut{c},
 	}
-	r.lives[c.Life] = l
+	r.upstreams[c.Incarnation] = u
 	go func() {
 		ended := r.closed(c.Address)
 		r.mu.Lock()
-		l.asking, l.ended, l.at = false, ended, r.Timer.Now()
-		waiting := l.waiting
-		l.waiting = nil
+		u.asking, u.ended, u.at = false, ended, r.Timer.Now()
+		waiting := u.waiting
+		u.waiting = nil
 		r.mu.Unlock()
 		for _, c := range waiting {
 			r.report(c, ended)
@@ -144,11 +146,11 @@
 	}()
 }
 
-// forget drops the lives of which nothing is known any more. The lock is held.
+// forget drops the incarnations of which nothing is known any more. The lock is held.
 func (r *Reporter) forget(now timer.Instant) {
-	for name, l := range r.lives {
-		if !l.asking && !l.knows(now) {
-			delete(r.lives, name)
+	for name, u := range r.upstreams {
+		if !u.asking && !u.knows(now) {
+			delete(r.upstreams, name)
 		}
 	}
 }
@@ -178,7 +180,7 @@
 	r.Metrics.cut(ended)
 	fields := log.Fields{
 		"request_id": c.RequestID,
-		"upstream":   string(c.Life),
+		"upstream":   string(c.Incarnation),
 		"ended":      ended,
 	}
 	defer func() { r.Journal.Decision("cut", fields) }()
--- a/internal/route/crash/reporter_test.go
+++ b/internal/route/crash/reporter_test.go
@@ -51,14 +51,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newReporter(func(context.Context, string) error { return err })
-			r.Cut(Cut{Life: "u/1"})
+			r.Cut(Cut{Incarnation: "u/1"})
 			await(t, r, "false", 1)
 		})
 	}
 	r := newReporter(func(context.Context, string) error {
 		return &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	})
-	r.Cut(Cut{Life: "u/1"})
+	r.Cut(Cut{Incarnation: "u/1"})
 	await(t, r, "true", 1)
 }
 
@@ -74,12 +74,12 @@
 		return syscall.ECONNREFUSED
 	})
 	for range maxWaiting + 3 {
-		r.Cut(Cut{Life: "u/1"})
+		r.Cut(Cut{Incarnation: "u/1"})
 	}
 	close(answer)
 	await(t, r, "true", maxWaiting)
 	is.Equal(testutil.ToFloat64(r.Metrics.notSeen), 3.0)
-	r.Cut(Cut{Life: "u/1"})
+	r.Cut(Cut{Incarnation: "u/1"})
 	await(t, r, "true", maxWaiting+1)
 	is.Equal(asked.Load(), int32(1))
 }
@@ -90,17 +90,17 @@
 	clock := &timer.Manual{}
 	r := newReporter(func(context.Context, string) error { return syscall.ECONNREFUSED })
 	r.Timer = clock
-	for i := range maxLives + 10 {
-		r.Cut(Cut{Life: LifeOf("u", uint64(i))})
+	for i := range maxUpstreams + 10 {
+		r.Cut(Cut{Incarnation: IncarnationOf("u", uint64(i))})
 	}
-	await(t, r, "true", maxLives)
+	await(t, r, "true", maxUpstreams)
 	is.Equal(testutil.ToFloat64(r.Metrics.notSeen), 10.0)
 	clock.Advance(keepsEnds)
-	r.Cut(Cut{Life: LifeOf("u", maxLives)})
-	await(t, r, "true", maxLives+1)
+	r.Cut(Cut{Incarnation: IncarnationOf("u", maxUpstreams)})
+	await(t, r, "true", maxUpstreams+1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	is.Equal(fmt.Sprint(len(r.lives)), "1")
+	is.Equal(fmt.Sprint(len(r.upstreams)), "1")
 }
 
 func TestDialTCP(t *testing.T) {
--- a/internal/route/forward/suspect.go
+++ b/internal/route/forward/suspect.go
@@ -42,12 +42,12 @@
 		return
 	}
 	t.f.Crashes.Cut(crash.Cut{
-		RequestID: t.req.ID,
-		Life:      crash.LifeOf(u.ID, u.Incarnation),
-		Address:   u.Address,
-		Sum:       t.req.sum(),
-		At:        t.f.Timer.Now(),
-		Row:       t.verdict.Crashes + t.cut,
+		RequestID:   t.req.ID,
+		Incarnation: crash.IncarnationOf(u.ID, u.Incarnation),
+		Address:     u.Address,
+		Sum:         t.req.sum(),
+		At:          t.f.Timer.Now(),
+		Row:         t.verdict.Crashes + t.cut,
 	})
 }
 
--- a/internal/route/router/suspect.go
+++ b/internal/route/router/suspect.go
@@ -45,12 +45,12 @@
 		return
 	}
 	t.router.Crashes.Cut(crash.Cut{
-		RequestID: t.Job.RequestID,
-		Life:      crash.LifeOf(u.ID, u.Incarnation),
-		Address:   u.Address,
-		Sum:       t.Job.Sum(),
-		At:        t.router.Timer.Now(),
-		Row:       t.verdict.Crashes + t.cut,
+		RequestID:   t.Job.RequestID,
+		Incarnation: crash.IncarnationOf(u.ID, u.Incarnation),
+		Address:     u.Address,
+		Sum:         t.Job.Sum(),
+		At:          t.router.Timer.Now(),
+		Row:         t.verdict.Crashes + t.cut,
 	})
 }
 
--- a/internal/route/suspect/doc.go
+++ b/internal/route/suspect/doc.go
@@ -2,7 +2,7 @@
 //
 //	var e suspect.Evidence
 //	e.Add(suspect.Crash{
-//		Life:  "desk-4/1774870592702",
+//		Incarnation:  "desk-4/1774870592702",
 //		Print: print,
 //		At:    now,
 //	})
--- a/internal/route/suspect/evidence.go
+++ b/internal/route/suspect/evidence.go
@@ -24,9 +24,9 @@
 
 // Crash is one request that was at an upstream when that ended.
 type Crash struct {
-	Life  crash.Life
-	Print fingerprint.Print
-	At    timer.Instant
+	Incarnation crash.Incarnation
+	Print       fingerprint.Print
+	At          timer.Instant
 	// Row is how many upstreams, with this one, ended under it one after the other, as far as
 	// was known when it was sent there. Upstreams that are lost together under what many ask
 	// for at that moment may have had one cause.
@@ -44,9 +44,9 @@
 
 // end is the end of one upstream.
 type end struct {
-	life crash.Life
-	at   timer.Instant
-	seen []Crash
+	incarnation crash.Incarnation
+	at          timer.Instant
+	seen        []Crash
 }
 
 // find returns the place of a request among those that were there, or -1.
@@ -82,12 +82,12 @@
 	if at, ok := e.cleared[c.Print]; ok && c.At <= at {
 		return false
 	}
-	at := slices.IndexFunc(e.ends, func(x *end) bool { return x.life == c.Life })
+	at := slices.IndexFunc(e.ends, func(x *end) bool { return x.incarnation == c.Incarnation })
 	if at < 0 {
 		e.insert(&end{
-			life: c.Life,
-			at:   c.At,
-			seen: []Crash{c},
+			incarnation: c.Incarnation,
+			at:          c.At,
+			seen:        []Crash{c},
 		})
 		return true
 	}
--- a/internal/route/suspect/suspect_test.go
+++ b/internal/route/suspect/suspect_test.go
@@ -20,15 +20,15 @@
 	return p
 }
 
-func lifeOf(n int) crash.Life { return crash.LifeOf("u", uint64(n)) }
+func incarnationOf(n int) crash.Incarnation { return crash.IncarnationOf("u", uint64(n)) }
 
 // crashed is a request that was at an upstream when that ended, after others.
 func crashed(life, print, row int, at timer.Instant) Crash {
 	return Crash{
-		Life:  lifeOf(life),
-		Print: printOf(print),
-		At:    at,
-		Row:   row,
+		Incarnation: incarnationOf(life),
+		Print:       printOf(print),
+		At:          at,
+		Row:         row,
 	}
 }
 
