platform: load reports with a fourth figure are read

Cause: parseLoad took only three figures, so no instance knew any load of upstreams that also report how long work takes at the moment: crowded steps never borrowed engines.

--- a/internal/outside/engine/adapter.go
+++ b/internal/outside/engine/adapter.go
@@ -43,10 +43,13 @@
 // LoadReport is the load and state of an engine or service as reported by itself. It may
 // be out of date.
 type LoadReport struct {
-	Running int             `json:"running"`
-	Waiting int             `json:"waiting"`
-	Slots   int             `json:"slots"`
-	Version version.Version `json:"version"`
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Slots   int `json:"slots"`
+	// SlowdownPercent is how long work takes at this moment relative to its usual time, which
+	// is 100, on a machine that the engine shares with others; 0 if the engine does not say.
+	SlowdownPercent int             `json:"slowdown_percent,omitempty"`
+	Version         version.Version `json:"version"`
 	// Fetched is the newest version whose weights the engine has fetched.
 	Fetched     version.Version `json:"fetched"`
 	Incarnation uint64          `json:"incarnation"`
