coordinator: the listing of a batch outlives its caller

Ruled out: the ledger, which held all results; the store, which answered. Change: listings are detached from their callers and shared (singleflight).

--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/batch/runner"
@@ -99,6 +100,8 @@
 	pendingStores map[string]chan error
 	// finished caches batches that don't change any more.
 	finished recordCache
+	// loads are the listings of batches that are in progress.
+	loads singleflight.Group
 	// takeOverFailed is set when a take-over fails, so that Run sweeps again soon.
 	takeOverFailed wake.Signal
 }
--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -322,3 +322,55 @@
 	is.Equal(len(Homes(members[:1], "m")), 1)
 	is.Equal(len(Homes(nil, "m")), 0)
 }
+
+// slowStore delays listings until release is closed, and counts them.
+type slowStore struct {
+	*memorystore.Store
+	listings atomic.Int32
+	release  chan struct{}
+}
+
+// Range implements keyvalue.Store.
+func (s *slowStore) Range(ctx context.Context, prefix string, c keyvalue.Consistency) (keyvalue.Listing, error) {
+	s.listings.Add(1)
+	select {
+	case <-s.release:
+		return s.Store.Range(ctx, prefix, c)
+	case <-ctx.Done():
+		return keyvalue.Listing{}, ctx.Err()
+	}
+}
+
+// Guards against a batch whose listing takes longer than callers wait, and which is never
+// read because each call begins anew.
+func TestListingOutlivesItsCaller(t *testing.T) {
+	is := is.New(t)
+	c, store := newCoordinator(t, nil)
+	owner := &ledger.Ledger{
+		Store: store,
+		Self:  ledger.Owner{Instance: "other", Incarnation: "1"},
+		Pause: func(time.Duration) {},
+	}
+	_, err := owner.Accept(t.Context(), &submission.Submission{
+		ID:    "b",
+		Items: []submission.Item{{ID: "x", Path: "/x"}},
+	})
+	is.NoErr(err)
+	is.NoErr(c.End(t.Context(), "b"))
+	slow := &slowStore{
+		Store:   store,
+		release: make(chan struct{}),
+	}
+	c.Ledger.Store = slow
+	for range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		_, err = c.Read(ctx, "b", 0, 0)
+		cancel()
+		is.True(problem.Is(err, problem.PlatformDown))
+	}
+	close(slow.release)
+	page, err := c.Read(t.Context(), "b", 0, 0)
+	is.NoErr(err)
+	is.Equal(page.Total, 1)
+	is.Equal(slow.listings.Load(), int32(1))
+}
--- a/internal/batch/coordinator/read.go
+++ b/internal/batch/coordinator/read.go
@@ -119,11 +119,27 @@
 }
 
 // load reads a batch from the ledger, or from the cache of finished batches: a
-// trainer reads page after page, and each would cost a listing.
+// trainer reads page after page, and each would cost a listing. A listing goes on after
+// its caller has given up, and callers that ask meanwhile share it: one of a large batch
+// takes longer than callers wait, and if each of them began anew, none would be answered.
 func (d *Coordinator) load(ctx context.Context, id string) (*ledger.Record, error) {
 	if rec := d.finished.get(id); rec != nil {
 		return rec, nil
 	}
+	loaded := d.loads.DoChan(id, func() (any, error) { return d.loadStored(context.WithoutCancel(ctx), id) })
+	select {
+	case r := <-loaded:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+		return r.Val.(*ledger.Record), nil
+	case <-ctx.Done():
+		return nil, problem.PlatformDown.Withf("batch %s is still being read: %w", id, ctx.Err()).WithRetryAfter(readRetryAfter)
+	}
+}
+
+// loadStored reads a batch from the ledger and keeps it in the cache if it is finished.
+func (d *Coordinator) loadStored(ctx context.Context, id string) (*ledger.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
 	rec, err := d.Ledger.Load(ctx, id)
