weights: engines are divided by need while a step crowds its share

Half of the engines were divided equally among the models, whatever the work. A step with 57 of 90 groups got 0.44 of the engines and ended at twice the time of the others.

While the latest step of a model has more than two items for each slot of its share, the shares are now max-min fair by work per slot, with a floor for the steps that do not crowd their shares. A change is at least one engine and a tenth of a share, and 2 s after the last one. Engines with the version of a step under way stay with it. The state changes only at times that follow from the requested steps, so instances with the same news divide alike. Without a crowded step the division is that of Assign.

--- a/internal/fleet/weights/assignment.go
+++ b/internal/fleet/weights/assignment.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
@@ -24,15 +25,60 @@
 	modelOf map[string]string
 }
 
-// StepRequested records that a step of a model was requested, and its work in tokens.
-func (o *Orderer) StepRequested(model string, tokens int64) {
+// StepRequested records that a step of a model was requested, with its number of items and
+// its work in tokens. All instances are told of each step.
+func (o *Orderer) StepRequested(model string, items int, tokens int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.demand = o.demand.withStep(model, float64(tokens))
+	now := o.Timer.Now()
 	if o.stepRequestedAt == nil {
 		o.stepRequestedAt = make(map[string]timer.Instant)
 	}
-	o.stepRequestedAt[model] = o.Timer.Now()
+	o.stepRequestedAt[model] = now
+	step := Step{
+		Items:       items,
+		Tokens:      float64(tokens),
+		RequestedAt: now,
+	}
+	cfg := o.Config.Current()
+	if cfg == nil {
+		return
+	}
+	for name, service := range cfg.Services {
+		if service.Engine != nil && slices.Contains(service.Engine.Models, model) {
+			d := o.division(name, service.Engine.Models)
+			d.record(model, step, o.demand.shares(d.models), o.capacity(name))
+		}
+	}
+}
+
+// division returns the division of a service, which it creates if the service is new or
+// has other models than before. The caller holds o.mu.
+func (o *Orderer) division(service string, models []string) *division {
+	if o.divisions == nil {
+		o.divisions = make(map[string]*division)
+	}
+	d := o.divisions[service]
+	if d == nil || !slices.Equal(d.models, models) {
+		d = &division{
+			models: slices.Clone(models),
+		}
+		o.divisions[service] = d
+	}
+	return d
+}
+
+// capacity returns the number of listed engines of a service and their slots.
+func (o *Orderer) capacity(service string) Capacity {
+	var c Capacity
+	for _, u := range o.Upstreams.Group(service).Upstreams {
+		if !u.Leaving() {
+			c.Engines++
+			c.Slots += max(1, u.Slots)
+		}
+	}
+	return c
 }
 
 // ModelsByEngine returns the model to which each engine of a service is assigned, by
@@ -62,7 +108,7 @@
 		complete:   complete,
 	}
 	if len(models) > 1 {
-		cached.modelOf = o.assign(service, models)
+		cached.modelOf = o.assign(service, models, now)
 	}
 	if o.assignments == nil {
 		o.assignments = make(map[string]cachedAssignment)
@@ -84,7 +130,7 @@
 }
 
 // assign assigns the listed engines to models. The caller holds o.mu.
-func (o *Orderer) assign(service string, models []string) map[string]string {
+func (o *Orderer) assign(service string, models []string, now timer.Instant) map[string]string {
 	var engines []Engine
 	// Only the instance that gives orders tracks the published versions. Others use
 	// the newest versions that engines have instead.
@@ -105,5 +151,16 @@
 			Versions: versions,
 		})
 	}
-	return Assign(engines, models, latest, o.demand)
+	return o.divide(service, engines, models, latest, now)
+}
+
+// divide assigns engines to models: by need while the step of some model crowds its share,
+// and otherwise by Assign. The caller holds o.mu.
+func (o *Orderer) divide(service string, engines []Engine, models []string, latest map[string]uint64, now timer.Instant) map[string]string {
+	d := o.divisions[service]
+	shares := d.sharesOf(models, now)
+	if shares == nil {
+		return Assign(engines, models, latest, o.demand)
+	}
+	return AssignByNeed(engines, models, latest, shares, d.stepping(now))
 }
--- a/internal/fleet/weights/assignment_test.go
+++ b/internal/fleet/weights/assignment_test.go
@@ -57,7 +57,7 @@
 	assignments := make([]map[string]string, 3)
 	for i := range assignments {
 		o, _ := newTestOrderer()
-		o.StepRequested(fmt.Sprintf("m%d", i), 1000) // each instance knows only of its own step
+		o.StepRequested(fmt.Sprintf("m%d", i), 10, 1000) // each instance knows only of its own step
 		assignments[i] = o.ModelsByEngine("s", false)
 	}
 	is.Equal(setSizes(assignments[0])["m0"]+setSizes(assignments[0])["m1"]+setSizes(assignments[0])["m2"], 50)
@@ -71,10 +71,10 @@
 	is := is.New(t)
 	o, clock := newTestOrderer()
 	is.Equal(len(o.ModelsByEngine("s", true)), 0)
-	o.StepRequested("m0", 1000)
+	o.StepRequested("m0", 10, 1000)
 	clock.Advance(assignmentTTL)
 	is.Equal(len(o.ModelsByEngine("s", true)), 0)
-	o.StepRequested("m1", 3000)
+	o.StepRequested("m1", 10, 3000)
 	clock.Advance(assignmentTTL)
 	sizes := setSizes(o.ModelsByEngine("s", true))
 	is.Equal(sizes["m2"], 0)
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -117,6 +117,8 @@
 	demand Demand
 	// stepRequestedAt holds the time of the last step request of each model.
 	stepRequestedAt map[string]timer.Instant
+	// divisions holds the division by need of each service.
+	divisions map[string]*division
 	// assignments holds the cached assignment of each service.
 	assignments map[string]cachedAssignment
 	// latestAt holds the time at which each version in latest became known.
@@ -239,7 +241,7 @@
 		byID[u.ID] = u
 		engines = append(engines, o.engineView(u, now))
 	}
-	assignment := Assign(engines, models, o.latest, o.demand)
+	assignment := o.divide(service, engines, models, o.latest, now)
 	recent := make(map[string]bool)
 	for model, at := range o.latestAt {
 		recent[model] = now.Sub(at) < placementTime
