runner, schedule: crowded steps borrow free slots of other models

A step that crowds the engines of its model used engines of other models only if they had reported a free slot within a second. Reports come with answers, so an engine that the instance did not use already never had one.

An engine now lends slots once it has had free ones for 300 ms, by reports or by this instance's own counts: to items that are expected to end within a second, all but one slot. Other items get up to half of an engine after a second. An engine gets one item for each report, or one a second without. After a refusal it is not borrowed for 2 s, and refusals of borrowed engines are limited to a twentieth of the sends. Engines of a model whose step crowds its share, or waits at this instance, do not lend without a report until the step has waited for 3.5 s.

--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -42,10 +42,18 @@
 	if b.over() || b.nextReady(now) < 0 {
 		return
 	}
-	candidates := r.availableCandidates(b, now)
-	engines := enginesOf(candidates)
+	usable := r.usableCandidates(b, now)
+	candidates := usable
 	medianPace := r.medianPace(b)
 	b.medianPace = medianPace
+	if b.crowds(usable) {
+		// The model's own engines come first. Items that they can't take are borrowed
+		// for.
+		r.lending.observe(usable, now)
+		candidates = ownCandidates(usable)
+		defer r.borrow(b, usable, medianPace, now)
+	}
+	engines := enginesOf(candidates)
 	for i := b.nextReady(now); i >= 0; i = b.nextReady(now) {
 		t := b.queue[i]
 		need := r.needOf(b, t, medianPace, now)
@@ -77,6 +85,8 @@
 	t.reserved = need.Memory
 	u.Reserve(t.reserved)
 	u.Begin()
+	r.lending.sent()
+	settle := t.loan
 	attempt := Attempt{
 		Batch:         b.sub,
 		Item:          t.item,
@@ -85,7 +95,12 @@
 		OldestVersion: b.sub.OldestVersion,
 		TimeLeft:      b.timeLeft(now),
 		Urgent:        !need.Short() || b.carriedOver[t.item.Group],
-		OnLoadReport:  func(report engine.LoadReport) { u.RecordReport(report, r.Timer.Now()) },
+		OnLoadReport: func(report engine.LoadReport) {
+			u.RecordReport(report, r.Timer.Now())
+			if settle != nil {
+				settle(false, r.Timer.Now())
+			}
+		},
 	}
 	go func() {
 		defer cancel()
@@ -132,6 +147,7 @@
 	now := r.Timer.Now()
 	b.mu.Lock()
 	u.Reserve(-t.reserved)
+	t.settleLoan(err, now)
 	r.recordOutcome(t, u, err, now)
 	t.timings.ran += t.timings.lap(now)
 	if err != nil {
--- a/internal/batch/runner/engines.go
+++ b/internal/batch/runner/engines.go
@@ -13,6 +13,8 @@
 type candidate struct {
 	schedule.Engine
 	u *catalog.Upstream
+	// model is the model that the engine is assigned to, if any.
+	model string
 }
 
 // EngineAssignment tells which engines are assigned to which model while several
@@ -22,6 +24,9 @@
 	// the engine's ID, or nil if every engine serves all models. sure says that by now
 	// this instance knows the current steps of all models.
 	ModelsByEngine(service string, sure bool) map[string]string
+	// CrowdedModels returns the models of a service whose latest step crowds its share of
+	// the engines.
+	CrowdedModels(service string) map[string]bool
 }
 
 // stepPropagationTime is the longest time until all instances know of a new step.
@@ -62,20 +67,38 @@
 
 // availableCandidates returns the engines that can serve the batch now. If the
 // batch has too many items for the engines of its own model, engines of other
-// models are left out unless they are known to have free slots. The caller holds
-// b.mu.
+// models are left out unless they are known to have free slots and may lend one
+// for any item. The caller holds b.mu.
 func (r *Runner) availableCandidates(b *Batch, now timer.Instant) []candidate {
 	candidates := r.usableCandidates(b, now)
+	if !b.crowds(candidates) {
+		return candidates
+	}
+	r.lending.observe(candidates, now)
+	available := ownCandidates(candidates)
+	for _, c := range r.lending.allowed(candidates, r.crowdedModels(b), 0, now) {
+		if c.OpenToCrowdedStep() {
+			available = append(available, c)
+		}
+	}
+	return available
+}
+
+// crowds reports whether the batch has too many items for the engines of its own model.
+// The caller holds b.mu.
+func (b *Batch) crowds(candidates []candidate) bool {
 	own := 0
 	for _, c := range candidates {
 		if !c.OtherModel {
 			own += c.Slots
 		}
 	}
-	if !schedule.CrowdsOwnEngines(b.open, own) {
-		return candidates
-	}
-	return slices.DeleteFunc(candidates, func(c candidate) bool { return !c.OpenToCrowdedStep() })
+	return schedule.CrowdsOwnEngines(b.open, own)
+}
+
+// ownCandidates returns the candidates that are not assigned to another model.
+func ownCandidates(candidates []candidate) []candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return c.OtherModel })
 }
 
 // usableCandidates returns the usable engines whose weights are new enough for
@@ -104,7 +127,8 @@
 				OtherModel:        b.isOtherModel(models[u.ID]),
 				ReportAge:         reportAge(u, now),
 			},
-			u: u,
+			u:     u,
+			model: models[u.ID],
 		})
 	}
 	return candidates
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -75,6 +75,8 @@
 	// of reward calls; both learn from finished items.
 	lengths schedule.Lengths
 	scoring schedule.ScoringTime
+	// lending decides which engines of other models crowded steps use.
+	lending lending
 	tomb    tomb.Tomb
 	// batchStarted wakes watch.
 	batchStarted wake.Signal
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -67,6 +68,9 @@
 	// tokens.
 	reserved int64
 	cancel   context.CancelFunc
+	// loan records whether the engine accepted the attempt, if it is assigned to another
+	// model and the step borrows it; nil otherwise.
+	loan func(refused bool, now timer.Instant)
 	// movedFrom is the engine that the item was last moved away from.
 	movedFrom *catalog.Upstream
 	// attemptStart is when the attempt began, lastEventAt when its last event
@@ -119,6 +123,16 @@
 // tokens.
 func (t *task) memoryNeed() int64 { return int64(t.item.PromptTokens + t.tokens) }
 
+// settleLoan ends the loan of the attempt, if it is one.
+func (t *task) settleLoan(err error, now timer.Instant) {
+	if t.loan == nil {
+		return
+	}
+	var refused *engine.RefusedError
+	t.loan(errors.As(err, &refused), now)
+	t.loan = nil
+}
+
 // addEvent adds an event, and reports false if it is not the next one.
 func (t *task) addEvent(e Event, now timer.Instant) bool {
 	if e.Number != t.lastEvent+1 {
--- a/internal/batch/runner/watch.go
+++ b/internal/batch/runner/watch.go
@@ -48,6 +48,7 @@
 	r.mu.Unlock()
 	// Earlier steps are due earlier, so their work counts first.
 	sort.Slice(list, func(i, j int) bool { return list[i].sub.SubmittedMS < list[j].sub.SubmittedMS })
+	r.lending.forget(now)
 	active := false
 	workByModel := make(map[string]time.Duration)
 	for _, b := range list {
@@ -81,6 +82,9 @@
 		b.giveUp(now)
 	}
 	b.medianPace = r.medianPace(b)
+	if b.nextReady(now) >= 0 {
+		r.lending.recordWaiting(b.sub.Model, now)
+	}
 	workByModel[b.sub.Model] = r.rankQueue(b, workByModel[b.sub.Model], now)
 	r.estimateEnd(b, now)
 	b.releaseReads(now)
--- a/internal/fleet/weights/assignment.go
+++ b/internal/fleet/weights/assignment.go
@@ -117,6 +117,14 @@
 	return cached.modelOf
 }
 
+// CrowdedModels returns the models of a service whose latest step crowds its share of the
+// engines. While at most one model is active no share is crowded.
+func (o *Orderer) CrowdedModels(service string) map[string]bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.divisions[service].crowded(o.Timer.Now())
+}
+
 // activeModels returns the models with a step requested within activeWindow. The caller
 // holds o.mu.
 func (o *Orderer) activeModels(models []string, now timer.Instant) []string {
--- a/internal/fleet/weights/need.go
+++ b/internal/fleet/weights/need.go
@@ -39,6 +39,12 @@
 	return s.Items > 0 && s.Tokens > 0 && now.Sub(s.RequestedAt) < stepMemory
 }
 
+// crowds reports whether the step crowds a number of slots. The lower bound of a share is
+// exactly at the limit, so rounding errors must not count.
+func (s Step) crowds(slots float64) bool {
+	return float64(s.Items) > crowdedItemsPerSlot*slots*(1+roundingTolerance)
+}
+
 // Capacity is the number of engines of a service and the sum of their slots.
 type Capacity struct {
 	Engines, Slots int
@@ -70,7 +76,7 @@
 		work += s.Tokens
 		slots := base[m] * float64(c.Slots)
 		lower[m] = oneEngine
-		if float64(s.Items) > crowdedItemsPerSlot*slots {
+		if s.crowds(slots) {
 			anyCrowded = true
 		} else {
 			needed := float64(s.Items) / crowdedItemsPerSlot / float64(c.Slots)
@@ -272,3 +278,22 @@
 	}
 	return stepping
 }
+
+// crowded returns the models whose latest step crowds its share at a time.
+func (d *division) crowded(now timer.Instant) map[string]bool {
+	crowded := make(map[string]bool)
+	if d == nil {
+		return crowded
+	}
+	d.advance(now)
+	shares := d.shares
+	if shares == nil {
+		shares = d.base
+	}
+	for m, s := range d.steps {
+		if s.known(now) && s.crowds(shares[m]*float64(d.capacity.Slots)) {
+			crowded[m] = true
+		}
+	}
+	return crowded
+}
--- a/internal/fleet/weights/need_test.go
+++ b/internal/fleet/weights/need_test.go
@@ -149,6 +149,8 @@
 			is.Equal(len(got), l.engines)
 		}
 		is.Equal(r.orderer.divisions["s"].changes, 0)
+		is.Equal(len(r.orderer.CrowdedModels("s")), 0)
+		is.Equal(len(r.orderer.CrowdedModels("other")), 0)
 	}
 }
 
@@ -185,6 +187,11 @@
 				is.True(after[i] > 0.9*slices.Max(after))
 			}
 			is.Equal(r.orderer.divisions["s"].changes, 1)
+			crowded := make(map[string]bool)
+			for _, i := range tt.crowded {
+				crowded[tt.load.models()[i]] = true
+			}
+			is.Equal(r.orderer.CrowdedModels("s"), crowded)
 			// When the load is calm again, the division returns to that of Assign.
 			calm := make([]int, len(tt.load.groups))
 			for i := range calm {
@@ -349,7 +356,7 @@
 		shares := NeedShares(models, base, steps, c)
 		if shares == nil {
 			for _, m := range models {
-				if n >= len(models) && steps[m].Tokens > 0 && float64(steps[m].Items) > crowdedItemsPerSlot*base[m]*float64(c.Slots) {
+				if n >= len(models) && steps[m].Tokens > 0 && steps[m].crowds(base[m]*float64(c.Slots)) {
 					t.Fatal("a crowded step moved no shares")
 				}
 			}
