runner, schedule: steps rank their groups by the slots that they can use

A step that did not crowd its own engines ranked its groups as if it had the slots of all engines, also those that crowded steps of other models hold. It did not count as overloaded, and began its longest items first.

While the step of some model crowds its share, a step now counts the slots of its own engines, less those that a recent report shows as taken by other instances, and those that it has or that are reported as free at others.

--- a/internal/batch/runner/rank.go
+++ b/internal/batch/runner/rank.go
@@ -8,6 +8,7 @@
 
 	"github.com/egretbend/egretbend/internal/batch/schedule"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/route/catalog"
 )
 
 // rankInterval is the shortest time between two orderings of the queue of a step.
@@ -93,24 +94,54 @@
 
 // totalSlots returns how many items run at once at the engines that serve the
 // batch, or will when they have loaded the next weights. If the batch has too
-// many items for the engines of its own model, only those count. The caller holds
-// b.mu.
+// many items for the engines of its own model, only those count. While the step of
+// some model crowds its share, only the slots count that the batch can really use:
+// planned with those that other steps hold, no group would be whole in time. The
+// caller holds b.mu.
 func (r *Runner) totalSlots(b *Batch, now timer.Instant) int {
 	all, own := 0, 0
 	models := r.engineModels(b, now)
+	var engines []schedule.StepEngine
+	items := b.itemsByEngine()
 	for _, u := range r.Upstreams.Group(b.service).Upstreams {
 		if u.Usable(now) && u.ModelVersion(b.sub.Model)+1 >= b.sub.OldestVersion {
-			all += max(1, u.Slots)
-			if !b.isOtherModel(models[u.ID]) {
-				own += max(1, u.Slots)
+			slots := max(1, u.Slots)
+			otherModel := b.isOtherModel(models[u.ID])
+			all += slots
+			if !otherModel {
+				own += slots
 			}
+			engines = append(engines, schedule.StepEngine{
+				Slots:      slots,
+				FreeSlots:  u.FreeSlots(now),
+				InFlight:   u.InFlight(),
+				StepItems:  items[u],
+				OtherModel: otherModel,
+				ReportAge:  reportAge(u, now),
+			})
 		}
 	}
-	if schedule.CrowdsOwnEngines(b.open, own) {
+	crowds := schedule.CrowdsOwnEngines(b.open, own)
+	if models != nil && len(r.crowdedModels(b)) > 0 {
+		return schedule.UsableSlots(engines, crowds)
+	}
+	if crowds {
 		return own
 	}
 	return all
 }
 
+// itemsByEngine returns the number of running items of the batch at each engine. The
+// caller holds b.mu.
+func (b *Batch) itemsByEngine() map[*catalog.Upstream]int {
+	items := make(map[*catalog.Upstream]int)
+	for _, t := range b.tasks {
+		if t.phase == running {
+			items[t.upstream]++
+		}
+	}
+	return items
+}
+
 // age returns the time since the batch was submitted.
 func (b *Batch) age(now timer.Instant) time.Duration { return now.Sub(b.submittedAt) }
--- a/internal/batch/runner/rank_test.go
+++ b/internal/batch/runner/rank_test.go
@@ -68,3 +68,36 @@
 	is.Equal(batch.queue[0].item.Group, "large")
 	batch.mu.Unlock()
 }
+
+// Guards against a step that plans its groups with the slots of other models whose steps
+// crowd them: with four slots instead of two it would not count as overloaded, and no group
+// would be whole in time. While no step crowds its share all slots count.
+func TestStepRanksByUsableSlots(t *testing.T) {
+	is := is.New(t)
+	b := newTestBench(t, nil)
+	sub := b.newSubmission("x", "y", "z")
+	batch := newBatch(sub, ledger.Claim{}, nil, nil, nil)
+	batch.route, batch.service = b.route, "s"
+	assignment := fixedAssignment{
+		models: map[string]string{"one": "m", "two": "n"},
+	}
+	totalSlots := func() int {
+		batch.mu.Lock()
+		defer batch.mu.Unlock()
+		return b.runner.totalSlots(batch, b.clock.Now())
+	}
+	is.Equal(totalSlots(), 4)
+	b.runner.EngineAssignment = assignment
+	is.Equal(totalSlots(), 4)
+	assignment.crowded = map[string]bool{"n": true}
+	b.runner.EngineAssignment = assignment
+	is.Equal(totalSlots(), 2)
+	// An item of the step runs at the other model's engine.
+	for _, u := range b.runner.Upstreams.Group("s").Upstreams {
+		if u.ID == "two" {
+			batch.tasks["x"].phase = running
+			batch.tasks["x"].upstream = u
+		}
+	}
+	is.Equal(totalSlots(), 3)
+}
--- a/internal/fleet/weights/need_test.go
+++ b/internal/fleet/weights/need_test.go
@@ -115,11 +115,15 @@
 
 // before returns the assignment for the same inputs without the division by need.
 func (r *divisionReplay) before() map[string]string {
+	return Assign(r.engineList(), r.load.models(), r.latest, r.orderer.demand)
+}
+
+func (r *divisionReplay) engineList() []Engine {
 	var engines []Engine
 	for id, versions := range r.versions {
 		engines = append(engines, newEngine(id, 0, versions))
 	}
-	return Assign(engines, r.load.models(), r.latest, r.orderer.demand)
+	return engines
 }
 
 // ends returns the time of each model's step relative to the time that all work takes on
