weights, runner: log lines and metrics of the division and of lending

A change of the division writes one line, decision=divide, with the share, items, tokens and age of the latest step of each model. A step writes decision=borrow when it begins and stops to borrow. The metrics are egretbend_engine_share by model and egretbend_engines_lent.

A slot that an engine has lent no longer restarts the time for which it has had free slots: in a test with two slots an engine lent one item and then waited 300 ms each time.

An instance that heard no step of a model for 12 s, although its trainer published a version, now divides as before instead of giving the model's engines away.

TestChangesOfDivisionAreLogged and TestBorrowingIsLogged check the lines and metrics, TestOnlyKnownStepsMoveShares the last rule.

--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -79,6 +79,8 @@
 	// can't complete in time; rankedAt is when the queue was last ordered.
 	overloaded bool
 	rankedAt   timer.Instant
+	// borrowed is what the step has borrowed from other models.
+	borrowed borrowed
 	// medianPace is the median time between two events at the engines, as last
 	// looked up.
 	medianPace time.Duration
--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -147,7 +147,7 @@
 	now := r.Timer.Now()
 	b.mu.Lock()
 	u.Reserve(-t.reserved)
-	t.settleLoan(err, now)
+	r.endLoan(b, t, err, now)
 	r.recordOutcome(t, u, err, now)
 	t.timings.ran += t.timings.lap(now)
 	if err != nil {
--- a/internal/batch/runner/lend.go
+++ b/internal/batch/runner/lend.go
@@ -1,12 +1,16 @@
 package runner
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/egretbend/egretbend/internal/batch/schedule"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 )
 
 // lending is the state of lending between the steps of all instances, as known here.
@@ -15,6 +19,8 @@
 	lender schedule.Lender
 	// waitingAt holds, by model, when a step of this instance last had waiting items.
 	waitingAt map[string]timer.Instant
+	// running is the number of items at each engine that lends slots.
+	running map[string]int
 }
 
 // lendingMemory is how long the state of an engine is kept without being used.
@@ -81,6 +87,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lender.Lent(id, now)
+	if l.running == nil {
+		l.running = make(map[string]int)
+	}
+	l.running[id]++
 	var once sync.Once
 	return func(refused bool, now timer.Instant) {
 		once.Do(func() {
@@ -91,6 +101,99 @@
 	}
 }
 
+// end records that an item no longer runs at an engine of another model.
+func (l *lending) end(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running[id]--
+	if l.running[id] <= 0 {
+		delete(l.running, id)
+	}
+}
+
+// engines returns the number of engines that lend slots.
+func (l *lending) engines() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.running)
+}
+
+// borrowed is what a step has borrowed.
+type borrowed struct {
+	// active says that the step borrows, which was logged.
+	active bool
+	// running is the number of its items at engines of other models, total that of all
+	// that were sent there, and refused that of the refused ones, since it began to
+	// borrow.
+	running, total, refused int
+	// usedAt is when an item last began or ended there.
+	usedAt timer.Instant
+}
+
+// borrowedLinger is how long after its last borrowed item a step counts as borrowing. An
+// engine without a recent report gets one item a second.
+const borrowedLinger = 2 * time.Second
+
+// beginLoan records that an attempt begins at an engine of another model. The caller holds
+// b.mu.
+func (r *Runner) beginLoan(b *Batch, t *task, c candidate, now timer.Instant) {
+	t.loan = r.lending.begin(c.u.ID, now)
+	r.Metrics.setLent(r.lending.engines())
+	if !b.borrowed.active {
+		b.borrowed = borrowed{
+			active: true,
+		}
+		r.logBorrowing(b, "began", log.Fields{
+			"upstream": c.u.ID,
+			"owner":    c.model,
+		}, now)
+	}
+	b.borrowed.running++
+	b.borrowed.total++
+	b.borrowed.usedAt = now
+}
+
+// endLoan records the end of an attempt, if it was at an engine of another model. The
+// caller holds b.mu.
+func (r *Runner) endLoan(b *Batch, t *task, err error, now timer.Instant) {
+	if t.loan == nil {
+		return
+	}
+	var refusal *engine.RefusedError
+	refused := errors.As(err, &refusal)
+	t.loan(refused, now)
+	t.loan = nil
+	r.lending.end(t.upstream.ID)
+	r.Metrics.setLent(r.lending.engines())
+	b.borrowed.running--
+	b.borrowed.usedAt = now
+	if refused {
+		b.borrowed.refused++
+	}
+}
+
+// checkBorrowing logs that a step stopped to borrow. The caller holds b.mu.
+func (r *Runner) checkBorrowing(b *Batch, now timer.Instant) {
+	if !b.borrowed.active || !b.over() && b.open > 0 && (b.borrowed.running > 0 || now.Sub(b.borrowed.usedAt) < borrowedLinger) {
+		return
+	}
+	b.borrowed.active = false
+	r.logBorrowing(b, "stopped", log.Fields{
+		"sent":    b.borrowed.total,
+		"refused": b.borrowed.refused,
+	}, now)
+}
+
+// logBorrowing logs that a step began or stopped to borrow. The caller holds b.mu.
+func (r *Runner) logBorrowing(b *Batch, state string, fields log.Fields, now timer.Instant) {
+	fields["request_id"] = b.sub.ID
+	fields["model"] = b.sub.Model
+	fields["state"] = state
+	fields["open"] = b.open
+	fields["age_ms"] = b.age(now).Milliseconds()
+	r.Journal.Decision("borrow", fields)
+}
+
 // crowdedModels returns the models whose latest step crowds its share.
 func (r *Runner) crowdedModels(b *Batch) map[string]bool {
 	if r.EngineAssignment == nil {
@@ -128,7 +231,7 @@
 			usable[j].FreeSlots--
 			usable[j].Reserved += need.Memory
 			b.queue = slices.Delete(b.queue, i, i+1)
-			t.loan = r.lending.begin(u.ID, now)
+			r.beginLoan(b, t, allowed[picked], now)
 			r.startAttempt(b, t, u, need, now)
 		}
 	}
--- a/internal/batch/runner/lend_test.go
+++ b/internal/batch/runner/lend_test.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
@@ -120,6 +125,52 @@
 	is.Equal(b.most, 1)
 }
 
+// Guards against a step whose borrowing can't be seen in the log and the metrics, or is
+// logged for each item.
+func TestBorrowingIsLogged(t *testing.T) {
+	is := is.New(t)
+	b := newTestBench(t, nil)
+	r := b.runner
+	var err error
+	r.Journal, err = journal.Open(io.Discard, "info", "i")
+	is.NoErr(err)
+	r.Metrics = NewMetrics(prometheus.NewRegistry())
+	batch := newBatch(b.newSubmission("x", "y"), ledger.Claim{}, nil, nil, nil)
+	lent := candidate{
+		u:     r.Upstreams.Group("s").Upstreams[0],
+		model: "n",
+	}
+	borrow := func(t *task, now timer.Instant, outcome error) {
+		t.upstream = lent.u
+		r.beginLoan(batch, t, lent, now)
+		is.Equal(testutil.ToFloat64(r.Metrics.lent), 1.0)
+		r.checkBorrowing(batch, now)
+		r.endLoan(batch, t, outcome, now.Add(500*time.Millisecond))
+		is.Equal(testutil.ToFloat64(r.Metrics.lent), 0.0)
+		r.checkBorrowing(batch, now.Add(900*time.Millisecond))
+	}
+	batch.mu.Lock()
+	defer batch.mu.Unlock()
+	now := timer.Instant(time.Hour)
+	borrow(batch.tasks["x"], now, nil)
+	borrow(batch.tasks["y"], now.Add(time.Second), &engine.RefusedError{})
+	r.endLoan(batch, batch.tasks["x"], nil, now) // an attempt at an own engine
+	r.checkBorrowing(batch, now.Add(1500*time.Millisecond+borrowedLinger))
+	r.checkBorrowing(batch, now.Add(time.Minute))
+	records := r.Journal.FindDecisions("b")
+	is.Equal(len(records), 2)
+	is.Equal(records[0].Fields["state"], "began")
+	is.Equal(records[0].Fields["owner"], "n")
+	is.Equal(records[1].Fields["state"], "stopped")
+	is.Equal(records[1].Fields["sent"], "2")
+	is.Equal(records[1].Fields["refused"], "1")
+	// The end of a step ends its borrowing.
+	borrow(batch.tasks["x"], now.Add(time.Minute), nil)
+	batch.ended = true
+	r.checkBorrowing(batch, now.Add(61*time.Second))
+	is.Equal(len(r.Journal.FindDecisions("b")), 4)
+}
+
 // Guards against an engine that is asked for slots again and again after it refused.
 func TestEngineThatRefusesIsNotBorrowedForAWhile(t *testing.T) {
 	is := is.New(t)
--- a/internal/batch/runner/metrics.go
+++ b/internal/batch/runner/metrics.go
@@ -12,6 +12,7 @@
 	attempts *prometheus.CounterVec
 	moves    prometheus.Counter
 	items    prometheus.Histogram
+	lent     prometheus.Gauge
 }
 
 // NewMetrics creates and registers the runner's metrics.
@@ -30,12 +31,16 @@
 			Help: "Streams moved to another engine.",
 		}),
 	}
+	m.lent = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "egretbend_engines_lent",
+		Help: "Engines of other models that run items of this instance's crowded steps.",
+	})
 	m.items = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name:    "egretbend_item_seconds",
 		Help:    "Time from the beginning of a batch to a finished item.",
 		Buckets: prometheus.ExponentialBuckets(0.1, 2, 9),
 	})
-	reg.MustRegister(m.batches, m.attempts, m.moves, m.items)
+	reg.MustRegister(m.batches, m.attempts, m.moves, m.items, m.lent)
 	return m
 }
 
@@ -45,6 +50,12 @@
 	}
 }
 
+func (m *Metrics) setLent(engines int) {
+	if m != nil {
+		m.lent.Set(float64(engines))
+	}
+}
+
 func (m *Metrics) itemMoved() {
 	if m != nil {
 		m.moves.Inc()
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -123,16 +122,6 @@
 // tokens.
 func (t *task) memoryNeed() int64 { return int64(t.item.PromptTokens + t.tokens) }
 
-// settleLoan ends the loan of the attempt, if it is one.
-func (t *task) settleLoan(err error, now timer.Instant) {
-	if t.loan == nil {
-		return
-	}
-	var refused *engine.RefusedError
-	t.loan(errors.As(err, &refused), now)
-	t.loan = nil
-}
-
 // addEvent adds an event, and reports false if it is not the next one.
 func (t *task) addEvent(e Event, now timer.Instant) bool {
 	if e.Number != t.lastEvent+1 {
--- a/internal/batch/runner/watch.go
+++ b/internal/batch/runner/watch.go
@@ -65,6 +65,7 @@
 // model; that of this step is added.
 func (r *Runner) checkBatch(b *Batch, workByModel map[string]time.Duration, now timer.Instant) bool {
 	b.mu.Lock()
+	r.checkBorrowing(b, now)
 	if b.over() || b.open == 0 && len(b.pending) == 0 {
 		b.mu.Unlock()
 		return false
--- a/internal/batch/schedule/lend.go
+++ b/internal/batch/schedule/lend.go
@@ -70,7 +70,7 @@
 // minFreeForShort counts as not free before.
 func (l *Lender) Observe(id string, e Engine, ownerWaits bool, now timer.Instant) {
 	s := l.loanOf(id)
-	free := e.FreeSlots > lendingReserve && !ownerWaits
+	free := e.FreeSlots >= 1 && !ownerWaits
 	if free && (!s.free || now.Sub(s.seenAt) >= minFreeForShort) {
 		s.freeSince = now
 	}
--- a/internal/fleet/weights/assignment.go
+++ b/internal/fleet/weights/assignment.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 )
 
@@ -49,6 +51,7 @@
 		if service.Engine != nil && slices.Contains(service.Engine.Models, model) {
 			d := o.division(name, service.Engine.Models)
 			d.record(model, step, o.demand.shares(d.models), o.capacity(name))
+			o.reportDivision(name, d, now)
 		}
 	}
 }
@@ -61,6 +64,9 @@
 	}
 	d := o.divisions[service]
 	if d == nil || !slices.Equal(d.models, models) {
+		if d != nil {
+			o.Metrics.forget(d.models)
+		}
 		d = &division{
 			models: slices.Clone(models),
 		}
@@ -69,6 +75,27 @@
 	return d
 }
 
+// reportDivision logs a change of a division and sets the metrics. The caller holds o.mu.
+func (o *Orderer) reportDivision(service string, d *division, now timer.Instant) {
+	o.Metrics.setShares(d.present())
+	if d.changes == d.reported {
+		return
+	}
+	d.reported = d.changes
+	reason := "need"
+	if d.shares == nil {
+		reason = "work"
+	}
+	o.Journal.Decision("divide", log.Fields{
+		"service": service,
+		"reason":  reason,
+		"engines": d.capacity.Engines,
+		"slots":   d.capacity.Slots,
+		"models":  d.describe(now),
+		"changes": d.changes,
+	})
+}
+
 // capacity returns the number of listed engines of a service and their slots.
 func (o *Orderer) capacity(service string) Capacity {
 	var c Capacity
@@ -125,6 +152,18 @@
 	return o.divisions[service].crowded(o.Timer.Now())
 }
 
+// missesStep reports whether this instance has heard of no step of a model for stepMemory,
+// although a version of it was published since: its notices don't come through, and its
+// engines must not be given away. The caller holds o.mu.
+func (o *Orderer) missesStep(d *division, now timer.Instant) bool {
+	for m, s := range d.steps {
+		if at, ok := o.latestAt[m]; ok && !s.known(now) && now.Sub(at) < stepMemory {
+			return true
+		}
+	}
+	return false
+}
+
 // activeModels returns the models with a step requested within activeWindow. The caller
 // holds o.mu.
 func (o *Orderer) activeModels(models []string, now timer.Instant) []string {
@@ -167,7 +206,10 @@
 func (o *Orderer) divide(service string, engines []Engine, models []string, latest map[string]uint64, now timer.Instant) map[string]string {
 	d := o.divisions[service]
 	shares := d.sharesOf(models, now)
-	if shares == nil {
+	if d != nil {
+		o.reportDivision(service, d, now)
+	}
+	if shares == nil || o.missesStep(d, now) {
 		return Assign(engines, models, latest, o.demand)
 	}
 	return AssignByNeed(engines, models, latest, shares, d.stepping(now))
--- a/internal/fleet/weights/need.go
+++ b/internal/fleet/weights/need.go
@@ -1,9 +1,11 @@
 package weights
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
@@ -159,6 +161,8 @@
 	// divisionInterval to pass.
 	changes  int
 	deferred bool
+	// reported is the number of changes that were logged.
+	reported int
 }
 
 // record adds a step, with the base shares and the capacity at that time.
@@ -236,16 +240,35 @@
 	if target == nil || d.shares == nil && d.base == nil {
 		return d.shares != nil
 	}
-	present := d.shares
-	if present == nil {
-		present = d.base
-	}
+	present := d.present()
 	return slices.ContainsFunc(d.models, func(m string) bool {
 		change := math.Abs(target[m] - present[m])
 		return change*float64(d.capacity.Engines) >= 1-roundingTolerance && change >= minChange*present[m]-roundingTolerance
 	})
 }
 
+// present returns the shares in force, by need or by Demand.shares.
+func (d *division) present() map[string]float64 {
+	if d.shares != nil {
+		return d.shares
+	}
+	return d.base
+}
+
+// describe returns the share of each model, and the items, the tokens and the age of its
+// latest step, for the log.
+func (d *division) describe(now timer.Instant) string {
+	var list []string
+	for _, m := range d.models {
+		text := fmt.Sprintf("%s:share=%.3f", m, d.present()[m])
+		if s, ok := d.steps[m]; ok {
+			text += fmt.Sprintf(",items=%d,tokens=%.0f,age_ms=%d", s.Items, s.Tokens, now.Sub(s.RequestedAt).Milliseconds())
+		}
+		list = append(list, text)
+	}
+	return strings.Join(list, " ")
+}
+
 // sharesOf returns the shares of a part of the models, which are those by need at a time
 // among them. It returns nil if the engines are divided by Demand.shares.
 func (d *division) sharesOf(models []string, now timer.Instant) map[string]float64 {
@@ -286,10 +309,7 @@
 		return crowded
 	}
 	d.advance(now)
-	shares := d.shares
-	if shares == nil {
-		shares = d.base
-	}
+	shares := d.present()
 	for m, s := range d.steps {
 		if s.known(now) && s.crowds(shares[m]*float64(d.capacity.Slots)) {
 			crowded[m] = true
--- a/internal/fleet/weights/need_test.go
+++ b/internal/fleet/weights/need_test.go
@@ -1,15 +1,20 @@
 package weights
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"pgregory.net/rapid"
 
+	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
@@ -225,6 +230,10 @@
 	r.orderer.StepRequested("m1", 2000, 20_000)
 	r.clock.Advance(5 * time.Second)
 	is.Equal(setSizes(r.orderer.ModelsByEngine("s", false)), map[string]int{"m0": 22, "m1": 21, "m2": 1})
+	// The trainer of m2 publishes a version: it runs, and only its notices are missing.
+	r.orderer.VersionPublished("m2", 2)
+	r.clock.Advance(assignmentTTL)
+	is.Equal(r.orderer.ModelsByEngine("s", false), Assign(r.engineList(), r.load.models(), r.orderer.latest, r.orderer.demand))
 	// No model requests a step.
 	r.clock.Advance(stepMemory)
 	is.Equal(r.orderer.ModelsByEngine("s", false), r.before())
@@ -409,3 +418,35 @@
 		}
 	})
 }
+
+// Guards against a change of the division that can't be seen in the log and the metrics,
+// and against lines without a change.
+func TestChangesOfDivisionAreLogged(t *testing.T) {
+	is := is.New(t)
+	r := newDivisionReplay(fourCrowded)
+	var lines bytes.Buffer
+	var err error
+	r.orderer.Journal, err = journal.Open(&lines, "info", "i")
+	is.NoErr(err)
+	r.orderer.Metrics = NewMetrics(prometheus.NewRegistry())
+	r.round(fourCalm.groups)
+	is.NoErr(r.orderer.Journal.Flush())
+	is.Equal(lines.String(), "")
+	before := testutil.ToFloat64(r.orderer.Metrics.share.WithLabelValues("m2"))
+	for range 3 {
+		r.round(fourCrowded.groups)
+	}
+	is.NoErr(r.orderer.Journal.Flush())
+	t.Log(lines.String())
+	is.Equal(strings.Count(lines.String(), "decision=divide"), r.orderer.divisions["s"].changes)
+	is.True(strings.Contains(lines.String(), "reason=need"))
+	is.True(strings.Contains(lines.String(), "items=456,tokens=570000,age_ms=0"))
+	is.True(testutil.ToFloat64(r.orderer.Metrics.share.WithLabelValues("m2")) > before)
+	// A configuration without a model removes its share.
+	r.orderer.Config.Update(catalog.Configuration{
+		Version:  2,
+		Services: map[string]catalog.Service{"s": {Engine: &catalog.Engine{Models: []string{"m0", "m1"}}}},
+	}.WithIndex())
+	r.orderer.StepRequested("m0", 10, 1000)
+	is.Equal(testutil.CollectAndCount(r.orderer.Metrics.share), 2)
+}
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -108,6 +108,8 @@
 	Engines   Engines
 	Timer     timer.Service
 	Journal   *journal.Journal
+	// Metrics may be nil.
+	Metrics *Metrics
 	// Name is the name of this instance.
 	Name string
 
