--- a/internal/batch/runner/lend_test.go
+++ b/internal/batch/runner/lend_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/batch/schedule"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
@@ -203,3 +204,40 @@
 	is.True(len(b.lentAt) > 0)
 	is.True(b.lentAt[0].Sub(start) >= maxWaitForCrowded)
 }
+
+// Guards against a step that takes the free slots of a model whose own step has waiting
+// items at the same instance.
+func TestWaitingOwnerDoesNotLend(t *testing.T) {
+	is := is.New(t)
+	b := newTestBench(t, nil)
+	batch := newBatch(b.newSubmission("x"), ledger.Claim{}, nil, nil, nil)
+	batch.sub.Model = "n"
+	batch.route, batch.service = b.route, "s"
+	now := timer.Instant(time.Hour)
+	batch.giveUpAt = now.Add(time.Minute)
+	candidates := []candidate{{
+		Engine: schedule.Engine{
+			FreeSlots:  6,
+			Slots:      6,
+			OtherModel: true,
+		},
+		u:     b.runner.Upstreams.Group("s").Upstreams[1],
+		model: "n",
+	}}
+	lending := &b.runner.lending
+	lends := func(after time.Duration) bool {
+		lending.observe(candidates, now.Add(after))
+		return len(lending.allowed(candidates, nil, 500*time.Millisecond, now.Add(after))) > 0
+	}
+	for d := time.Duration(0); d < 300*time.Millisecond; d += checkInterval {
+		is.Equal(lends(d), false)
+	}
+	is.True(lends(300 * time.Millisecond))
+	is.True(b.runner.checkBatch(batch, map[string]time.Duration{}, now.Add(350*time.Millisecond)))
+	is.Equal(lends(400*time.Millisecond), false)
+	// Its last item started: the time begins again.
+	for d := 600 * time.Millisecond; d < 900*time.Millisecond; d += checkInterval {
+		is.Equal(lends(d), false)
+	}
+	is.True(lends(900 * time.Millisecond))
+}
--- a/internal/fleet/weights/need_test.go
+++ b/internal/fleet/weights/need_test.go
@@ -419,6 +419,28 @@
 	})
 }
 
+// Guards against a change that is lost because it came too early after the last one.
+func TestDeferredChangeIsMadeLater(t *testing.T) {
+	is := is.New(t)
+	r := newDivisionReplay(fourCrowded)
+	request := func(groups []int) {
+		for i, m := range r.load.models() {
+			r.orderer.StepRequested(m, groups[i]*8, int64(groups[i])*tokensPerGroup)
+		}
+	}
+	request([]int{12, 18, 57, 3})
+	d := r.orderer.divisions["s"]
+	is.Equal(d.changes, 1)
+	r.clock.Advance(time.Second)
+	request([]int{57, 18, 12, 3})
+	is.Equal(d.changes, 1)
+	is.True(d.shares["m2"] > d.shares["m0"])
+	r.clock.Advance(divisionInterval - time.Second)
+	r.assignment()
+	is.Equal(d.changes, 2)
+	is.True(d.shares["m0"] > d.shares["m2"])
+}
+
 // Guards against a change of the division that can't be seen in the log and the metrics,
 // and against lines without a change.
 func TestChangesOfDivisionAreLogged(t *testing.T) {
