--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -67,6 +67,9 @@
 	// tokens.
 	reserved int64
 	cancel   context.CancelFunc
+	// loan records whether the engine accepted the attempt, if it is assigned to another
+	// model and the step borrows it; nil otherwise.
+	loan func(refused bool, now timer.Instant)
 	// movedFrom is the engine that the item was last moved away from.
 	movedFrom *catalog.Upstream
 	// attemptStart is when the attempt began, lastEventAt when its last event
