--- a/internal/route/crash/reporter.go
+++ b/internal/route/crash/reporter.go
@@ -52,6 +52,16 @@
 	// Consecutive is the number of consecutive upstream crashes during this request if this
 	// upstream crashed: one more than were known when the request was sent to it.
 	Consecutive int
+	// OnResult, if not nil, is called once when it is known whether the upstream crashed,
+	// after Reporter.OnCrash. A cut that is dropped counts as no crash. It must not block.
+	OnResult func(crashed bool)
+}
+
+// finish calls c.OnResult.
+func (c Cut) finish(crashed bool) {
+	if c.OnResult != nil {
+		c.OnResult(crashed)
+	}
 }
 
 // Secret provides the key for fingerprints of requests.
@@ -103,6 +113,7 @@
 		p.waiting = append(p.waiting, c)
 	case p.running:
 		r.Metrics.countDropped()
+		c.finish(false)
 	default:
 		go r.report(c, p.crashed)
 	}
@@ -128,6 +139,7 @@
 	}
 	if len(r.probes) >= maxProbes {
 		r.Metrics.countDropped()
+		c.finish(false)
 		return
 	}
 	p := &probe{
@@ -179,6 +191,7 @@
 
 // report logs and counts one request that was cut off, and calls r.OnCrash if its upstream crashed.
 func (r *Reporter) report(c Cut, crashed bool) {
+	defer c.finish(crashed)
 	r.Metrics.countCut(crashed)
 	fields := log.Fields{
 		"request_id": c.RequestID,
--- a/internal/route/poison/tracker.go
+++ b/internal/route/poison/tracker.go
@@ -42,6 +42,10 @@
 	crashes []*upstreamCrash
 	// cleared maps a request to the time of its last completion.
 	cleared map[fingerprint.Fingerprint]timer.Instant
+	// clearedCrashes maps a crash from which a request was removed to the time of the
+	// removal. A report of the crash by another instance may arrive later with an estimated
+	// time after the completion.
+	clearedCrashes map[crashKey]timer.Instant
 	// blame is derived from crashes; stale marks it as out of date.
 	blame map[fingerprint.Fingerprint]blame
 	stale bool
@@ -55,6 +59,12 @@
 	requests []Crash
 }
 
+// crashKey identifies the crash of one incarnation during one request.
+type crashKey struct {
+	fingerprint fingerprint.Fingerprint
+	incarnation crash.Incarnation
+}
+
 // indexOf returns the index of a request in x.requests, or -1.
 func (x *upstreamCrash) indexOf(p fingerprint.Fingerprint) int {
 	return slices.IndexFunc(x.requests, func(c Crash) bool { return c.Fingerprint == p })
@@ -86,6 +96,17 @@
 	return t.blame[p].total
 }
 
+// Crashes returns the crashes during a request, the oldest first.
+func (t *Tracker) Crashes(p fingerprint.Fingerprint) []Crash {
+	var list []Crash
+	for _, x := range t.crashes {
+		if at := x.indexOf(p); at >= 0 {
+			list = append(list, x.requests[at])
+		}
+	}
+	return list
+}
+
 // Add records a crash and reports whether it was added. A crash is not added if it is known
 // already, in which case only its Consecutive may be raised, if the request was cleared
 // at or after it, or if the upstream crash has maxRequestsPerCrash requests.
@@ -93,6 +114,9 @@
 	if at, ok := t.cleared[c.Fingerprint]; ok && c.At <= at {
 		return false
 	}
+	if _, ok := t.clearedCrashes[crashKey{c.Fingerprint, c.Incarnation}]; ok {
+		return false
+	}
 	at := slices.IndexFunc(t.crashes, func(x *upstreamCrash) bool { return x.incarnation == c.Incarnation })
 	if at < 0 {
 		t.insert(&upstreamCrash{
@@ -147,9 +171,32 @@
 		clear(t.cleared)
 	}
 	t.cleared[p] = max(at, t.cleared[p])
+	for _, x := range t.crashes {
+		if x.at <= at && x.indexOf(p) >= 0 {
+			t.rememberCleared(crashKey{p, x.incarnation}, at)
+		}
+	}
 	return t.remove(p, func(x *upstreamCrash) bool { return x.at <= at })
 }
 
+// rememberCleared records that a crash no longer counts against a request.
+func (t *Tracker) rememberCleared(k crashKey, at timer.Instant) {
+	if t.clearedCrashes == nil {
+		t.clearedCrashes = make(map[crashKey]timer.Instant)
+	}
+	if len(t.clearedCrashes) >= maxCleared {
+		clear(t.clearedCrashes)
+	}
+	t.clearedCrashes[k] = at
+}
+
+// ClearCrash removes a request from the crash of one incarnation, because the request
+// completed on an upstream after it.
+func (t *Tracker) ClearCrash(p fingerprint.Fingerprint, incarnation crash.Incarnation, now timer.Instant) {
+	t.rememberCleared(crashKey{p, incarnation}, now)
+	t.remove(p, func(x *upstreamCrash) bool { return x.incarnation == incarnation })
+}
+
 // remove deletes a request from the matching crashes, and reports whether it was in any.
 func (t *Tracker) remove(p fingerprint.Fingerprint, matches func(x *upstreamCrash) bool) bool {
 	removed := false
@@ -174,6 +221,11 @@
 			delete(t.cleared, p)
 		}
 	}
+	for k, at := range t.clearedCrashes {
+		if now.Sub(at) >= clearedTTL {
+			delete(t.clearedCrashes, k)
+		}
+	}
 	t.updateBlame()
 	removed := false
 	for p, b := range t.blame {
