forward, platform: suspected requests are sent one at a time

Cause: of a request that crashes its upstreams, four to nine sends follow the third crash when several instances send it at the same time.

Change: before a second attempt after a cut, and before any attempt of a request with known crashes, the forwarder waits for the probe of the cut (at most 100 ms) and takes a claim. A suspected request is not hedged.

--- a/internal/route/forward/dispatch.go
+++ b/internal/route/forward/dispatch.go
@@ -52,6 +52,7 @@
 	// cutAttempts counts the attempts that were cut off.
 	verdict     poison.Verdict
 	cutAttempts int
+	claims      claimState
 	// winner is the upstream whose answer is returned.
 	winner *catalog.Upstream
 	// lastErr is the error of the attempt that ended last.
@@ -67,7 +68,7 @@
 // answered, can't be retried, has timed out or ctx has ended.
 func (d *dispatch) runAttempts(ctx context.Context) (*Answer, error) {
 	defer d.cancelOthers(nil)
-	if err := d.startAttempt(ctx); err != nil {
+	if err := d.startClaimedAttempt(ctx); err != nil {
 		return nil, err
 	}
 	deadlineTimer := d.f.Timer.Once(d.deadline.Sub(d.f.Timer.Now()))
@@ -137,7 +138,7 @@
 		}
 		return true, nil, d.finalError(nil)
 	}
-	if err := d.startAttempt(ctx); err != nil {
+	if err := d.startClaimedAttempt(ctx); err != nil {
 		if r.answer != nil {
 			return true, r.answer, nil
 		}
@@ -167,7 +168,7 @@
 // flight.
 func (d *dispatch) mayHedge() bool {
 	return d.inFlight == 1 && d.req.Route.Repeatable() && d.req.Route.Kind != catalog.Streaming &&
-		d.verdict.MayRetry(d.cutAttempts, d.inFlight) && d.mayRetry()
+		d.verdict.MayRetry(d.cutAttempts, d.inFlight) && d.mayRetry() && !d.serialOnly()
 }
 
 // possibleRuns returns how many attempts may have run or may still run.
--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -90,6 +90,9 @@
 	CrashReporter CrashReporter
 	// PoisonDetector detects poison requests; nil disables the detection.
 	PoisonDetector PoisonDetector
+	// CrashClaims serialises the attempts of suspected requests over all instances; nil does
+	// not serialise them. It needs CrashReporter and PoisonDetector.
+	CrashClaims CrashClaims
 }
 
 // CrashReporter is told about attempts whose connection was lost before the answer was
@@ -107,6 +110,16 @@
 	RecordAnswer(digest func() fingerprint.Digest)
 }
 
+// CrashClaims lets one instance at a time send a request that is suspected of crashing
+// upstreams.
+type CrashClaims interface {
+	// Acquire returns how a request may be sent to one more upstream. It may wait for a
+	// fraction of the time left.
+	Acquire(ctx context.Context, req poison.ClaimRequest) poison.ClaimResult
+	// Publish tells other instances of the crashes during a request that is not sent again.
+	Publish(ctx context.Context, req poison.ClaimRequest)
+}
+
 // UsageCounter counts requests by organisation.
 type UsageCounter interface {
 	// RequestStarted counts a request that is sent to an upstream; undo reverts the count.
--- a/internal/route/forward/poison.go
+++ b/internal/route/forward/poison.go
@@ -34,6 +34,7 @@
 	if answer != nil {
 		d.f.PoisonDetector.RecordAnswer(digest)
 	}
+	d.endClaim(answer != nil)
 	return answer, err
 }
 
@@ -44,14 +45,18 @@
 	if d.f.CrashReporter == nil {
 		return
 	}
-	d.f.CrashReporter.ReportCutOff(crash.Cut{
+	c := crash.Cut{
 		RequestID:   d.req.ID,
 		Incarnation: crash.IncarnationOf(u.ID, u.Incarnation),
 		Address:     u.Address,
 		Digest:      d.req.digest(),
 		At:          d.f.Timer.Now(),
 		Consecutive: d.verdict.Crashes + d.cutAttempts,
-	})
+	}
+	if d.f.CrashClaims != nil {
+		c.OnResult = d.claims.expectResult()
+	}
+	d.f.CrashReporter.ReportCutOff(c)
 }
 
 // trackedStream wraps a streaming answer and reports how the stream ends: at its end the
@@ -77,5 +82,15 @@
 	case s.ctx.Err() == nil:
 		s.dispatch.reportCut(s.dispatch.winner)
 	}
+	s.dispatch.endClaim(errors.Is(err, io.EOF))
 	return n, err
 }
+
+// Close implements io.Closer. A stream that the caller leaves ends its claim, too.
+func (s *trackedStream) Close() error {
+	if !s.ended {
+		s.ended = true
+		s.dispatch.endClaim(false)
+	}
+	return s.ReadCloser.Close()
+}
