crashnotice: claims over a store that is away, slow or loses responses

Cause: a commit whose response is lost and that met another claim counted as a failure of the store, so that the request was sent beside the other claim.

Change: a claim without a response is read back: it is held, another instance's, or given up by revoking its lease. Waiting instances poll with doubling pauses, as all instances may wait for one claim.

--- a/internal/fleet/crashnotice/claim_store.go
+++ b/internal/fleet/crashnotice/claim_store.go
@@ -21,23 +21,24 @@
 		return c.withoutClaim(h, req, started, nil)
 	}
 	var item keyvalue.Item
+	poll := minClaimPoll
 	for range maxClaimSteps {
-		current, ok := c.read(h, item)
-		if !ok {
-			break
+		current, err := c.read(h, item)
+		if err != nil {
+			return c.withoutClaim(h, req, started, err)
 		}
 		v := c.Board.verdictOf(h.fingerprint)
-		left := deadline.Sub(c.Timer.Now())
-		var err error
 		switch nextStep(current, c.Instance, v, req.Ran) {
 		case stepStop:
 			c.release(h)
 			return c.decideStop(req, v, started)
 		case stepWait:
-			if left <= 0 || !timer.Wait(c.Timer, min(left, claimPollInterval), ctx.Done()) {
+			left := deadline.Sub(c.Timer.Now())
+			if left <= 0 || !timer.Wait(c.Timer, min(left, poll), ctx.Done()) {
 				c.release(h)
 				return c.decide("held", req, v, poison.Refused, started)
 			}
+			poll = min(2*poll, maxClaimPoll)
 			item, err = c.get(ctx, h, deadline)
 		case stepTake:
 			item, err = c.write(ctx, h, item, true, deadline)
@@ -82,18 +83,18 @@
 }
 
 // read applies the value of a claim's key to the board and returns it. An item without a
-// revision has the zero value. ok is false if the value can't be decoded.
-func (c *Claimer) read(h *claim, item keyvalue.Item) (v claimValue, ok bool) {
+// revision has the zero value.
+func (c *Claimer) read(h *claim, item keyvalue.Item) (claimValue, error) {
 	if item.Revision == 0 {
-		return claimValue{}, true
+		return claimValue{}, nil
 	}
 	v, err := decodeClaim(item.Value)
 	if err != nil {
-		return claimValue{}, false
+		return claimValue{}, err
 	}
 	h.cleared = v.Cleared
 	c.Board.applyClaim(h.fingerprint, v)
-	return v, true
+	return v, nil
 }
 
 // key returns the key of the claim.
@@ -143,29 +144,38 @@
 		return err
 	})
 	if errors.Is(err, keyvalue.ErrOutcomeUnknown) {
-		revision, err = c.confirm(ctx, h, lease, deadline, err)
+		revision, err = c.confirm(ctx, h, item.Revision, lease, deadline, err)
+		if err != nil {
+			// The write may still take effect. Without its lease it can't.
+			go c.revoke(lease)
+		}
 	}
 	var conflict *keyvalue.ConflictError
 	if errors.As(err, &conflict) {
 		return conflict.Item(h.key()), err
 	}
 	if err != nil {
-		// The write may still take effect. Without its lease it can't.
-		go c.revoke(lease)
 		return keyvalue.Item{}, err
 	}
 	h.lease, h.revision = lease, revision
 	return keyvalue.Item{}, nil
 }
 
-// confirm reads whether a write without a response took effect. Otherwise it returns lost,
-// the error of the write.
-func (c *Claimer) confirm(ctx context.Context, h *claim, lease uint64, deadline timer.Instant, lost error) (uint64, error) {
+// confirm reads whether a write without a response took effect. It returns a
+// *keyvalue.ConflictError if another write did, and lost, the error of the write, if it is
+// not known.
+func (c *Claimer) confirm(ctx context.Context, h *claim, expect, lease uint64, deadline timer.Instant, lost error) (uint64, error) {
 	item, err := c.get(ctx, h, deadline)
-	if err == nil && item.Lease == lease {
-		return item.Revision, nil
+	switch {
+	case err != nil, item.Revision == expect:
+		return 0, lost
+	case item.Lease != lease:
+		err = &keyvalue.ConflictError{Items: []keyvalue.Item{item}}
 	}
-	return 0, lost
+	c.mu.Lock()
+	c.awayUntil = 0
+	c.mu.Unlock()
+	return item.Revision, err
 }
 
 // transaction returns the transaction that writes the claim in place of a revision.
@@ -196,13 +206,13 @@
 		}
 	}()
 	err := f(callCtx)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case err == nil, errors.Is(err, keyvalue.ErrConflict), errors.Is(err, keyvalue.ErrNotFound), errors.Is(err, keyvalue.ErrLeaseGone):
-		c.awayUntil = 0
-	case ctx.Err() == nil && (callCtx.Err() == nil || timeout == claimCallTimeout):
+	if err == nil || errors.Is(err, keyvalue.ErrConflict) || errors.Is(err, keyvalue.ErrNotFound) || errors.Is(err, keyvalue.ErrLeaseGone) {
+		return err
+	}
+	if ctx.Err() == nil && (callCtx.Err() == nil || timeout == claimCallTimeout) {
+		c.mu.Lock()
 		c.awayUntil = c.Timer.Now().Add(claimAwayTime)
+		c.mu.Unlock()
 	}
 	return err
 }
--- a/internal/fleet/crashnotice/claimer.go
+++ b/internal/fleet/crashnotice/claimer.go
@@ -29,8 +29,10 @@
 	// claim.
 	maxClaimWait   = 300 * time.Millisecond
 	claimWaitShare = 3
-	// claimPollInterval is the time between two reads of a claim that another instance holds.
-	claimPollInterval = 20 * time.Millisecond
+	// minClaimPoll is the time between the first two reads of a claim that another instance
+	// holds. It doubles up to maxClaimPoll, as all instances may wait for one claim.
+	minClaimPoll = 10 * time.Millisecond
+	maxClaimPoll = 80 * time.Millisecond
 	// maxClaimSteps bounds the calls for one claim when other instances keep taking it.
 	maxClaimSteps = 40
 	// claimCallTimeout bounds one call of the store, which responds within some
@@ -132,8 +134,8 @@
 	}
 	var item keyvalue.Item
 	for range maxClaimSteps {
-		current, ok := c.read(mine, item)
-		if !ok || current.Held && current.Instance != c.Instance {
+		current, err := c.read(mine, item)
+		if err != nil || current.Held && current.Instance != c.Instance {
 			return
 		}
 		next, err := c.write(ctx, mine, item, false, c.Timer.Now().Add(maxClaimWait))
