poison: second attempts are judged by serial crashes

Cause: a request that stood beside three crashes at different instances got no second attempt, as all known crashes counted (one of 180 random overlaps refused a popular request).

Change: only crashes one after the other count, as in MayRetry. The number of sends after the third crash is unchanged: quarantine begins at four in a row.

--- a/internal/route/poison/claim.go
+++ b/internal/route/poison/claim.go
@@ -54,7 +54,7 @@
 	switch {
 	case !v.Suspected():
 		return Unrestricted
-	case v.Quarantined(), ran && v.TotalCrashes >= singleAttemptFrom:
+	case v.Quarantined(), ran && !v.MayRetry(0, 0):
 		return Refused
 	}
 	return Serial
