--- a/internal/route/crash/reporter_test.go
+++ b/internal/route/crash/reporter_test.go
@@ -10,11 +10,13 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/route/fingerprint"
 )
 
 // fixedSecret implements Secret with a constant.
@@ -112,3 +114,39 @@
 	is.NoErr(ln.Close())
 	is.True(errors.Is(dialTCP(t.Context(), address), syscall.ECONNREFUSED))
 }
+
+// Guards against a caller that waits for the result of a check that is not made, or that
+// is told of a crash before OnCrash has recorded it.
+func TestEachCutHasOneResult(t *testing.T) {
+	is := is.New(t)
+	var results, recorded atomic.Int32
+	release := make(chan struct{})
+	r := newReporter(func(context.Context, string) error {
+		<-release
+		return syscall.ECONNREFUSED
+	})
+	r.OnCrash = func(Cut, fingerprint.Fingerprint) log.Fields {
+		recorded.Add(1)
+		return nil
+	}
+	crashed := make(chan bool, maxWaitingCuts+3)
+	for range maxWaitingCuts + 3 {
+		r.ReportCutOff(Cut{
+			Incarnation: "u/1",
+			OnResult: func(c bool) {
+				if c && results.Add(1) > recorded.Load() {
+					t.Error("the result precedes OnCrash")
+				}
+				crashed <- c
+			},
+		})
+	}
+	close(release)
+	dropped := 0
+	for range maxWaitingCuts + 3 {
+		if !<-crashed {
+			dropped++
+		}
+	}
+	is.Equal(dropped, 3)
+}
