--- a/internal/fleet/crashnotice/replay_test.go
+++ b/internal/fleet/crashnotice/replay_test.go
@@ -8,12 +8,10 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
-	"testing"
 	"testing/synctest"
 	"time"
 
 	"gopkg.in/tomb.v2"
-	"pgregory.net/rapid"
 
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
@@ -23,7 +21,6 @@
 	"github.com/egretbend/egretbend/internal/route/crash"
 	"github.com/egretbend/egretbend/internal/route/forward"
 	"github.com/egretbend/egretbend/internal/standin/memorystore"
-	"github.com/egretbend/egretbend/internal/standin/property"
 )
 
 // Prefixes of the keys of a replay, and the body of the request that crashes upstreams.
@@ -51,13 +48,38 @@
 	callers sync.WaitGroup
 	running int
 
+	// downtime is the time until a crashed upstream is replaced; zero means never.
+	downtime time.Duration
+
 	mu        sync.Mutex
-	upstreams map[string]chan struct{} // closed by the crash of the upstream
-	// crashes counts the crashes by the deadly request, late its sends after the third one.
-	crashes, late int
-	results       []replayResult
-	seen          map[string]uint64
-	inbox         []delivery
+	upstreams map[string]*replayUpstream
+	deadly    map[string]*deadlyCount
+	results   []replayResult
+	seen      map[string]uint64
+	inbox     []delivery
+}
+
+// replayUpstream is an upstream; crashed is closed by its crash.
+type replayUpstream struct {
+	entry    catalog.Entry
+	crashed  chan struct{}
+	inFlight int
+	replace  timer.Instant // zero while it runs
+}
+
+// deadlyCount counts the crashes by a deadly request. late counts its sends after the third
+// one, and lateKnown those later than the delay of changes after it.
+type deadlyCount struct {
+	crashes, late, lateKnown int
+	third                    timer.Instant
+}
+
+// count returns the counts of a deadly request. r.mu must be held.
+func (r *replay) count(body string) *deadlyCount {
+	if r.deadly[body] == nil {
+		r.deadly[body] = &deadlyCount{}
+	}
+	return r.deadly[body]
 }
 
 // replayResult is the result of one call.
@@ -68,24 +90,27 @@
 	runs int
 }
 
-// newReplay returns a fleet with n instances; serial turns the claims on.
-func newReplay(n, upstreamCount int, serial bool) *replay {
+// newReplay returns a fleet with n instances and a number of upstreams with slots each;
+// serial turns the claims on.
+func newReplay(n, upstreamCount, slots int, serial bool) *replay {
 	r := &replay{
 		clock:     &timer.Manual{},
 		delay:     500 * time.Millisecond,
-		upstreams: map[string]chan struct{}{},
+		upstreams: map[string]*replayUpstream{},
+		deadly:    map[string]*deadlyCount{},
 		seen:      map[string]uint64{},
 	}
 	r.clock.Advance(time.Hour)
 	r.store = &memorystore.Store{Timer: r.clock}
+	var entries []catalog.Entry
+	for u := range upstreamCount {
+		id := fmt.Sprint("u", u)
+		e := catalog.Entry{ID: id, Service: "s", Address: id, Slots: slots}
+		entries = append(entries, e)
+		r.upstreams[id] = &replayUpstream{entry: e, crashed: make(chan struct{})}
+	}
 	for i := range n {
 		upstreams := &catalog.Upstreams{Timer: r.clock}
-		var entries []catalog.Entry
-		for u := range upstreamCount {
-			id := fmt.Sprint("u", u)
-			entries = append(entries, catalog.Entry{ID: id, Service: "s", Address: id, Slots: 4})
-			r.upstreams[id] = make(chan struct{})
-		}
 		upstreams.Update(entries, nil)
 		key := fmt.Sprint(replayPrefix, "crashes/", i)
 		b := &Board{
@@ -116,52 +141,82 @@
 func (r *replay) dial(_ context.Context, id string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	select {
-	case <-r.upstreams[id]:
+	if r.upstreams[id].replace != 0 {
 		return syscall.ECONNREFUSED
-	default:
-		return nil
 	}
+	return nil
 }
 
 // runsKey is the context key of the number of runs of a call.
 type runsKey struct{}
 
-// Send implements forward.Sender. The deadly request crashes its upstream, for good.
-func (r *replay) Send(ctx context.Context, u *catalog.Upstream, req forward.Request, _ time.Duration) (*forward.Answer, error) {
-	if r.dial(ctx, u.ID) != nil {
+// Send implements forward.Sender. A deadly request crashes its upstream.
+func (r *replay) Send(ctx context.Context, to *catalog.Upstream, req forward.Request, _ time.Duration) (*forward.Answer, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u, body := r.upstreams[to.ID], string(req.Body)
+	switch {
+	case u.replace != 0, uint64(u.entry.Born) != to.Incarnation:
 		return nil, engine.ErrNotSent
+	case u.inFlight >= u.entry.Slots:
+		return nil, &engine.RefusedError{}
 	}
 	ctx.Value(runsKey{}).(*atomic.Int32).Add(1)
-	r.mu.Lock()
-	crashed := r.upstreams[u.ID]
-	if string(req.Body) == deadly && r.crashes >= 3 {
-		r.late++
+	isDeadly := strings.HasPrefix(body, deadly)
+	if c := r.count(body); isDeadly && c.crashes >= 3 {
+		c.late++
+		if r.clock.Now().Sub(c.third) > r.delay+coalesceDelay {
+			c.lateKnown++
+		}
 	}
+	u.inFlight++
+	crashed := u.crashed
 	r.mu.Unlock()
 	sub := r.clock.Once(runTime)
 	defer sub.Close()
+	var err error
 	select {
 	case <-crashed:
-		return nil, engine.ErrConnectionLost
+		err = engine.ErrConnectionLost
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		err = ctx.Err()
 	case <-sub.C:
 	}
-	if string(req.Body) != deadly {
+	r.mu.Lock()
+	u.inFlight--
+	switch {
+	case err != nil:
+		return nil, err
+	case !isDeadly:
 		return &forward.Answer{Status: http.StatusOK}, nil
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	select {
-	case <-crashed:
-	default:
-		r.crashes++
+	if u.crashed == crashed && u.replace == 0 {
+		c := r.count(body)
+		if c.crashes++; c.crashes == 3 {
+			c.third = r.clock.Now()
+		}
+		u.replace = r.clock.Now().Add(max(r.downtime, 1))
 		close(crashed)
 	}
 	return nil, engine.ErrConnectionLost
 }
 
+// replaceCrashed starts new incarnations of the upstreams that crashed.
+func (r *replay) replaceCrashed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, u := range r.upstreams {
+		if r.downtime == 0 || u.replace == 0 || r.clock.Now() < u.replace {
+			continue
+		}
+		u.entry.Born++
+		u.crashed, u.replace = make(chan struct{}), 0
+		for _, f := range r.senders {
+			f.Upstreams.Update([]catalog.Entry{u.entry}, nil)
+		}
+	}
+}
+
 // call lets a caller send a request to an instance at a time after the start.
 func (r *replay) call(at time.Duration, instance int, body string) {
 	r.running++
@@ -196,6 +251,7 @@
 		}
 		r.clock.Advance(time.Millisecond)
 		r.deliver()
+		r.replaceCrashed()
 	}
 	r.callers.Wait()
 	_ = r.tomb.Wait()
@@ -233,121 +289,3 @@
 	}
 }
 
-// overlap is one scenario: when the deadly request arrives where.
-type overlap struct {
-	at       time.Duration
-	instance int
-}
-
-const ms = time.Millisecond
-
-// overlaps holds the time line of the measurements and volleys of several callers.
-var overlaps = map[string][]overlap{
-	"time line":     {{0, 0}, {270 * ms, 1}, {1200 * ms, 2}, {1400 * ms, 3}, {3000 * ms, 4}, {3200 * ms, 5}, {6000 * ms, 0}},
-	"three at once": {{0, 0}, {10 * ms, 1}, {20 * ms, 2}, {1200 * ms, 3}, {1400 * ms, 4}, {1410 * ms, 5}, {3000 * ms, 0}, {5000 * ms, 1}},
-	"five at once":  {{0, 0}, {0, 1}, {0, 2}, {0, 3}, {0, 4}, {1200 * ms, 0}, {1200 * ms, 1}, {1200 * ms, 2}, {2500 * ms, 3}, {4000 * ms, 4}, {6000 * ms, 5}},
-	"one instance":  {{0, 0}, {0, 0}, {10 * ms, 0}, {100 * ms, 0}, {200 * ms, 0}, {1200 * ms, 1}, {1200 * ms, 2}},
-}
-
-// replayOverlap replays a scenario and returns the fleet. The popular request arrives at
-// each of the given times, too.
-func replayOverlap(t *testing.T, calls, popular []overlap, serial bool) (r *replay) {
-	synctest.Test(t, func(*testing.T) {
-		r = newReplay(6, 24, serial)
-		for _, c := range calls {
-			r.call(c.at, c.instance, deadly)
-		}
-		for _, c := range popular {
-			r.call(c.at, c.instance, "popular")
-		}
-		r.run()
-	})
-	return r
-}
-
-// Guards against a request that crashes one upstream after the other because several
-// instances send it at the same time, each without knowing of the others. Without claims
-// the same calls must crash more.
-func TestOverlappingSendsAreSerialised(t *testing.T) {
-	worst := 0
-	for name, calls := range overlaps {
-		r := replayOverlap(t, calls, nil, true)
-		t.Logf("%s: %d crashes, %d sends after the third", name, r.crashes, r.late)
-		if r.late > 3 {
-			t.Errorf("%s: %d sends after the third crash", name, r.late)
-		}
-		r.checkOutcomes(t.Errorf)
-		old := replayOverlap(t, calls, nil, false)
-		t.Logf("%s without claims: %d crashes, %d sends after the third", name, old.crashes, old.late)
-		worst = max(worst, old.late)
-	}
-	if worst <= 3 {
-		t.Errorf("without claims there were at most %d sends after the third crash", worst)
-	}
-}
-
-// Guards against innocent requests that are refused or held because an identical one
-// stood beside a crash at the same upstream.
-func TestBystandersAreServed(t *testing.T) {
-	synctest.Test(t, func(*testing.T) {
-		r := newReplay(6, 6, true)
-		for i := range 60 {
-			r.call(time.Duration(i%7)*ms, i%6, "popular")
-		}
-		for i := range 12 {
-			r.call(time.Duration(i)*ms, i%6, fmt.Sprint("plain", i))
-		}
-		r.call(0, 0, deadly)
-		r.run()
-		for _, result := range r.results {
-			// Both attempts of a request may stand beside a crash.
-			if result.body != deadly && (result.err != nil && result.runs < 2 || result.took > 400*ms) {
-				t.Errorf("%s took %s with %d runs: %v", result.body, result.took, result.runs, result.err)
-			}
-		}
-		r.checkOutcomes(t.Errorf)
-		if r.crashes < 2 || r.store.CallCount(memorystore.Commit) < 4 {
-			t.Errorf("%d crashes and %d commits: no claim was contended", r.crashes, r.store.CallCount(memorystore.Commit))
-		}
-	})
-}
-
-// checkOverlaps returns the property that a deadly request is sent at most three times
-// after its third crash when it arrives up to six times at once, and later after the
-// delay of notices. Popular requests must be served unless both their attempts were cut.
-func checkOverlaps(t *testing.T, serial bool) func(*rapid.T) {
-	calls := func(first, last time.Duration, most int) *rapid.Generator[[]overlap] {
-		return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) overlap {
-			return overlap{
-				at:       ms * time.Duration(rapid.IntRange(int(first/ms), int(last/ms)).Draw(t, "at")),
-				instance: rapid.IntRange(0, 5).Draw(t, "instance"),
-			}
-		}), 1, most)
-	}
-	return func(rt *rapid.T) {
-		volley := calls(0, runTime-5*ms, 6).Draw(rt, "volley")
-		later := calls(800*ms, 3*time.Second, 12).Draw(rt, "later")
-		popular := calls(0, 1200*ms, 60).Draw(rt, "popular")
-		r := replayOverlap(t, append(volley, later...), popular, serial)
-		if r.late > 3 {
-			rt.Fatalf("%d sends after the third crash", r.late)
-		}
-		r.checkOutcomes(rt.Fatalf)
-		for _, result := range r.results {
-			if result.body != deadly && result.err != nil && result.runs < 2 {
-				rt.Fatalf("popular request refused after %d runs: %v", result.runs, result.err)
-			}
-		}
-	}
-}
-
-// Guards against interleavings in which more sends follow the third crash, or in which
-// requests beside the deadly one are refused.
-func TestRandomOverlapsAreSerialised(t *testing.T) {
-	property.CheckN(t, 60, checkOverlaps(t, true))
-}
-
-// Guards against a property that holds for another reason than the claims.
-func TestRandomOverlapsNeedClaims(t *testing.T) {
-	property.CheckFails(t, checkOverlaps(t, false))
-}
