crashnotice, docs: claims in the log and on the design page

Change: each decision on a claim is one log line with its reason and is counted, published claims too.

--- a/internal/fleet/crashnotice/claim_store.go
+++ b/internal/fleet/crashnotice/claim_store.go
@@ -17,8 +17,8 @@
 // take takes a reserved claim in the store, waiting until the deadline while another
 // instance holds it. It ends the reservation if it fails.
 func (c *Claimer) take(ctx context.Context, h *claim, req poison.ClaimRequest, started, deadline timer.Instant) poison.ClaimResult {
-	if !c.mayClaim() {
-		return c.withoutClaim(h, req, started, nil)
+	if err := c.mayClaim(); err != nil {
+		return c.withoutClaim(h, req, started, err)
 	}
 	var item keyvalue.Item
 	poll := minClaimPoll
@@ -36,7 +36,7 @@
 			left := deadline.Sub(c.Timer.Now())
 			if left <= 0 || !timer.Wait(c.Timer, min(left, poll), ctx.Done()) {
 				c.release(h)
-				return c.decide("held", req, v, poison.Refused, started)
+				return c.decide("held", req, v, poison.Refused, started, nil)
 			}
 			poll = min(2*poll, maxClaimPoll)
 			item, err = c.get(ctx, h, deadline)
@@ -70,16 +70,10 @@
 }
 
 // withoutClaim ends the reservation and returns how a request may be sent without a claim.
-// err is nil if the store was not called.
 func (c *Claimer) withoutClaim(h *claim, req poison.ClaimRequest, started timer.Instant, err error) poison.ClaimResult {
 	c.release(h)
-	if err != nil {
-		c.Journal.Warn("cannot claim a suspected request", err, log.Fields{
-			"request_id": req.RequestID,
-		})
-	}
 	v := c.Board.verdictOf(h.fingerprint)
-	return c.decide("degraded", req, v, v.PermitWithoutClaim(req.Ran), started)
+	return c.decide("degraded", req, v, v.PermitWithoutClaim(req.Ran), started, err)
 }
 
 // read applies the value of a claim's key to the board and returns it. An item without a
--- a/internal/fleet/crashnotice/claimer.go
+++ b/internal/fleet/crashnotice/claimer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -103,7 +104,7 @@
 	for {
 		mine, other := c.reserve(f, req.RequestID)
 		if other != nil && !c.waitFor(ctx, other.done, deadline) {
-			return c.decide("held", req, c.Board.verdictOf(f), poison.Refused, started)
+			return c.decide("held", req, c.Board.verdictOf(f), poison.Refused, started, nil)
 		}
 		v = c.Board.verdictOf(f)
 		if p := v.Permit(req.Ran); p != poison.Serial {
@@ -129,7 +130,7 @@
 		return
 	}
 	defer c.release(mine)
-	if !c.mayClaim() {
+	if c.mayClaim() != nil {
 		return
 	}
 	var item keyvalue.Item
@@ -139,6 +140,9 @@
 			return
 		}
 		next, err := c.write(ctx, mine, item, false, c.Timer.Now().Add(maxClaimWait))
+		if err == nil {
+			c.log("published", req.RequestID, c.Board.verdictOf(v.Fingerprint), log.Fields{})
+		}
 		if err == nil || next.Revision == 0 {
 			return
 		}
@@ -221,22 +225,28 @@
 	return false
 }
 
-// mayClaim reports whether the store is expected to respond and the budget allows one more
-// claim, and takes the claim from the budget.
-func (c *Claimer) mayClaim() bool {
+// Reasons for not calling the store.
+var (
+	errStoreAway   = errors.New("a call of the key-value service failed a moment ago")
+	errBudgetSpent = errors.New("the claims of this instance have reached their limit")
+)
+
+// mayClaim takes one claim from the budget. It returns an error if the budget is spent or
+// the store is not expected to respond.
+func (c *Claimer) mayClaim() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Timer.Now()
 	if now < c.awayUntil {
-		return false
+		return errStoreAway
 	}
 	c.spent = max(0, c.spent-now.Sub(c.spentAt).Seconds()*claimsPerSecond)
 	c.spentAt = now
 	if c.spent > claimBurst-1 {
-		return false
+		return errBudgetSpent
 	}
 	c.spent++
-	return true
+	return nil
 }
 
 // decideStop returns the result for a request that is not suspected or must not be sent.
@@ -245,14 +255,20 @@
 		c.Metrics.count("cleared")
 		return poison.ClaimResult{Permission: p}
 	}
-	return c.decide("refused", req, v, poison.Refused, started)
+	return c.decide("refused", req, v, poison.Refused, started, nil)
 }
 
-// decide logs and counts a decision and returns it without a claim.
-func (c *Claimer) decide(outcome string, req poison.ClaimRequest, v poison.Verdict, p poison.Permission, started timer.Instant) poison.ClaimResult {
-	c.log(outcome, req.RequestID, v, log.Fields{
+// decide logs and counts a decision and returns it without a claim. err is the reason why
+// no claim can be taken, or nil.
+func (c *Claimer) decide(outcome string, req poison.ClaimRequest, v poison.Verdict, p poison.Permission, started timer.Instant, err error) poison.ClaimResult {
+	fields := log.Fields{
 		"waited_ms": c.Timer.Now().Sub(started).Milliseconds(),
-	})
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+		fields["sent_once"] = p == poison.Once
+	}
+	c.log(outcome, req.RequestID, v, fields)
 	return poison.ClaimResult{
 		Permission: p,
 		Verdict:    v,
--- a/internal/fleet/crashnotice/doc.go
+++ b/internal/fleet/crashnotice/doc.go
@@ -21,4 +21,19 @@
 // by Board.Apply. A key expires some minutes after its last renewal, so that its notices
 // outlive the instance. A crash is not published if another upstream answers the request
 // soon after.
+//
+// A Claimer lets one instance at a time send a request that is suspected:
+//
+//	result := claimer.Acquire(ctx, poison.ClaimRequest{
+//		RequestID: id,
+//		Digest:    digest,
+//		TimeLeft:  left,
+//	})
+//	if result.Claim != nil {
+//		defer result.Claim.End(answered)
+//	}
+//
+// A claim is a key of the key-value service under a short lease. Its value passes on the
+// crashes to the instance that claims the request next, and to all instances by
+// Claimer.Apply.
 package crashnotice
--- a/internal/fleet/crashnotice/replay_test.go
+++ b/internal/fleet/crashnotice/replay_test.go
@@ -288,4 +288,3 @@
 		}
 	}
 }
-
