crashnotice: overlaps while the store fails

Guards against requests that are held, or reported as not run although they ran, while calls of the store fail or lose their responses at random.

--- a/internal/fleet/crashnotice/overlap_test.go
+++ b/internal/fleet/crashnotice/overlap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -131,3 +132,29 @@
 func TestRandomOverlapsNeedClaims(t *testing.T) {
 	property.CheckFails(t, checkOverlaps(t, false))
 }
+
+// Guards against requests that are held or reported as not run although they ran, while
+// calls of the store fail at random or their responses are lost.
+func TestOverlapsWithFailingStore(t *testing.T) {
+	for seed := range uint64(6) {
+		synctest.Test(t, func(*testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			r := newReplay(6, 24, 16, true)
+			faults := []memorystore.Fault{memorystore.None, memorystore.Down, memorystore.LostBefore, memorystore.LostAfter}
+			r.store.Fault = func(memorystore.Operation) memorystore.Fault { return faults[rng.IntN(len(faults))] }
+			for i := range 30 {
+				r.call(time.Duration(rng.IntN(2000))*ms, i%6, deadly)
+				r.call(time.Duration(rng.IntN(2000))*ms, i%6, "popular")
+			}
+			r.run()
+			r.checkOutcomes(t.Errorf)
+			for _, result := range r.results {
+				// The most is a run, a wait for the claim, and another run.
+				if result.took > maxClaimWait+2*runTime+10*ms {
+					t.Errorf("seed %d: %s was held for %s: %v", seed, result.body, result.took, result.err)
+				}
+			}
+			t.Logf("seed %d: %d crashes, %d sends after the third", seed, r.count(deadly).crashes, r.count(deadly).late)
+		})
+	}
+}
