admission: gate of a service for plain requests and reward calls

Cause: a request that upstreams refuse is sent up to six times without a pause, and each reward call retries on its own every 100 ms. When the texts of a step end together, most sends are refused.

Change: each instance has a gate per service with an adaptive window, a bounded queue, classes and early refusal. The forwarder passes it before the first attempt, and again after a pause when an attempt was refused; reward calls wait in it in the order in which their steps are due. Hedging needs room at the gate. Without a gate the forwarder behaves as before.

--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -302,5 +302,13 @@
 	return list
 }
 
+// dueAt returns when the results of the batch are due.
+func (b *Batch) dueAt() timer.Instant {
+	if b.route.ResultDeadline <= 0 {
+		return b.giveUpAt
+	}
+	return b.submittedAt.Add(b.route.ResultDeadline)
+}
+
 // timeLeft returns the time until unfinished items are given up.
 func (b *Batch) timeLeft(now timer.Instant) time.Duration { return b.giveUpAt.Sub(now) }
--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -234,7 +234,7 @@
 	score := ""
 	if t.item.Reward != nil {
 		var err error
-		score, err = r.Scorer.Score(b.ctx, t.item.Reward)
+		score, err = r.Scorer.Score(b.ctx, t.item.Reward, b.dueAt())
 		if err != nil {
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- a/internal/batch/runner/reward.go
+++ b/internal/batch/runner/reward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/route/admission"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/forward"
 )
@@ -31,8 +33,9 @@
 }
 
 // Score implements Scorer. It repeats the call until it succeeds, or until upstreams
-// have failed it as often as its route allows.
-func (s *RewardScorer) Score(ctx context.Context, reward *submission.Reward) (string, error) {
+// have failed it as often as its route allows. A call that upstreams refuse waits at the
+// gate of its service, which sends it again when there is room.
+func (s *RewardScorer) Score(ctx context.Context, reward *submission.Reward, due timer.Instant) (string, error) {
 	failures := 0
 	for {
 		attempts, pause := 1, rewardRetryPause
@@ -45,6 +48,8 @@
 				Host:   reward.Host,
 				Body:   reward.Body,
 				Route:  route,
+				Class:  admission.Reward,
+				Due:    due,
 			})
 			if err == nil && answer.Status < http.StatusMultipleChoices {
 				return answer.Signature, nil
@@ -52,6 +57,10 @@
 			if err == nil {
 				failures += answer.Failures
 			}
+			var refused *engine.RefusedError
+			if s.Forwarder.Admission != nil && errors.As(err, &refused) && ctx.Err() == nil {
+				continue // the gate pauses after a refusal
+			}
 			if problem.Is(err, problem.Quarantined) {
 				pause = quarantineRetryPause
 			}
--- /dev/null
+++ b/internal/route/admission/service.go
@@ -0,0 +1,247 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/route/retry"
+	"github.com/egretbend/egretbend/internal/route/upstream"
+)
+
+const (
+	// boundInterval is how often the load reports of a service are added up.
+	boundInterval = 100 * time.Millisecond
+	// maxReportAge is the age up to which a load report bounds the windows.
+	maxReportAge = time.Second
+)
+
+// RefusalError is returned for a request that the gate refused. The request was not sent.
+type RefusalError struct{ Refusal }
+
+// Error implements error.
+func (e *RefusalError) Error() string {
+	return fmt.Sprintf("admission: %s, %d waiting, window %.1f, expected wait %s", e.Reason, e.Waiting, e.Refusal.Window, e.ExpectedWait)
+}
+
+// Gates holds the Service of each service. Timer must be set; Metrics may be nil.
+type Gates struct {
+	Timer   timer.Service
+	Metrics *Metrics
+
+	mu       sync.RWMutex
+	services map[string]*Service
+}
+
+// Service returns the gate of a service with the given upstreams.
+func (g *Gates) Service(name string, set *upstream.Set) *Service {
+	g.mu.RLock()
+	s := g.services[name]
+	g.mu.RUnlock()
+	if s == nil {
+		s = g.create(name)
+	}
+	if s.set.Load() != set {
+		s.setUpstreams(set)
+	}
+	return s
+}
+
+func (g *Gates) create(name string) *Service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.services[name]; s != nil {
+		return s
+	}
+	if g.services == nil {
+		g.services = make(map[string]*Service)
+	}
+	s := &Service{
+		timer:   g.Timer,
+		metrics: g.Metrics.forService(name),
+		gate: Gate{
+			Random: rand.Float64,
+		},
+	}
+	g.services[name] = s
+	return s
+}
+
+// all calls visit with each service.
+func (g *Gates) all(visit func(name string, s *Service)) {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for name, s := range g.services {
+		visit(name, s)
+	}
+}
+
+// Service is the gate of one service. Its methods may be called concurrently.
+type Service struct {
+	timer   timer.Service
+	metrics serviceMetrics
+	set     atomic.Pointer[upstream.Set]
+	// retries is the budget for sends that follow a refusal.
+	retries retry.Budget
+
+	mu      sync.Mutex
+	gate    Gate
+	boundAt timer.Instant
+	// wakeScheduled says that a goroutine waits for the end of a pause.
+	wakeScheduled bool
+}
+
+// setUpstreams updates the slots after the list of upstreams has changed.
+func (s *Service) setUpstreams(set *upstream.Set) {
+	slots := 0
+	for _, u := range set.Upstreams {
+		slots += max(1, u.Slots)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set.Store(set)
+	s.gate.SetCapacity(float64(slots))
+	s.startWaiting(s.timer.Now())
+}
+
+// Acquire waits until the request may be sent, and counts it as in flight until Release. It
+// returns a *RefusalError if the request can't be served in time, or the error of ctx.
+func (s *Service) Acquire(ctx context.Context, r Request) error {
+	now := s.timer.Now()
+	s.mu.Lock()
+	s.updateBound(r.Class, now)
+	if s.gate.Admit(r.Class, now) {
+		s.mu.Unlock()
+		return nil
+	}
+	w := &Waiter{
+		Request: r,
+		started: make(chan struct{}),
+	}
+	refusal, queued := s.gate.Enqueue(w, now)
+	if !queued {
+		s.mu.Unlock()
+		s.metrics.refused(r.Class, refusal.Reason)
+		return &RefusalError{refusal}
+	}
+	s.startWaiting(now)
+	s.mu.Unlock()
+	return s.wait(ctx, w)
+}
+
+// wait waits until a queued request may be sent.
+func (s *Service) wait(ctx context.Context, w *Waiter) error {
+	var expired <-chan timer.Instant
+	if w.Request.Deadline != 0 {
+		sub := s.timer.Once(w.Expires.Sub(w.Since))
+		defer sub.Close()
+		expired = sub.C
+	}
+	select {
+	case <-w.started:
+		s.metrics.waited(w.Request.Class, s.timer.Now().Sub(w.Since))
+		return nil
+	case <-expired:
+	case <-ctx.Done():
+	}
+	now := s.timer.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-w.started:
+		// It was started at the same moment.
+		if ctx.Err() == nil {
+			return nil
+		}
+		s.gate.Finish(w.Request.Class, Ended, Timing{}, Report{}, now)
+		s.startWaiting(now)
+		return ctx.Err()
+	default:
+	}
+	if err := ctx.Err(); err != nil {
+		s.gate.Withdraw(w)
+		s.startWaiting(now)
+		return err
+	}
+	refusal := s.gate.Expire(w, now)
+	s.startWaiting(now)
+	s.metrics.refused(w.Request.Class, refusal.Reason)
+	return &RefusalError{refusal}
+}
+
+// AcquireHedge admits an additional send only while there is room.
+func (s *Service) AcquireHedge(class Class) bool {
+	now := s.timer.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.AdmitHedge(class, now)
+}
+
+// Enter counts a send that replaces one that was not refused.
+func (s *Service) Enter(class Class) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.Enter(class)
+}
+
+// WithdrawRetry takes a send after a refusal from the budget of the service and reports
+// whether one was left.
+func (s *Service) WithdrawRetry() bool { return s.retries.Withdraw() }
+
+// Release ends a send that was in flight. load is the report in the answer, if any.
+func (s *Service) Release(class Class, result Result, timing Timing, load *engine.LoadReport) {
+	if result == Answered {
+		s.retries.Deposit(RetryShare)
+	}
+	var report Report
+	if load != nil {
+		report = Report{
+			Known:   true,
+			Waiting: load.Waiting,
+			Slots:   load.Slots,
+		}
+	}
+	now := s.timer.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.updateBound(class, now)
+	s.gate.Finish(class, result, timing, report, now)
+	s.startWaiting(now)
+}
+
+// startWaiting starts the requests that may be sent now. The caller holds s.mu.
+func (s *Service) startWaiting(now timer.Instant) {
+	for {
+		w := s.gate.Next(now)
+		if w == nil {
+			break
+		}
+		close(w.started)
+	}
+	at, needed := s.gate.WakeAt(now)
+	if !needed || s.wakeScheduled {
+		return
+	}
+	s.wakeScheduled = true
+	go func() {
+		timer.Wait(s.timer, at.Sub(now), nil)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.wakeScheduled = false
+		s.startWaiting(s.timer.Now())
+	}()
+}
+
+// updateBound adds up recent load reports, if the gate may need them. The caller holds s.mu.
+func (s *Service) updateBound(class Class, now timer.Instant) {
+	if class == Interactive && !s.gate.refusedLately(now) || s.boundAt != 0 && now.Sub(s.boundAt) < boundInterval {
+		return
+	}
+	s.boundAt = now
+	s.gate.SetBound(s.set.Load().SlotsLeft(now, maxReportAge))
+}
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -107,6 +107,7 @@
 	go func() {
 		for range pending {
 			r := <-d.results
+			d.leaveGate(r, true)
 			if winner != nil && r.took > slowAttemptFactor*winner.took {
 				r.u.Failed(d.f.Timer.Now())
 				continue
--- a/internal/route/forward/dispatch.go
+++ b/internal/route/forward/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/route/admission"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/poison"
 	"github.com/egretbend/egretbend/internal/route/policy"
@@ -30,9 +31,12 @@
 // dispatch is the state of one request while it is forwarded. Attempts run in goroutines
 // of their own, which send their results to results.
 type dispatch struct {
-	f        *Forwarder
-	req      Request
-	group    *catalog.Group
+	f       *Forwarder
+	req     Request
+	service string
+	group   *catalog.Group
+	// gate is the admission control of the service; nil if there is none.
+	gate     *admission.Service
 	started  timer.Instant
 	deadline timer.Instant
 	results  chan attemptResult
@@ -43,6 +47,8 @@
 	sent     int
 	notRun   int
 	inFlight int
+	// refused counts the attempts that upstreams refused.
+	refused int
 	// failures counts the answers with status 500. Running out of time does not count
 	// as a failure of the upstream.
 	failures int
@@ -67,7 +73,7 @@
 // answered, can't be retried, has timed out or ctx has ended.
 func (d *dispatch) runAttempts(ctx context.Context) (*Answer, error) {
 	defer d.cancelOthers(nil)
-	if err := d.startAttempt(ctx); err != nil {
+	if err := d.startFirst(ctx); err != nil {
 		return nil, err
 	}
 	deadlineTimer := d.f.Timer.Once(d.deadline.Sub(d.f.Timer.Now()))
@@ -83,7 +89,7 @@
 		case <-hedgeTimer.C:
 			hedgeTimer.Close()
 			if d.mayHedge() {
-				_ = d.startAttempt(ctx)
+				d.startHedge(ctx)
 			}
 			hedgeTimer = d.f.Timer.Once(d.hedgeDelay())
 		case <-deadlineTimer.C:
@@ -137,7 +143,7 @@
 		}
 		return true, nil, d.finalError(nil)
 	}
-	if err := d.startAttempt(ctx); err != nil {
+	if err := d.startNext(ctx, r.err); err != nil {
 		if r.answer != nil {
 			return true, r.answer, nil
 		}
@@ -197,6 +203,7 @@
 	default:
 		r.u.Failed(now)
 	}
+	d.leaveGate(r, false)
 	d.f.Metrics.attempt(r)
 }
 
@@ -226,7 +233,7 @@
 		return problem.UpstreamFailed.Withf("after %d attempts: %w", d.sent, d.lastErr)
 	}
 	if d.lastErr != nil {
-		return problem.UpstreamRefused.Withf("after %d attempts: %w", d.sent, d.lastErr).WithRetryAfter(retryAfterRefused)
+		return problem.UpstreamRefused.Withf("after %d attempts: %w", d.sent, d.lastErr).WithRetryAfter(retryAfter(startErr))
 	}
 	return startErr
 }
--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -10,6 +10,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/route/admission"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/crash"
 	"github.com/egretbend/egretbend/internal/route/fingerprint"
@@ -30,8 +31,14 @@
 	// Organisation is the organisation on whose behalf the request is made; it may
 	// be empty.
 	Organisation string
+	// OrganisationPriority is the rank of the organisation; 0 is the highest.
+	OrganisationPriority int
 	// Deadline is when the caller stops waiting; zero if unknown.
 	Deadline time.Time
+	// Class is the class of the request at the gate of its service.
+	Class admission.Class
+	// Due orders reward calls: it is when their step is due.
+	Due timer.Instant
 }
 
 // digest returns the digest that identifies the request when it is sent again.
@@ -90,6 +97,8 @@
 	CrashReporter CrashReporter
 	// PoisonDetector detects poison requests; nil disables the detection.
 	PoisonDetector PoisonDetector
+	// Admission holds the gates of the services; nil admits every request at once.
+	Admission *admission.Gates
 }
 
 // CrashReporter is told about attempts whose connection was lost before the answer was
@@ -121,11 +130,13 @@
 	d := &dispatch{
 		f:        f,
 		req:      req,
+		service:  service,
 		group:    f.Upstreams.Group(service),
 		started:  now,
 		deadline: now.Add(timeoutFor(req, time.Now())),
 		results:  make(chan attemptResult, policy.MaxTried),
 	}
+	d.gate = f.gateOf(d)
 	answer, err := d.runUnlessQuarantined(ctx)
 	d.logOutcome(service, answer, err)
 	return answer, err
--- /dev/null
+++ b/internal/route/forward/gate.go
@@ -0,0 +1,191 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/route/admission"
+)
+
+// startFirst starts the first attempt once the gate of the service admits it.
+func (d *dispatch) startFirst(ctx context.Context) error {
+	if err := d.passGate(ctx); err != nil {
+		return err
+	}
+	return d.startAdmitted(ctx)
+}
+
+// startHedge starts a second attempt while the first is in flight, if the gate has room.
+func (d *dispatch) startHedge(ctx context.Context) {
+	if d.gate != nil && !d.gate.AcquireHedge(d.req.Class) {
+		return
+	}
+	_ = d.startAdmitted(ctx)
+}
+
+// startNext starts an attempt after one that ended with err. After a refusal, it waits for a
+// pause and passes the gate again, unless the request was refused too often, the retry budget of
+// the service is spent or not enough time is left. A refused reward call returns to its caller,
+// which has no deadline and sends it through the gate again.
+func (d *dispatch) startNext(ctx context.Context, err error) error {
+	if d.gate == nil {
+		return d.startAttempt(ctx)
+	}
+	if !isRefusal(err) {
+		d.gate.Enter(d.req.Class)
+		return d.startAdmitted(ctx)
+	}
+	d.refused++
+	pause := admission.Pause(d.refused, rand.Float64())
+	timeLeft := d.deadline.Sub(d.f.Timer.Now()) - minTimeLeft
+	if d.req.Class != admission.Interactive || d.refused >= admission.MaxRefusedSends || pause >= timeLeft || !d.gate.WithdrawRetry() {
+		return problem.UpstreamRefused.Withf("refused %d times", d.refused).
+			WithRetryAfter(admission.Jitter(retryAfterRefused, rand.Float64()))
+	}
+	if !timer.Wait(d.f.Timer, pause, ctx.Done()) {
+		return problem.UpstreamTimeout.Withf("the caller cancelled the request: %w", ctx.Err())
+	}
+	if err := d.passGate(ctx); err != nil {
+		return err
+	}
+	return d.startAdmitted(ctx)
+}
+
+// startAdmitted starts an attempt that the gate has admitted.
+func (d *dispatch) startAdmitted(ctx context.Context) error {
+	err := d.startAttempt(ctx)
+	if err != nil && d.gate != nil {
+		d.gate.Release(d.req.Class, admission.Ended, admission.Timing{}, nil)
+	}
+	return err
+}
+
+// passGate waits until the gate of the service admits an attempt. A request that the gate
+// refuses is logged and did not run.
+func (d *dispatch) passGate(ctx context.Context) error {
+	if d.gate == nil {
+		return nil
+	}
+	r := admission.Request{
+		ID:                   d.req.ID,
+		Class:                d.req.Class,
+		Organisation:         d.req.Organisation,
+		OrganisationPriority: d.req.OrganisationPriority,
+		RoutePriority:        d.req.Route.Priority,
+		Deadline:             d.deadline,
+	}
+	if r.Class == admission.Reward {
+		// The wait of a reward call does not count towards the time limit of its route.
+		r.Deadline, r.Due = 0, d.req.Due
+		defer func() { d.deadline = d.f.Timer.Now().Add(d.deadline.Sub(d.started)) }()
+	}
+	err := d.gate.Acquire(ctx, r)
+	var refusal *admission.RefusalError
+	switch {
+	case err == nil:
+		return nil
+	case !errors.As(err, &refusal):
+		return problem.UpstreamTimeout.Withf("the caller cancelled the request: %w", err).WithOutcome(problem.NotRun)
+	}
+	d.f.Journal.Decision("refuse", log.Fields{
+		"request_id":       d.req.ID,
+		"service":          d.service,
+		"organisation":     d.req.Organisation,
+		"class":            r.Class.String(),
+		"reason":           refusal.Reason,
+		"waiting":          refusal.Waiting,
+		"window":           refusal.Refusal.Window,
+		"expected_wait_ms": refusal.ExpectedWait.Milliseconds(),
+		"retry_after_ms":   refusal.RetryAfter.Milliseconds(),
+	})
+	return problem.Overloaded.With(refusal).WithRetryAfter(refusal.RetryAfter)
+}
+
+// leaveGate tells the gate how an attempt ended. The answer of an upstream that is still
+// streaming occupies it until the stream is closed; unused is set if nobody reads it.
+func (d *dispatch) leaveGate(r attemptResult, unused bool) {
+	if d.gate == nil {
+		return
+	}
+	result := admission.Ended
+	switch {
+	case isRefusal(r.err):
+		result = admission.Refused
+	case r.err == nil && r.answer.Status < http.StatusInternalServerError:
+		result = admission.Answered
+	}
+	timing := admission.Timing{
+		Answer:   r.took,
+		Occupied: r.took,
+	}
+	if r.answer == nil {
+		d.gate.Release(d.req.Class, result, timing, nil)
+		return
+	}
+	if r.answer.Stream == nil || unused || result != admission.Answered {
+		d.gate.Release(d.req.Class, result, timing, r.answer.Load)
+		return
+	}
+	startedAt := d.f.Timer.Now().Add(-r.took)
+	r.answer.Stream = &admittedStream{
+		ReadCloser: r.answer.Stream,
+		release: sync.OnceFunc(func() {
+			timing.Occupied = d.f.Timer.Now().Sub(startedAt)
+			d.gate.Release(d.req.Class, result, timing, nil)
+		}),
+	}
+}
+
+func isRefusal(err error) bool {
+	var refused *engine.RefusedError
+	return errors.As(err, &refused)
+}
+
+// admittedStream is a streaming answer that leaves the gate when it ends or is closed.
+type admittedStream struct {
+	io.ReadCloser
+	release func()
+}
+
+// Read implements io.Reader.
+func (s *admittedStream) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	if err != nil {
+		s.release()
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (s *admittedStream) Close() error {
+	defer s.release()
+	return s.ReadCloser.Close()
+}
+
+// gateOf returns the gate of a service, or nil if there is none or the service has no
+// upstreams, in which case there is nothing to wait for.
+func (f *Forwarder) gateOf(d *dispatch) *admission.Service {
+	if f.Admission == nil || len(d.group.Upstreams) == 0 {
+		return nil
+	}
+	return f.Admission.Service(d.service, d.group.Set)
+}
+
+// retryAfter returns when a caller whose request upstreams refused may retry. err is why no
+// other attempt was started, if any.
+func retryAfter(err error) time.Duration {
+	if after := problem.From(err).RetryAfter; after > 0 {
+		return after
+	}
+	return retryAfterRefused
+}
--- a/internal/route/upstream/set.go
+++ b/internal/route/upstream/set.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -185,6 +186,29 @@
 	return slots, others
 }
 
+// SlotsLeft returns how many slots of the usable upstreams other instances leave to this one,
+// by reports that are younger than maxAge, or 0 if there is no such report. It is at least one
+// otherwise. Upstreams without such a report count with all their slots.
+func (s *Set) SlotsLeft(now timer.Instant, maxAge time.Duration) float64 {
+	left, known := 0.0, false
+	for _, u := range s.Upstreams {
+		if !u.Usable(now) {
+			continue
+		}
+		report := u.report.Load()
+		if report == nil || now.Sub(report.receivedAt) >= maxAge {
+			left += float64(max(1, u.Slots))
+			continue
+		}
+		known = true
+		left += max(0, float64(u.effectiveSlots(report))-u.othersLoad(report, now))
+	}
+	if !known {
+		return 0
+	}
+	return max(1, left)
+}
+
 // DetectOutliers updates the slowness of the upstreams and limits how many are ejected.
 func (s *Set) DetectOutliers(now timer.Instant) {
 	s.comparePaces()
