--- a/internal/route/admission/gate.go
+++ b/internal/route/admission/gate.go
@@ -83,6 +83,7 @@
 
 // Refusal is why and how a request was refused.
 type Refusal struct {
+	// Reason is empty if the request was not refused.
 	Reason       string
 	Waiting      int
 	Window       float64
@@ -117,6 +118,11 @@
 	// answers, for each decreaseInterval since the last decrease. With 0.3 and a decrease by
 	// 0.6, 11% of the sends of TestStorm were refused in one of four seeds.
 	lowIncrease = 0.2
+	// refusedTarget is the share of refused sends above which the window of the lower classes
+	// grows more slowly, and refusedWeight the weight of one send in that share. Without it,
+	// 10% of the sends of TestStorm were refused at upstreams that queue two requests.
+	refusedTarget = 0.02
+	refusedWeight = 0.02
 	// maxWindowFactor bounds the window to this multiple of the slots. Upstreams may queue
 	// more requests than they have slots.
 	maxWindowFactor = 4
@@ -189,6 +195,9 @@
 	// counts those in a row.
 	pausedUntil timer.Instant
 	refusals    int
+	// refusedShare is the smoothed share of the sends of the lower classes that upstreams
+	// refuse.
+	refusedShare float64
 
 	// seed, refused and refusedNext hold the recently refused requests.
 	seed        maphash.Seed
@@ -275,8 +284,8 @@
 	return float64(g.inFlight[Reward]+g.inFlight[Background]+1) <= g.Window(class, now)
 }
 
-// recover restores the starting windows once no upstream has refused for forgetAfter.
-func (g *Gate) recover(now timer.Instant) {
+// restore returns to the starting windows once no upstream has refused for forgetAfter.
+func (g *Gate) restore(now timer.Instant) {
 	if g.refusedEver && now.Sub(g.lastRefusal) >= forgetAfter {
 		g.refusedEver = false
 		g.interactive = window{size: max(g.interactive.size, g.slots)}
@@ -287,7 +296,7 @@
 
 // Admit admits a request if it need not wait, and counts it as in flight.
 func (g *Gate) Admit(class Class, now timer.Instant) bool {
-	g.recover(now)
+	g.restore(now)
 	for c := range class + 1 {
 		if g.queues[c].length > 0 {
 			return false
@@ -318,8 +327,9 @@
 	return g.Admit(class, now)
 }
 
-// Enqueue lets w wait, or refuses it if it can't be answered in time or too many wait.
-func (g *Gate) Enqueue(w *Waiter, now timer.Instant) (Refusal, bool) {
+// Enqueue lets w wait, or sets w.Refusal if it can't be answered in time or too many wait. It
+// returns another waiter that is refused in favour of w, if any.
+func (g *Gate) Enqueue(w *Waiter, now timer.Instant) (evicted *Waiter) {
 	r := &w.Request
 	if r.Class == Interactive {
 		g.recordContention(now)
@@ -332,16 +342,53 @@
 		run := time.Duration(g.answerTime[r.Class])
 		w.Expires = r.Deadline.Add(-run)
 		if now.Add(wait) > w.Expires {
-			return g.refuse(r, ReasonDeadline, wait, now), false
+			w.Refusal = g.refuse(r, ReasonDeadline, wait, now)
+			return nil
 		}
 	}
 	if r.Class != Reward && g.queues[Interactive].length+g.queues[Background].length >= maxWaiting {
-		return g.refuse(r, ReasonQueueFull, wait, now), false
+		evicted = g.evict(r)
+		if evicted == nil {
+			w.Refusal = g.refuse(r, ReasonQueueFull, wait, now)
+			return nil
+		}
+		evicted.Refusal = g.refuse(&evicted.Request, ReasonQueueFull, g.expectedWait(&evicted.Request, now), now)
 	}
 	g.sequence++
 	w.sequence = g.sequence
 	g.queues[r.Class].push(w, g.wasRefused(r, now))
-	return Refusal{}, true
+	return evicted
+}
+
+// evict removes and returns a waiter in favour of a request: one of a worse rank, or the last one
+// of the organisation that has the most waiting for its weight, so that a single organisation
+// can't fill the queue. It returns nil if the request itself is the one to refuse.
+func (g *Gate) evict(r *Request) *Waiter {
+	q := &g.queues[Background]
+	if q.length == 0 {
+		q = &g.queues[Interactive]
+	}
+	worst := q.levels[len(q.levels)-1]
+	longest := worst.longest()
+	if q == &g.queues[r.Class] {
+		switch c := compareRanks(r.rank(), worst.rank); {
+		case c > 0:
+			return nil
+		case c == 0:
+			own := 1
+			if f := worst.byName[r.Organisation]; f != nil {
+				own += len(f.waiters)
+			}
+			if float64(own)/max(minWeight, r.weight()) >= longest.perWeight() {
+				return nil
+			}
+		}
+	} else if r.Class > Interactive {
+		return nil
+	}
+	w := longest.latest()
+	q.remove(w)
+	return w
 }
 
 // expectedWait returns the expected time until a new request of this kind starts, or 0 while
@@ -417,13 +464,13 @@
 	return nil
 }
 
-// Expire removes a waiter whose wait is over and returns its refusal.
-func (g *Gate) Expire(w *Waiter, now timer.Instant) Refusal {
+// Expire refuses a waiter whose wait is over.
+func (g *Gate) Expire(w *Waiter, now timer.Instant) {
 	g.Withdraw(w)
 	if w.Request.Class == Interactive {
 		g.recordContention(now)
 	}
-	return g.refuse(&w.Request, ReasonDeadline, g.expectedWait(&w.Request, now), now)
+	w.Refusal = g.refuse(&w.Request, ReasonDeadline, g.expectedWait(&w.Request, now), now)
 }
 
 // Withdraw removes a waiter, if it still waits.
@@ -462,6 +509,13 @@
 // Finish ends a send that was in flight.
 func (g *Gate) Finish(class Class, result Result, timing Timing, report Report, now timer.Instant) {
 	g.inFlight[class]--
+	if class != Interactive && result != Ended {
+		refused := 0.0
+		if result == Refused {
+			refused = 1
+		}
+		g.refusedShare += refusedWeight * (refused - g.refusedShare)
+	}
 	switch result {
 	case Answered:
 		g.answered(class, timing, report, now)
@@ -513,6 +567,7 @@
 	step := 1.0
 	if g.low.decreased {
 		step = min(1, lowIncrease*float64(since)/float64(decreaseInterval)/g.low.size)
+		step *= min(1, refusedTarget/g.refusedShare)
 	}
 	g.low.size = min(g.low.size+step, g.slots)
 }
--- a/internal/route/admission/queue.go
+++ b/internal/route/admission/queue.go
@@ -14,6 +14,8 @@
 	// Since is when it began to wait, and Expires the end of its wait.
 	Since   timer.Instant
 	Expires timer.Instant
+	// Refusal is set if it was refused.
+	Refusal Refusal
 
 	// order is its deadline, or later for one that was refused a moment ago.
 	order    timer.Instant
@@ -21,8 +23,8 @@
 	flow     *flow
 	// index is its position in the heap of its flow, -1 if it does not wait.
 	index int
-	// started is closed by Service when the request may be sent.
-	started chan struct{}
+	// decided is closed by Service when the request may be sent or is refused.
+	decided chan struct{}
 }
 
 // rank orders levels; lower ones are served first.
@@ -61,6 +63,25 @@
 	last timer.Instant
 }
 
+// perWeight returns the number of waiting requests for the weight.
+func (f *flow) perWeight() float64 { return float64(len(f.waiters)) / f.weight }
+
+// latest returns the waiter that would be served last.
+func (f *flow) latest() *Waiter {
+	last := 0
+	for i := range f.waiters {
+		if f.waiters.Less(last, i) {
+			last = i
+		}
+	}
+	return f.waiters[last]
+}
+
+// longest returns the flow with the most waiting requests for its weight.
+func (l *level) longest() *flow {
+	return slices.MaxFunc(l.flows, func(a, b *flow) int { return cmp.Compare(a.perWeight(), b.perWeight()) })
+}
+
 // waiterHeap implements heap.Interface.
 type waiterHeap []*Waiter
 
--- a/internal/route/admission/service.go
+++ b/internal/route/admission/service.go
@@ -19,6 +19,9 @@
 	boundInterval = 100 * time.Millisecond
 	// maxReportAge is the age up to which a load report bounds the windows.
 	maxReportAge = time.Second
+	// unlistedSlots is assumed for an upstream whose slots are not listed, so that a service
+	// that serves many at once is not held to a few.
+	unlistedSlots = 8
 )
 
 // RefusalError is returned for a request that the gate refused. The request was not sent.
@@ -100,7 +103,11 @@
 func (s *Service) setUpstreams(set *upstream.Set) {
 	slots := 0
 	for _, u := range set.Upstreams {
-		slots += max(1, u.Slots)
+		if u.Slots > 0 {
+			slots += u.Slots
+		} else {
+			slots += unlistedSlots
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -121,19 +128,26 @@
 	}
 	w := &Waiter{
 		Request: r,
-		started: make(chan struct{}),
+		decided: make(chan struct{}),
+	}
+	if evicted := s.gate.Enqueue(w, now); evicted != nil {
+		close(evicted.decided)
 	}
-	refusal, queued := s.gate.Enqueue(w, now)
-	if !queued {
+	if w.Refusal.Reason != "" {
 		s.mu.Unlock()
-		s.metrics.refused(r.Class, refusal.Reason)
-		return &RefusalError{refusal}
+		return s.refusal(w)
 	}
 	s.startWaiting(now)
 	s.mu.Unlock()
 	return s.wait(ctx, w)
 }
 
+// refusal counts the refusal of w and returns it.
+func (s *Service) refusal(w *Waiter) error {
+	s.metrics.refused(w.Request.Class, w.Refusal.Reason)
+	return &RefusalError{w.Refusal}
+}
+
 // wait waits until a queued request may be sent.
 func (s *Service) wait(ctx context.Context, w *Waiter) error {
 	var expired <-chan timer.Instant
@@ -143,35 +157,33 @@
 		expired = sub.C
 	}
 	select {
-	case <-w.started:
-		s.metrics.waited(w.Request.Class, s.timer.Now().Sub(w.Since))
-		return nil
+	case <-w.decided:
 	case <-expired:
 	case <-ctx.Done():
 	}
 	now := s.timer.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.startWaiting(now)
 	select {
-	case <-w.started:
-		// It was started at the same moment.
-		if ctx.Err() == nil {
-			return nil
+	case <-w.decided:
+		switch {
+		case w.Refusal.Reason != "":
+			return s.refusal(w)
+		case ctx.Err() != nil:
+			s.gate.Finish(w.Request.Class, Ended, Timing{}, Report{}, now)
+			return ctx.Err()
 		}
-		s.gate.Finish(w.Request.Class, Ended, Timing{}, Report{}, now)
-		s.startWaiting(now)
-		return ctx.Err()
+		s.metrics.waited(w.Request.Class, now.Sub(w.Since))
+		return nil
 	default:
 	}
 	if err := ctx.Err(); err != nil {
 		s.gate.Withdraw(w)
-		s.startWaiting(now)
 		return err
 	}
-	refusal := s.gate.Expire(w, now)
-	s.startWaiting(now)
-	s.metrics.refused(w.Request.Class, refusal.Reason)
-	return &RefusalError{refusal}
+	s.gate.Expire(w, now)
+	return s.refusal(w)
 }
 
 // AcquireHedge admits an additional send only while there is room.
@@ -214,6 +226,13 @@
 	s.startWaiting(now)
 }
 
+// InFlight returns the number of sends of a class in flight.
+func (s *Service) InFlight(class Class) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.InFlight(class)
+}
+
 // startWaiting starts the requests that may be sent now. The caller holds s.mu.
 func (s *Service) startWaiting(now timer.Instant) {
 	for {
@@ -221,7 +240,7 @@
 		if w == nil {
 			break
 		}
-		close(w.started)
+		close(w.decided)
 	}
 	at, needed := s.gate.WakeAt(now)
 	if !needed || s.wakeScheduled {
--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -45,7 +46,6 @@
 		d.gate.Enter(d.req.Class)
 		return d.startAdmitted(ctx)
 	}
-	d.refused++
 	pause := admission.Pause(d.refused, rand.Float64())
 	timeLeft := d.deadline.Sub(d.f.Timer.Now()) - minTimeLeft
 	if d.req.Class != admission.Interactive || d.refused >= admission.MaxRefusedSends || pause >= timeLeft || !d.gate.WithdrawRetry() {
@@ -89,22 +89,27 @@
 		r.Deadline, r.Due = 0, d.req.Due
 		defer func() { d.deadline = d.f.Timer.Now().Add(d.deadline.Sub(d.started)) }()
 	}
-	err := d.gate.Acquire(ctx, r)
+	if err := d.gate.Acquire(ctx, r); err != nil {
+		return d.notAdmitted(err)
+	}
+	return nil
+}
+
+// notAdmitted returns the error for the caller of a request that the gate did not admit, and
+// logs it if the gate refused it.
+func (d *dispatch) notAdmitted(err error) error {
 	var refusal *admission.RefusalError
-	switch {
-	case err == nil:
-		return nil
-	case !errors.As(err, &refusal):
+	if !errors.As(err, &refusal) {
 		return problem.UpstreamTimeout.Withf("the caller cancelled the request: %w", err).WithOutcome(problem.NotRun)
 	}
 	d.f.Journal.Decision("refuse", log.Fields{
 		"request_id":       d.req.ID,
 		"service":          d.service,
 		"organisation":     d.req.Organisation,
-		"class":            r.Class.String(),
+		"class":            d.req.Class.String(),
 		"reason":           refusal.Reason,
 		"waiting":          refusal.Waiting,
-		"window":           refusal.Refusal.Window,
+		"window":           math.Round(10*refusal.Refusal.Window) / 10,
 		"expected_wait_ms": refusal.ExpectedWait.Milliseconds(),
 		"retry_after_ms":   refusal.RetryAfter.Milliseconds(),
 	})
@@ -121,6 +126,7 @@
 	switch {
 	case isRefusal(r.err):
 		result = admission.Refused
+		d.refused++
 	case r.err == nil && r.answer.Status < http.StatusInternalServerError:
 		result = admission.Answered
 	}
@@ -136,17 +142,27 @@
 		d.gate.Release(d.req.Class, result, timing, r.answer.Load)
 		return
 	}
+	r.answer.Stream = d.leaveWithStream(r)
+}
+
+// leaveWithStream returns the stream of an answer, which leaves the gate when it ends.
+func (d *dispatch) leaveWithStream(r attemptResult) io.ReadCloser {
 	startedAt := d.f.Timer.Now().Add(-r.took)
-	r.answer.Stream = &admittedStream{
+	return &admittedStream{
 		ReadCloser: r.answer.Stream,
 		release: sync.OnceFunc(func() {
-			timing.Occupied = d.f.Timer.Now().Sub(startedAt)
-			d.gate.Release(d.req.Class, result, timing, nil)
+			d.gate.Release(d.req.Class, admission.Answered, admission.Timing{
+				Answer:   r.took,
+				Occupied: d.f.Timer.Now().Sub(startedAt),
+			}, nil)
 		}),
 	}
 }
 
 func isRefusal(err error) bool {
+	if err == nil {
+		return false // the most frequent case, without the allocation below
+	}
 	var refused *engine.RefusedError
 	return errors.As(err, &refused)
 }
