admission: waiting requests are sent only with 20 ms left

Cause: while the time of an answer is unknown, a request could wait until its deadline and then be sent with no time for an answer.

Change: the wait ends 20 ms before the deadline at the latest, as the forwarder requires for a further attempt. Only refusals of the gate and of upstreams replace the forwarder's Retry-After.

--- a/internal/route/admission/gate.go
+++ b/internal/route/admission/gate.go
@@ -134,6 +134,9 @@
 	forgetAfter = 10 * time.Second
 	// serviceTimeWeight is the weight of a new measurement in the smoothed time of a send.
 	serviceTimeWeight = 0.1
+	// minAnswerTime is the least time that a request which waits must have left when it is
+	// sent; with less, it would time out before an upstream answers.
+	minAnswerTime = 20 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time after which callers are told to
 	// retry, before jitter.
 	minRetryAfter = 50 * time.Millisecond
@@ -339,7 +342,7 @@
 	w.Expires = math.MaxInt64
 	w.index = -1
 	if r.Deadline != 0 {
-		run := time.Duration(g.answerTime[r.Class])
+		run := max(time.Duration(g.answerTime[r.Class]), minAnswerTime)
 		w.Expires = r.Deadline.Add(-run)
 		if now.Add(wait) > w.Expires {
 			w.Refusal = g.refuse(r, ReasonDeadline, wait, now)
--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -198,10 +198,10 @@
 }
 
 // retryAfter returns when a caller whose request upstreams refused may retry. err is why no
-// other attempt was started, if any.
+// other attempt was started, if any; the gate knows when there is room.
 func retryAfter(err error) time.Duration {
-	if after := problem.From(err).RetryAfter; after > 0 {
-		return after
+	if problem.Is(err, problem.Overloaded) || problem.Is(err, problem.UpstreamRefused) {
+		return problem.From(err).RetryAfter
 	}
 	return retryAfterRefused
 }
