admission: reward calls give way to queues, not to the slots that reports leave

Any two waiting requests at an upstream of two slots shrank windows. Change: the windows of the lower classes follow refusals and reports of two waiting requests a slot.

--- a/internal/route/admission/gate.go
+++ b/internal/route/admission/gate.go
@@ -111,9 +111,11 @@
 	// lower classes give way first.
 	interactiveDecrease = 0.85
 	lowDecrease         = 0.5
-	// queuedDecrease multiplies the window of the lower classes when an upstream reports as
-	// many waiting requests as it has slots.
+	// queuedDecrease multiplies the window of the lower classes when an upstream reports
+	// queuedPerSlot waiting requests for each of its slots: so many add about two run times
+	// to an interactive request.
 	queuedDecrease = 0.9
+	queuedPerSlot  = 2
 	// lowIncrease is the growth of the window of the lower classes in a window's worth of
 	// answers, for each decreaseInterval since the last decrease. With 0.3 and a decrease by
 	// 0.6, 11% of the sends of TestStorm were refused in one of four seeds.
@@ -255,7 +257,9 @@
 	g.contendedEver = true
 }
 
-// Window returns the current window of a class.
+// Window returns the current window of a class. The slots that load reports leave bound only
+// interactive requests: instances that send many reward calls would count each other's calls as
+// used slots, and the one that began last would be left with a window of one.
 func (g *Gate) Window(class Class, now timer.Instant) float64 {
 	if class == Interactive {
 		size := g.interactive.size
@@ -268,9 +272,6 @@
 	if g.contended(now) {
 		left = min(left, contendedShare*g.slots)
 	}
-	if g.bound > 0 {
-		left = min(left, g.bound)
-	}
 	return max(1, min(left, g.low.size))
 }
 
@@ -556,7 +557,7 @@
 	}
 	g.refusals = 0
 	g.pausedUntil = min(g.pausedUntil, now)
-	if report.Known && report.Waiting >= max(1, report.Slots) {
+	if report.Known && report.Waiting >= queuedPerSlot*max(1, report.Slots) {
 		g.low.decrease(queuedDecrease, now)
 		return
 	}
