schedule, runner: items that engines refuse wait before they are offered again

Change: after its first refusal such an item is offered every 2.5 s, after all other items, and its refusal doesn't close the engine. Any other refused item waits for 150 ms, doubling to 1.2 s while engines accept other items; while they accept none, as when all load weights, the delay stays at 150 ms.

--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -40,6 +40,9 @@
 	requestedAt timer.Instant
 	tasks       map[string]*task
 	queue       []*task
+	// acceptedAt is when the first event of an attempt last came: an engine accepted an
+	// item.
+	acceptedAt timer.Instant
 	// openInGroup is the number of unfinished items of each group.
 	openInGroup map[string]int
 	// wholeGroups is the number of whole groups: those whose items are all
--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -123,6 +123,9 @@
 		return errOutOfOrder
 	}
 	t.backoff.reset()
+	if t.attemptEvents == 1 {
+		b.acceptedAt = now
+	}
 	return nil
 }
 
@@ -132,7 +135,7 @@
 	now := r.Timer.Now()
 	b.mu.Lock()
 	u.Reserve(-t.reserved)
-	r.recordOutcome(t, u, err, now)
+	r.recordOutcome(t, u, err, r.tooLarge(b, t), now)
 	t.timings.ran += t.timings.lap(now)
 	if err != nil {
 		t.timings.addPause(now.Sub(t.lastEventAt), b.medianPace)
@@ -169,6 +172,8 @@
 		}
 	case errors.Is(err, errStaleWeights):
 		t.discardEvents()
+	case errors.As(err, new(*engine.RefusedError)):
+		r.itemRefused(b, t, now)
 	case errors.Is(err, engine.ErrIncompleteResponse) && !t.moving && t.attemptEvents == 0:
 		t.backoff.engineLost(now)
 	}
@@ -182,8 +187,8 @@
 }
 
 // recordOutcome records in the state of the engine how an attempt there ended.
-// The caller holds the batch's lock.
-func (r *Runner) recordOutcome(t *task, u *catalog.Upstream, err error, now timer.Instant) {
+// tooLarge says that no engine can hold the item. The caller holds the batch's lock.
+func (r *Runner) recordOutcome(t *task, u *catalog.Upstream, err error, tooLarge bool, now timer.Instant) {
 	var refused *engine.RefusedError
 	pace, _ := t.pace(minPaceEvents)
 	switch {
@@ -193,6 +198,9 @@
 	case errors.Is(err, engine.ErrMisdirected):
 		u.MarkLeaving()
 		u.Cancelled()
+	case errors.As(err, &refused) && tooLarge:
+		// The refusal says nothing about the engine, which takes other items.
+		u.Cancelled()
 	case errors.As(err, &refused), errors.Is(err, errStaleWeights):
 		u.RecordRefusal(now)
 		u.Cancelled()
--- a/internal/batch/runner/metrics.go
+++ b/internal/batch/runner/metrics.go
@@ -12,6 +12,7 @@
 	attempts *prometheus.CounterVec
 	moves    prometheus.Counter
 	items    prometheus.Histogram
+	tooLarge prometheus.Gauge
 }
 
 // NewMetrics creates and registers the runner's metrics.
@@ -35,7 +36,11 @@
 		Help:    "Time from the beginning of a batch to a finished item.",
 		Buckets: prometheus.ExponentialBuckets(0.1, 2, 9),
 	})
-	reg.MustRegister(m.batches, m.attempts, m.moves, m.items)
+	m.tooLarge = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "egretbend_items_too_large",
+		Help: "Unfinished items that engines refused and whose prompt and largest output exceed the memory of every engine.",
+	})
+	reg.MustRegister(m.batches, m.attempts, m.moves, m.items, m.tooLarge)
 	return m
 }
 
@@ -57,6 +62,12 @@
 	}
 }
 
+func (m *Metrics) setItemsTooLarge(n int) {
+	if m != nil {
+		m.tooLarge.Set(float64(n))
+	}
+}
+
 func (m *Metrics) countAttempt(err error) {
 	if m == nil {
 		return
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -87,8 +87,10 @@
 	final   *submission.Result
 	stored  bool
 	timings timings
-	// backoff delays the item after it has lost several engines in a row.
-	backoff backoff
+	// backoff delays the item after it has lost several engines in a row, or after one
+	// refused it; refusedAt is when one last did.
+	backoff   backoff
+	refusedAt timer.Instant
 }
 
 // paceEvents is how many events a running attempt needs to measure the pace of
@@ -119,6 +121,10 @@
 // tokens.
 func (t *task) memoryNeed() int64 { return int64(t.item.PromptTokens + t.tokens) }
 
+// largestMemory returns the memory that the item takes with the longest text that it may
+// have, in tokens.
+func (t *task) largestMemory() int64 { return int64(t.item.PromptTokens + t.item.MostTokens) }
+
 // addEvent adds an event, and reports false if it is not the next one.
 func (t *task) addEvent(e Event, now timer.Instant) bool {
 	if e.Number != t.lastEvent+1 {
--- a/internal/batch/runner/watch.go
+++ b/internal/batch/runner/watch.go
@@ -50,11 +50,16 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].sub.SubmittedMS < list[j].sub.SubmittedMS })
 	active := false
 	workByModel := make(map[string]time.Duration)
+	tooLarge := 0
 	for _, b := range list {
 		if r.checkBatch(b, workByModel, now) {
 			active = true
+			b.mu.Lock()
+			tooLarge += b.itemsTooLarge()
+			b.mu.Unlock()
 		}
 	}
+	r.Metrics.setItemsTooLarge(tooLarge)
 	return active
 }
 
