schedule, runner: streams are not moved for prompts being read or for noise

At the start of a step engines read many prompts, and streams without an event after 400 ms were moved to engines that read as well; paces of equal engines differ by noise, and each move closes a connection and has the text read again. Change: the reading time per token is learned from first events, and a stream without its first event is stalled only after 1.5 times that of the prompts queued at its engine, at most 1.2 s, or after 300 ms if that is more; an ejected engine gets no such allowance. For 1.5 s from the start of a step nothing is moved as slow while all of at least four engines, half of those usable, are slow. A move as faster must gain 250 ms beyond the noise of paces, a connection and the reading, except from engines of a pace of 1.45 or more, which are left as before. The move decision and egretbend_item_moves_total have the reason; decision hold_moves is new. Measured: TestStepStartMovesFew: 672 moves at the start of 20 simulated steps before, 0 now; a hung engine with seven queued prompts is left within 800 ms there (400 ms before), one without queued prompts as before. TestNoiseMovesNoStreams: 6,243 before, 584 now. TestStreamsStayWhileAllEnginesRead, TestNoiseKeepsNoStreamAtFailingEngine.

--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -82,6 +82,9 @@
 	// can't complete in time; rankedAt is when the queue was last ordered.
 	overloaded bool
 	rankedAt   timer.Instant
+	// movesHeldUntil is until when no stream is moved for being slow, as all engines were
+	// slow together at the start of the step; 0 if they were not.
+	movesHeldUntil timer.Instant
 	// medianPace is the median time between two events at the engines, as last
 	// looked up.
 	medianPace time.Duration
--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -69,6 +69,9 @@
 	t.attemptStart = now
 	t.lastEventAt = now
 	t.attemptEvents = 0
+	t.firstEventAfter = 0
+	t.promptTokens = r.tokensToRead(t)
+	t.promptMark = u.SendPrompt(t.promptTokens)
 	t.paceMark = 0
 	t.moving = false
 	t.stalled = false
@@ -125,6 +128,7 @@
 	t.backoff.reset()
 	if t.attemptEvents == 1 {
 		b.acceptedAt = now
+		r.recordFirstEvent(b, t, now)
 	}
 	return nil
 }
@@ -135,6 +139,8 @@
 	now := r.Timer.Now()
 	b.mu.Lock()
 	u.Reserve(-t.reserved)
+	u.PromptRead(t.promptTokens)
+	t.promptTokens = 0
 	r.recordOutcome(t, u, err, r.tooLarge(b, t), now)
 	t.timings.ran += t.timings.lap(now)
 	if err != nil {
--- a/internal/batch/runner/engines.go
+++ b/internal/batch/runner/engines.go
@@ -135,6 +135,9 @@
 	return time.Duration(r.Upstreams.Group(b.service).Set.MedianPace() * float64(time.Second))
 }
 
+// paceNoise returns by how much the measured paces of equal engines of the batch differ.
+func (r *Runner) paceNoise(b *Batch) float64 { return r.Upstreams.Group(b.service).Set.PaceNoise() }
+
 // pickAvoiding picks an engine for an item. It picks avoid, the engine that the
 // item has just left, only if no other one can take the item.
 func pickAvoiding(engines []schedule.Engine, candidates []candidate, avoid *catalog.Upstream, need schedule.Need) int {
--- a/internal/batch/runner/metrics.go
+++ b/internal/batch/runner/metrics.go
@@ -10,7 +10,7 @@
 type Metrics struct {
 	batches  prometheus.Counter
 	attempts *prometheus.CounterVec
-	moves    prometheus.Counter
+	moves    *prometheus.CounterVec
 	items    prometheus.Histogram
 	tooLarge prometheus.Gauge
 }
@@ -26,10 +26,10 @@
 			Name: "egretbend_item_attempts_total",
 			Help: "Attempts at items by outcome.",
 		}, []string{"outcome"}),
-		moves: prometheus.NewCounter(prometheus.CounterOpts{
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretbend_item_moves_total",
-			Help: "Streams moved to another engine.",
-		}),
+			Help: "Streams moved to another engine by reason: stalled, slow or faster.",
+		}, []string{"reason"}),
 	}
 	m.items = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name:    "egretbend_item_seconds",
@@ -50,9 +50,9 @@
 	}
 }
 
-func (m *Metrics) itemMoved() {
+func (m *Metrics) itemMoved(reason string) {
 	if m != nil {
-		m.moves.Inc()
+		m.moves.WithLabelValues(reason).Inc()
 	}
 }
 
--- a/internal/batch/runner/move.go
+++ b/internal/batch/runner/move.go
@@ -24,19 +24,77 @@
 	}
 }
 
-// progressOf describes the running attempt of a task. The caller holds the
-// batch's lock.
-func (r *Runner) progressOf(t *task, medianPace time.Duration, now timer.Instant) schedule.Progress {
-	return schedule.Progress{
-		SinceLastEvent: now.Sub(t.lastEventAt),
-		Ran:            now.Sub(t.attemptStart),
-		Events:         t.attemptEvents,
-		TotalEvents:    t.lastEvent,
-		Moves:          t.moves,
-		ExpectedEvents: r.lengths.Events(t.tokens),
-		MaxEvents:      r.lengths.MaxEvents(t.item.MostTokens),
-		Pace:           t.upstream.RelativePace(medianPace.Seconds(), now),
+// progressOf describes the running attempt of a task. paceNoise is the usual noise of the
+// paces at the batch's engines. The caller holds the batch's lock.
+func (r *Runner) progressOf(t *task, medianPace time.Duration, paceNoise float64, now timer.Instant) schedule.Progress {
+	p := schedule.Progress{
+		SinceLastEvent:  now.Sub(t.lastEventAt),
+		Ran:             now.Sub(t.attemptStart),
+		Events:          t.attemptEvents,
+		TotalEvents:     t.lastEvent,
+		Moves:           t.moves,
+		ExpectedEvents:  r.lengths.Events(t.tokens),
+		MaxEvents:       r.lengths.MaxEvents(t.item.MostTokens),
+		Pace:            t.upstream.RelativePace(medianPace.Seconds(), now),
+		PaceNoise:       max(paceNoise, t.upstream.PaceNoise()),
+		FirstEventAfter: t.firstEventAfter,
+		MoveCost:        schedule.MoveCost(r.reading.Expected(r.tokensToRead(t))),
 	}
+	if t.upstream.Usable(now) {
+		// An engine that is ejected is not reading prompts but failing.
+		p.Reading = r.reading.Expected(t.upstream.PromptsAhead(t.promptMark))
+	}
+	return p
+}
+
+// tokensToRead returns how many tokens an engine reads before it continues an item: its
+// prompt and the text so far; 0 if unknown. The caller holds the batch's lock.
+func (r *Runner) tokensToRead(t *task) int64 {
+	if t.item.PromptTokens == 0 {
+		return 0
+	}
+	return int64(t.item.PromptTokens + r.lengths.Tokens(t.lastEvent))
+}
+
+// recordFirstEvent records that an engine has read the prompt of a task. The caller holds
+// b.mu.
+func (r *Runner) recordFirstEvent(b *Batch, t *task, now timer.Instant) {
+	t.firstEventAfter = now.Sub(t.attemptStart)
+	if t.promptTokens > 0 {
+		r.reading.Record(t.upstream.PromptsAhead(t.promptMark), t.firstEventAfter-b.medianPace)
+	}
+	t.upstream.PromptRead(t.promptTokens)
+	t.promptTokens = 0
+}
+
+// slowTogether reports whether all engines of a step are slow at its start, or were a
+// moment ago, so that no stream is moved for being slow. The caller holds b.mu.
+func (r *Runner) slowTogether(b *Batch, usable int, medianPace time.Duration, paceNoise float64, now timer.Instant) bool {
+	var streams []schedule.Stream
+	for _, t := range b.tasks {
+		if t.phase == running && !t.moving {
+			streams = append(streams, schedule.Stream{
+				Engine:   t.upstream.ID,
+				Progress: r.progressOf(t, medianPace, paceNoise, now),
+			})
+		}
+	}
+	age := now.Sub(b.startedAt)
+	if !schedule.SlowTogether(streams, usable, medianPace, age) {
+		return now < b.movesHeldUntil
+	}
+	first := b.movesHeldUntil == 0
+	b.movesHeldUntil = b.startedAt.Add(schedule.HoldMovesUntil(age))
+	if first {
+		r.Journal.Decision("hold_moves", log.Fields{
+			"request_id": b.sub.ID,
+			"why":        "all engines of the step are slow at its start",
+			"streams":    len(streams),
+			"engines":    usable,
+			"age_ms":     age.Milliseconds(),
+		})
+	}
+	return true
 }
 
 // maxRescuePace is the highest pace, relative to the median, of an engine that
@@ -46,8 +104,11 @@
 // moveFailing moves the streams that are stalled or much too slow. The caller
 // holds b.mu.
 func (r *Runner) moveFailing(b *Batch, now timer.Instant) {
-	medianPace := r.medianPace(b)
+	medianPace, paceNoise := r.medianPace(b), r.paceNoise(b)
 	candidates := r.availableCandidates(b, now)
+	if r.slowTogether(b, len(candidates), medianPace, paceNoise, now) {
+		return
+	}
 	for _, t := range b.tasks {
 		if t.phase != running || t.moving {
 			continue
@@ -60,13 +121,17 @@
 				break
 			}
 		}
-		p := r.progressOf(t, medianPace, now)
+		p := r.progressOf(t, medianPace, paceNoise, now)
 		if !schedule.ShouldMove(p, medianPace, to >= 0) {
 			continue
 		}
 		candidates[to].FreeSlots--
 		t.stalled = p.SinceLastEvent > medianPace*3
-		r.moveItem(b, t, p, medianPace, "failing")
+		reason := "slow"
+		if p.Stalled(medianPace) {
+			reason = "stalled"
+		}
+		r.moveItem(b, t, p, medianPace, "failing", reason)
 	}
 }
 
@@ -77,7 +142,7 @@
 		// Queued items need the free slots more.
 		return
 	}
-	medianPace := r.medianPace(b)
+	medianPace, paceNoise := r.medianPace(b), r.paceNoise(b)
 	if medianPace <= 0 {
 		return
 	}
@@ -97,7 +162,7 @@
 		if t.phase != running || t.moving || t.upstream == candidates[to].u {
 			continue
 		}
-		p := r.progressOf(t, medianPace, now)
+		p := r.progressOf(t, medianPace, paceNoise, now)
 		if gain := schedule.MoveGain(p, medianPace, engines[to].Pace); gain > 0 {
 			moves = append(moves, proposedMove{
 				t:    t,
@@ -114,28 +179,33 @@
 		}
 		engines[to].FreeSlots--
 		m.t.stalled = false
-		r.moveItem(b, m.t, m.p, medianPace, "faster")
+		r.moveItem(b, m.t, m.p, medianPace, "faster", "faster")
 	}
 }
 
 // moveItem cancels the running attempt of a task so that the item continues at
-// another engine. The caller holds b.mu.
-func (r *Runner) moveItem(b *Batch, t *task, p schedule.Progress, medianPace time.Duration, reason string) {
+// another engine. reason is more precise than why, which is failing or faster. The caller
+// holds b.mu.
+func (r *Runner) moveItem(b *Batch, t *task, p schedule.Progress, medianPace time.Duration, why, reason string) {
 	t.moving = true
 	t.moves++
 	t.movedFrom = t.upstream
 	t.cancel()
-	r.Metrics.itemMoved()
+	r.Metrics.itemMoved(reason)
 	r.Journal.Decision("move", log.Fields{
 		"request_id": t.item.ID,
 		"batch":      b.sub.ID,
 		"from":       t.upstream.ID,
-		"why":        reason,
+		"why":        why,
+		"reason":     reason,
 		"after":      t.lastEvent,
 		"waited_ms":  p.SinceLastEvent.Milliseconds(),
 		"ran_ms":     p.Ran.Milliseconds(),
 		"events":     p.Events,
 		"pace":       p.Pace,
+		"noise":      p.PaceNoise,
+		"reading_ms": p.Reading.Milliseconds(),
+		"cost_ms":    p.MoveCost.Milliseconds(),
 		"usual_ms":   medianPace.Milliseconds(),
 	})
 }
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -72,9 +72,11 @@
 	CopyFinder CopyFinder
 
 	// lengths converts estimates in tokens to events, scoring estimates the time
-	// of reward calls; both learn from finished items.
+	// of reward calls; both learn from finished items. reading estimates how long
+	// engines read prompts and learns from first events.
 	lengths schedule.Lengths
 	scoring schedule.ScoringTime
+	reading schedule.PromptReading
 	tomb    tomb.Tomb
 	// batchStarted wakes watch.
 	batchStarted wake.Signal
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -74,6 +74,12 @@
 	attemptStart  timer.Instant
 	lastEventAt   timer.Instant
 	attemptEvents int
+	// promptTokens is the length of the text that the engine reads before the first event
+	// of the attempt, 0 once it has read it; promptMark is its position there, and
+	// firstEventAfter the time until the first event.
+	promptTokens    int64
+	promptMark      catalog.PromptMark
+	firstEventAfter time.Duration
 	// paceMark and paceMarkAt are the number of events and the time at which the
 	// measurement of the engine's pace began.
 	paceMark   int
--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -32,6 +32,7 @@
 	entry atomic.Pointer[Entry]
 	// reservedTokens is the engine memory, in tokens, reserved for streams of this instance.
 	reservedTokens atomic.Int64
+	prompts        promptQueue
 }
 
 // Reserve reserves engine memory for a stream; a negative number releases it.
--- a/internal/route/upstream/set.go
+++ b/internal/route/upstream/set.go
@@ -218,6 +218,22 @@
 	return paces[len(paces)/2]
 }
 
+// PaceNoise returns the median of the noise in the paces of the upstreams that have any: by how
+// much the measured paces of equal upstreams differ. It is zero if fewer than three have any.
+func (s *Set) PaceNoise() float64 {
+	var noise []float64
+	for _, u := range s.Upstreams {
+		if n := u.PaceNoise(); n > 0 {
+			noise = append(noise, n)
+		}
+	}
+	if len(noise) < 3 {
+		return 0
+	}
+	sort.Float64s(noise)
+	return noise[len(noise)/2]
+}
+
 // maxEjectedShare is the largest share of a set that may be ejected for failures.
 const maxEjectedShare = 0.34
 
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -70,8 +70,11 @@
 	backoffUntil atomic.Int64
 	// pace is the smoothed pace in seconds, and slowness its ratio to the median of the set,
 	// both as float64 bits.
-	pace      atomic.Uint64
-	slowness  atomic.Uint64
+	pace     atomic.Uint64
+	slowness atomic.Uint64
+	// paceNoise is the smoothed relative difference between a measured pace and the smoothed
+	// pace before it, as float64 bits.
+	paceNoise atomic.Uint64
 	idleConns idleConnections
 }
 
@@ -174,11 +177,19 @@
 // so that it counts at once: a stream that left a slow engine would otherwise return to it, as
 // the one with the most free slots.
 func (u *Upstream) RecordPace(pace time.Duration, now timer.Instant) {
+	if old := u.Pace(); old > 0 && pace > 0 {
+		noise := min(1, math.Abs(pace.Seconds()-old)/old)
+		u.paceNoise.Store(math.Float64bits(u.PaceNoise() + measuredPaceWeight*(noise-u.PaceNoise())))
+	}
 	if u.smoothPace(pace, measuredPaceWeight, math.Inf(1)) {
 		u.paceMeasuredAt.Store(int64(now))
 	}
 }
 
+// PaceNoise returns by how much measured paces differ from the smoothed pace, relative to it,
+// or zero if unknown.
+func (u *Upstream) PaceNoise() float64 { return math.Float64frombits(u.paceNoise.Load()) }
+
 const (
 	// measuredPaceWeight is the weight of a measurement over many events in the smoothed pace.
 	measuredPaceWeight = 0.4
