schedule, runner: items of a group go where their prompt was read

Change: a batch keeps up to four engines for each group that were sent its prompt within 30 s and have the same weights. Such an engine costs less by the reading time, at most by 0.1, while it has a free slot and at most 1.25 times its even share of the step's items; for long items only their own reading counts, so that they spread. While all slots are taken only the order matters: an item of similar length whose prompt the free engine has read goes first, and in an overloaded step the groups that run one after the other overlap. New: egretbend_item_placements_total{prompt}.

--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -43,6 +43,8 @@
 	// acceptedAt is when the first event of an attempt last came: an engine accepted an
 	// item.
 	acceptedAt timer.Instant
+	// prompts holds the engines that have read the prompt of a group, oldest first.
+	prompts map[string][]warmPrompt
 	// openInGroup is the number of unfinished items of each group.
 	openInGroup map[string]int
 	// wholeGroups is the number of whole groups: those whose items are all
--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -42,21 +42,17 @@
 	if b.over() || b.nextReady(now) < 0 {
 		return
 	}
-	candidates := r.availableCandidates(b, now)
-	engines := enginesOf(candidates)
-	medianPace := r.medianPace(b)
-	b.medianPace = medianPace
-	for i := b.nextReady(now); i >= 0; i = b.nextReady(now) {
-		t := b.queue[i]
-		need := r.needOf(b, t, medianPace, now)
-		picked := pickAvoiding(engines, candidates, t.movedFrom, need)
+	p := r.newPlacer(b, now)
+	b.medianPace = p.medianPace
+	for first := b.nextReady(now); first >= 0; first = b.nextReady(now) {
+		i, picked, need := p.next(first)
 		if picked < 0 {
 			return
 		}
-		engines[picked].FreeSlots--
-		engines[picked].Reserved += need.Memory
+		t := b.queue[i]
+		p.take(t, picked, need)
 		b.queue = slices.Delete(b.queue, i, i+1)
-		r.startAttempt(b, t, candidates[picked].u, need, now)
+		r.startAttempt(b, t, p.candidates[picked].u, need, now)
 	}
 }
 
@@ -141,6 +137,9 @@
 	u.Reserve(-t.reserved)
 	u.PromptRead(t.promptTokens)
 	t.promptTokens = 0
+	if err != nil && t.attemptEvents == 0 && t.sharesPrompt() {
+		b.promptNotRead(t, u)
+	}
 	r.recordOutcome(t, u, err, r.tooLarge(b, t), now)
 	t.timings.ran += t.timings.lap(now)
 	if err != nil {
@@ -276,6 +275,7 @@
 		"group":      t.item.Group,
 		"upstream":   t.upstream.ID,
 		"attempts":   t.attempts,
+		"warm":       t.warmAttempts,
 		"moves":      t.moves,
 		"events":     t.lastEvent,
 		"versions":   t.versions,
--- a/internal/batch/runner/metrics.go
+++ b/internal/batch/runner/metrics.go
@@ -13,6 +13,7 @@
 	moves    *prometheus.CounterVec
 	items    prometheus.Histogram
 	tooLarge prometheus.Gauge
+	placed   *prometheus.CounterVec
 }
 
 // NewMetrics creates and registers the runner's metrics.
@@ -40,7 +41,11 @@
 		Name: "egretbend_items_too_large",
 		Help: "Unfinished items that engines refused and whose prompt and largest output exceed the memory of every engine.",
 	})
-	reg.MustRegister(m.batches, m.attempts, m.moves, m.items, m.tooLarge)
+	m.placed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "egretbend_item_placements_total",
+		Help: "Attempts at items of a group by prompt: the engine had read it (warm), no engine had (first), or another engine had (again).",
+	}, []string{"prompt"})
+	reg.MustRegister(m.batches, m.attempts, m.moves, m.items, m.tooLarge, m.placed)
 	return m
 }
 
@@ -62,6 +67,12 @@
 	}
 }
 
+func (m *Metrics) itemPlaced(prompt string) {
+	if m != nil {
+		m.placed.WithLabelValues(prompt).Inc()
+	}
+}
+
 func (m *Metrics) setItemsTooLarge(n int) {
 	if m != nil {
 		m.tooLarge.Set(float64(n))
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -61,6 +61,10 @@
 	failures int
 	moves    int
 	attempts int
+	// warmAttempts is how many attempts went to an engine that had read the prompt for
+	// another item of the group; passedOver is how often such an item went first.
+	warmAttempts int
+	passedOver   int
 
 	upstream *catalog.Upstream
 	// reserved is the memory that is reserved at the engine for the attempt, in
--- a/internal/batch/schedule/place.go
+++ b/internal/batch/schedule/place.go
@@ -26,6 +26,10 @@
 	ReportAge time.Duration
 	// Slowdown is the slowdown of its machine by that report.
 	Slowdown Slowdown
+	// Warm reports whether the engine has read the prompt of the item before, and StepItems
+	// is the number of items of the step that run at it.
+	Warm      bool
+	StepItems int
 }
 
 // maxOtherModelReportAge is the greatest age of a load report that still shows free
@@ -103,6 +107,13 @@
 	Overloaded bool
 	// Memory is the memory that the item is expected to need by its end, in tokens.
 	Memory int64
+	// PromptReading is the time that an engine needs to read the item's prompt; 0 if
+	// unknown.
+	PromptReading time.Duration
+	// LongestDuration is the longest ExpectedDuration of the unfinished items of the step,
+	// and StepLoad is that of their number.
+	LongestDuration time.Duration
+	StepLoad        float64
 }
 
 // Limits for the placement of short items.
@@ -149,7 +160,7 @@
 // cost returns the cost of the item at an engine; lower is better. Short items prefer
 // engines of an older kind that are not failing.
 func (n Need) cost(e Engine) float64 {
-	cost := e.Cost() + memoryExcessCost*n.memoryExcess(e) + e.Slowdown.cost(n.ExpectedDuration)
+	cost := e.Cost() + memoryExcessCost*n.memoryExcess(e) + e.Slowdown.cost(n.ExpectedDuration) - n.warmGain(e)
 	if n.Short() && e.Pace > olderEnginePace && e.Pace < failingEnginePace {
 		return cost - e.Pace
 	}
