schedule, runner: items wait for memory rather than going to a full engine

Cause: items were sent to engines whose memory their streams had reserved already, at a cost by the excess. Such engines suspend streams, which then move, or refuse the item. Change: Lengths learns the spread of lengths. Once it is known, an engine is full for an item if the largest sum of its streams within the next second, with a margin by that spread (at most a quarter of the memory), exceeds its memory. The item goes to another engine or waits, whichever takes less time; others start meanwhile, but not at the engine that the first waiting item waits for. It waits at most 2.5 s while less than half of the slots are taken. Items that were moved don't wait.

--- a/internal/batch/runner/backoff.go
+++ b/internal/batch/runner/backoff.go
@@ -65,10 +65,13 @@
 
 // nextReady returns the index in the queue of the item that starts next, or -1 if
 // there is none. Items that no engine can hold come last. The caller holds b.mu.
-func (b *Batch) nextReady(now timer.Instant) int {
+func (b *Batch) nextReady(now timer.Instant) int { return b.nextReadyExcept(now, nil) }
+
+// nextReadyExcept is nextReady without some items. The caller holds b.mu.
+func (b *Batch) nextReadyExcept(now timer.Instant, except map[*task]bool) int {
 	last := -1
 	for i, t := range b.queue {
-		if !t.backoff.ready(now) {
+		if except[t] || !t.backoff.ready(now) {
 			continue
 		}
 		if !t.backoff.tooLarge {
@@ -93,6 +96,18 @@
 	return n
 }
 
+// itemsWaitingForMemory returns the number of items that wait for memory. The caller holds
+// b.mu.
+func (b *Batch) itemsWaitingForMemory() int {
+	n := 0
+	for _, t := range b.queue {
+		if t.memoryWaitSince != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // itemRefused delays an item that an engine refused. The caller holds b.mu.
 func (r *Runner) itemRefused(b *Batch, t *task, now timer.Instant) {
 	wasTooLarge := t.backoff.tooLarge
--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -45,9 +45,12 @@
 	}
 	p := r.newPlacer(b, now)
 	b.medianPace = p.medianPace
-	for first := b.nextReady(now); first >= 0; first = b.nextReady(now) {
+	for first := b.nextReady(now); first >= 0; first = b.nextReadyExcept(now, p.waiting) {
 		i, picked, need := p.next(first)
 		if picked < 0 {
+			if p.waitForMemory(b.queue[i], need) {
+				continue
+			}
 			return
 		}
 		t := b.queue[i]
@@ -75,6 +78,7 @@
 	t.attempts++
 	t.timings.waited += t.timings.lap(now)
 	t.reserved = need.Memory
+	t.memoryWaitSince = 0
 	u.Reserve(t.reserved)
 	u.Begin()
 	attempt := Attempt{
--- a/internal/batch/runner/engines.go
+++ b/internal/batch/runner/engines.go
@@ -162,10 +162,26 @@
 // holds b.mu.
 func (r *Runner) needOf(b *Batch, t *task, medianPace time.Duration, now timer.Instant) schedule.Need {
 	left := max(0, r.lengths.Events(t.tokens)-float64(t.lastEvent))
-	return schedule.Need{
+	need := schedule.Need{
 		ExpectedDuration: time.Duration(left * float64(medianPace)),
 		Waited:           now.Sub(b.startedAt),
 		Overloaded:       b.overloaded,
 		Memory:           t.memoryNeed(),
+		MemoryLeft:       r.streamMemory(t).Left,
+	}
+	if t.moves == 0 && !t.backoff.tooLarge {
+		// A stream that left a failing engine must go on at once, and an item that no
+		// engine can hold is offered at fixed intervals.
+		need.MemorySpread = r.lengths.Spread()
+	}
+	return need
+}
+
+// streamMemory returns the memory of an item in tokens. The caller holds the batch's lock.
+func (r *Runner) streamMemory(t *task) schedule.StreamMemory {
+	size := float64(t.item.PromptTokens + r.lengths.Tokens(t.lastEvent))
+	return schedule.StreamMemory{
+		Size: size,
+		Left: max(0, float64(t.memoryNeed())-size),
 	}
 }
--- a/internal/batch/runner/metrics.go
+++ b/internal/batch/runner/metrics.go
@@ -13,6 +13,7 @@
 	moves    *prometheus.CounterVec
 	items    prometheus.Histogram
 	tooLarge prometheus.Gauge
+	waiting  prometheus.Gauge
 	placed   *prometheus.CounterVec
 }
 
@@ -45,7 +46,11 @@
 		Name: "egretbend_item_placements_total",
 		Help: "Attempts at items of a group by prompt: the engine had read it (warm), no engine had (first), or another engine had (again).",
 	}, []string{"prompt"})
-	reg.MustRegister(m.batches, m.attempts, m.moves, m.items, m.tooLarge, m.placed)
+	m.waiting = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "egretbend_items_waiting_for_memory",
+		Help: "Items that wait because no engine has memory for them.",
+	})
+	reg.MustRegister(m.batches, m.attempts, m.moves, m.items, m.tooLarge, m.waiting, m.placed)
 	return m
 }
 
@@ -73,9 +78,10 @@
 	}
 }
 
-func (m *Metrics) setItemsTooLarge(n int) {
+func (m *Metrics) setItemsHeldBack(tooLarge, waiting int) {
 	if m != nil {
-		m.tooLarge.Set(float64(n))
+		m.tooLarge.Set(float64(tooLarge))
+		m.waiting.Set(float64(waiting))
 	}
 }
 
--- a/internal/batch/runner/placer.go
+++ b/internal/batch/runner/placer.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/egretbend/egretbend/internal/batch/schedule"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/route/catalog"
@@ -22,6 +24,8 @@
 	// in schedule.StepLoad.
 	longest time.Duration
 	load    float64
+	// waiting holds the items that wait for memory.
+	waiting map[*task]bool
 }
 
 // newPlacer returns a placer on the engines that can serve the batch now. The caller holds
@@ -38,9 +42,11 @@
 	p.load = schedule.StepLoad(b.open, p.engines)
 	tokens := 0
 	atEngine := make(map[*catalog.Upstream]int, len(p.candidates))
+	streams := make(map[*catalog.Upstream][]schedule.StreamMemory, len(p.candidates))
 	for _, t := range b.tasks {
 		if t.phase == running {
 			atEngine[t.upstream]++
+			streams[t.upstream] = append(streams[t.upstream], r.streamMemory(t))
 		}
 		if t.phase == running || t.phase == waiting {
 			tokens = max(tokens, t.tokens)
@@ -48,6 +54,7 @@
 	}
 	for i := range p.engines {
 		p.engines[i].StepItems = atEngine[p.candidates[i].u]
+		p.engines[i].Streams = streams[p.candidates[i].u]
 	}
 	p.longest = time.Duration(r.lengths.Events(tokens) * float64(p.medianPace))
 	return p
@@ -59,6 +66,9 @@
 	need := p.r.needOf(p.b, t, p.medianPace, p.now)
 	need.PromptReading = p.r.reading.Expected(int64(t.item.PromptTokens))
 	need.LongestDuration, need.StepLoad = p.longest, p.load
+	if t.memoryWaitSince != 0 {
+		need.WaitedForMemory = p.now.Sub(t.memoryWaitSince)
+	}
 	warm := p.b.warmPrompts(t, p.now)
 	for i := range p.engines {
 		p.engines[i].IdleConnection = p.candidates[i].u.HasIdleConnection(p.now)
@@ -91,6 +101,34 @@
 	return indexes[taken], otherPicked, otherNeed
 }
 
+// waitForMemory has an item that no engine was picked for wait for memory, so that others can
+// start. It reports false if the item does not wait for memory.
+func (p *placer) waitForMemory(t *task, need schedule.Need) bool {
+	target := schedule.MemoryTarget(p.engines, need)
+	if target < 0 || len(p.waiting) >= schedule.MaxWaiting {
+		return false
+	}
+	if p.waiting == nil {
+		p.waiting = make(map[*task]bool)
+		p.engines[target].Held = true
+	}
+	p.waiting[t] = true
+	if t.memoryWaitSince == 0 {
+		t.memoryWaitSince = p.now
+		p.r.Journal.Decision("hold_back", log.Fields{
+			"request_id": t.item.ID,
+			"batch":      p.b.sub.ID,
+			"why":        "memory",
+			"upstream":   p.candidates[target].u.ID,
+			"tokens":     need.Memory,
+			"memory":     p.engines[target].Memory,
+			"reserved":   p.engines[target].Reserved,
+			"spread":     need.MemorySpread,
+		})
+	}
+	return true
+}
+
 // ahead describes the items of the queue that are ready, from the first on, for an engine, and
 // returns their indexes in the queue.
 func (p *placer) ahead(first int, u *catalog.Upstream) ([]int, []schedule.Queued) {
@@ -98,7 +136,7 @@
 	var ahead []schedule.Queued
 	for i := first; i < len(p.b.queue) && len(ahead) < schedule.MaxLookAhead; i++ {
 		t := p.b.queue[i]
-		if t.backoff.tooLarge || !t.backoff.ready(p.now) {
+		if p.waiting[t] || t.backoff.tooLarge || !t.backoff.ready(p.now) {
 			continue
 		}
 		warm := p.b.warmPrompts(t, p.now)
@@ -118,6 +156,10 @@
 	p.engines[picked].FreeSlots--
 	p.engines[picked].Reserved += need.Memory
 	p.engines[picked].StepItems++
+	p.engines[picked].Streams = append(p.engines[picked].Streams, schedule.StreamMemory{
+		Size: float64(need.Memory) - need.MemoryLeft,
+		Left: need.MemoryLeft,
+	})
 	u := p.candidates[picked].u
 	switch {
 	case !t.sharesPrompt():
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -73,7 +73,9 @@
 	// reserved is the memory that is reserved at the engine for the attempt, in
 	// tokens.
 	reserved int64
-	cancel   context.CancelFunc
+	// memoryWaitSince is since when the item waits for memory; 0 if it doesn't.
+	memoryWaitSince timer.Instant
+	cancel          context.CancelFunc
 	// movedFrom is the engine that the item was last moved away from.
 	movedFrom *catalog.Upstream
 	// attemptStart is when the attempt began, lastEventAt when its last event
--- a/internal/batch/runner/watch.go
+++ b/internal/batch/runner/watch.go
@@ -50,16 +50,17 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].sub.SubmittedMS < list[j].sub.SubmittedMS })
 	active := false
 	workByModel := make(map[string]time.Duration)
-	tooLarge := 0
+	tooLarge, waiting := 0, 0
 	for _, b := range list {
 		if r.checkBatch(b, workByModel, now) {
 			active = true
 			b.mu.Lock()
 			tooLarge += b.itemsTooLarge()
+			waiting += b.itemsWaitingForMemory()
 			b.mu.Unlock()
 		}
 	}
-	r.Metrics.setItemsTooLarge(tooLarge)
+	r.Metrics.setItemsHeldBack(tooLarge, waiting)
 	return active
 }
 
--- a/internal/batch/schedule/doc.go
+++ b/internal/batch/schedule/doc.go
@@ -8,9 +8,9 @@
 //
 // Order, Load.Rank and Pick choose the next item and its engine, ShouldMove and MoveGain
 // decide on moving a stream, and ShouldWrite, ShouldAnswerReads and
-// PendingRead.AnswerEarly on writing results and answering reads. TakeWarm keeps the items of a
-// group, which share a prompt, together. TooLarge and RefusalDelay
-// decide when an item that engines refused is offered again. StepEnd, Lengths and
+// PendingRead.AnswerEarly on writing results and answering reads. TakeWarm keeps the items
+// of a group, which share a prompt, together, MemoryTarget lets items wait for memory, and
+// TooLarge and RefusalDelay decide when an item that engines refused is offered again. StepEnd, Lengths and
 // ScoringTime estimate when items and steps end.
 //
 //	at := schedule.Pick(engines, need)
--- a/internal/batch/schedule/lengths.go
+++ b/internal/batch/schedule/lengths.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"sync"
 )
 
@@ -12,6 +13,9 @@
 	// halvingEvents is the number of events above which the sums are halved, so that
 	// newer items count more. It corresponds to some steps of a few hundred items.
 	halvingEvents = 20000
+	// maxDeviation bounds the deviation of one item from its estimate, as a multiple of the
+	// estimate. A few texts of a hundred times their estimate would hold all others back.
+	maxDeviation = 3
 )
 
 // Lengths learns from finished items how many tokens of an estimate correspond to one
@@ -20,6 +24,10 @@
 	mu     sync.Mutex
 	tokens float64
 	events float64
+	// squares is the sum of the squared deviations of items from their estimates, in estimates,
+	// and weight that of the tokens by which they are weighted.
+	squares float64
+	weight  float64
 	// maxEventsPerToken is the largest number of events that an item had for each token
 	// that it was allowed.
 	maxEventsPerToken float64
@@ -34,11 +42,28 @@
 	defer l.mu.Unlock()
 	if l.events > halvingEvents {
 		l.tokens, l.events = l.tokens/2, l.events/2
+		l.squares, l.weight = l.squares/2, l.weight/2
+	}
+	if l.events >= minKnownEvents {
+		deviation := min(float64(events)*l.tokens/l.events/float64(tokens)-1, maxDeviation)
+		l.squares += float64(tokens) * deviation * deviation
+		l.weight += float64(tokens)
 	}
 	l.tokens += float64(tokens)
 	l.events += float64(events)
 }
 
+// Spread returns the standard deviation of the lengths of items from their estimates, as a
+// share of the estimate; 0 if unknown. Long items count more, as they take more memory.
+func (l *Lengths) Spread() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.weight == 0 {
+		return 0
+	}
+	return math.Sqrt(l.squares / l.weight)
+}
+
 // RecordLimited records the number of events of an item that was allowed the given number
 // of tokens.
 func (l *Lengths) RecordLimited(allowed, events int) {
--- a/internal/batch/schedule/place.go
+++ b/internal/batch/schedule/place.go
@@ -18,6 +18,11 @@
 	// Memory is the engine's memory for prompts and outputs in tokens, 0 if unknown;
 	// Reserved is what its running streams are expected to need by their end.
 	Memory, Reserved int64
+	// Streams are its running streams, as far as they are known one by one; Reserved covers
+	// all of them.
+	Streams []StreamMemory
+	// Held reports that the engine is kept for an item that waits for its memory.
+	Held bool
 	// OtherModel reports whether the engine is assigned to another model that has a step under
 	// way.
 	OtherModel bool
@@ -112,6 +117,13 @@
 	Overloaded bool
 	// Memory is the memory that the item is expected to need by its end, in tokens.
 	Memory int64
+	// MemoryLeft is the part of Memory that is not yet generated.
+	MemoryLeft float64
+	// MemorySpread is the standard deviation of what items need from what they are expected
+	// to need, as a share of that; 0 if unknown.
+	MemorySpread float64
+	// WaitedForMemory is how long the item has waited for memory.
+	WaitedForMemory time.Duration
 	// PromptReading is the time that an engine needs to read the item's prompt; 0 if
 	// unknown.
 	PromptReading time.Duration
@@ -145,18 +157,46 @@
 // for one. Long items go to the engines with the fastest events: some engines of a
 // service may be of an older, slower kind, and the longest items of a step, which begin
 // first, would run there for longer than the step has. Short items go to those older
-// engines, and leave half of the slots of the fast ones free.
+// engines, and leave half of the slots of the fast ones free. Items that no engine has memory
+// for wait.
 func Pick(engines []Engine, n Need) int {
-	best := -1
+	best, wait := n.best(engines)
+	if wait > 0 && n.waitsForMemory(halfFull(engines)) {
+		return -1
+	}
+	return best
+}
+
+// best returns the index of the engine where the item costs the least, the wait for memory
+// included, or -1 if none has a free slot for it, and that wait. An item may wait for a fast
+// engine while one of an older kind has memory.
+func (n Need) best(engines []Engine) (int, time.Duration) {
+	best, least, wait := -1, 0.0, time.Duration(0)
 	for i, e := range engines {
-		if e.FreeSlots < 1 || n.Short() && n.Waited < maxShortItemWait && !n.Overloaded && e.closedToShortItems() {
+		if e.Held || e.FreeSlots < 1 || n.Short() && n.Waited < maxShortItemWait && !n.Overloaded && e.closedToShortItems() {
+			continue
+		}
+		cost := n.cost(e)
+		if best >= 0 && cost >= least {
 			continue
 		}
-		if best < 0 || n.cost(e) < n.cost(engines[best]) {
-			best = i
+		w := n.memoryWait(e)
+		if w > 0 {
+			cost += float64(w) / float64(n.durationOrDefault())
+		}
+		if best < 0 || cost < least {
+			best, least, wait = i, cost, w
 		}
 	}
-	return best
+	return best, wait
+}
+
+// durationOrDefault returns the expected run time, or a default if it is unknown.
+func (n Need) durationOrDefault() time.Duration {
+	if n.ExpectedDuration <= 0 {
+		return unknownDuration
+	}
+	return n.ExpectedDuration
 }
 
 // Short reports whether the item is expected to end long before its step.
@@ -179,17 +219,13 @@
 	if e.IdleConnection {
 		return 0
 	}
-	duration := n.ExpectedDuration
-	if duration <= 0 {
-		duration = unknownDuration
-	}
-	return min(maxConnectionCost, float64(connectionTime)/float64(duration))
+	return min(maxConnectionCost, float64(connectionTime)/float64(n.durationOrDefault()))
 }
 
 // memoryExcess returns by how much the item would exceed the engine's memory, as a
-// fraction of that memory.
+// fraction of that memory. It is 0 if the spread is known, as the item may wait then.
 func (n Need) memoryExcess(e Engine) float64 {
-	if e.Memory <= 0 {
+	if e.Memory <= 0 || n.MemorySpread > 0 {
 		return 0
 	}
 	return max(0, float64(e.Reserved+n.Memory)/float64(e.Memory)-1)
