--- a/internal/batch/runner/engines.go
+++ b/internal/batch/runner/engines.go
@@ -126,6 +126,8 @@
 				Reserved:          u.Reserved(),
 				OtherModel:        b.isOtherModel(models[u.ID]),
 				ReportAge:         reportAge(u, now),
+				IdleConnection:    u.HasIdleConnection(now),
+				Slowdown:          schedule.Slowdown(u.Slowdown(now)),
 			},
 			u:     u,
 			model: models[u.ID],
@@ -159,6 +161,9 @@
 	return time.Duration(r.Upstreams.Group(b.service).Set.MedianPace() * float64(time.Second))
 }
 
+// paceNoise returns by how much the measured paces of equal engines of the batch differ.
+func (r *Runner) paceNoise(b *Batch) float64 { return r.Upstreams.Group(b.service).Set.PaceNoise() }
+
 // pickAvoiding picks an engine for an item. It picks avoid, the engine that the
 // item has just left, only if no other one can take the item.
 func pickAvoiding(engines []schedule.Engine, candidates []candidate, avoid *catalog.Upstream, need schedule.Need) int {
@@ -181,10 +186,26 @@
 // holds b.mu.
 func (r *Runner) needOf(b *Batch, t *task, medianPace time.Duration, now timer.Instant) schedule.Need {
 	left := max(0, r.lengths.Events(t.tokens)-float64(t.lastEvent))
-	return schedule.Need{
+	need := schedule.Need{
 		ExpectedDuration: time.Duration(left * float64(medianPace)),
 		Waited:           now.Sub(b.startedAt),
 		Overloaded:       b.overloaded,
 		Memory:           t.memoryNeed(),
+		MemoryLeft:       r.streamMemory(t).Left,
+	}
+	if t.moves == 0 && !t.backoff.tooLarge {
+		// A stream that left a failing engine must go on at once, and an item that no
+		// engine can hold is offered at fixed intervals.
+		need.MemorySpread = r.lengths.Spread()
+	}
+	return need
+}
+
+// streamMemory returns the memory of an item in tokens. The caller holds the batch's lock.
+func (r *Runner) streamMemory(t *task) schedule.StreamMemory {
+	size := float64(t.item.PromptTokens + r.lengths.Tokens(t.lastEvent))
+	return schedule.StreamMemory{
+		Size: size,
+		Left: max(0, float64(t.memoryNeed())-size),
 	}
 }
--- a/internal/batch/runner/lend.go
+++ b/internal/batch/runner/lend.go
@@ -210,7 +210,7 @@
 		for i := 0; i < len(b.queue); {
 			t := b.queue[i]
 			need := r.needOf(b, t, medianPace, now)
-			if !t.backoff.ready(now) || short != need.ShortLoan() {
+			if !t.backoff.ready(now) || t.backoff.tooLarge || short != need.ShortLoan() {
 				i++
 				continue
 			}
@@ -231,6 +231,7 @@
 			usable[j].FreeSlots--
 			usable[j].Reserved += need.Memory
 			b.queue = slices.Delete(b.queue, i, i+1)
+			b.promptSent(t, u, now)
 			r.beginLoan(b, t, allowed[picked], now)
 			r.startAttempt(b, t, u, need, now)
 		}
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -44,6 +44,9 @@
 	Urgent bool
 	// OnLoadReport is called with the engine's load, if the engine reports it.
 	OnLoadReport func(engine.LoadReport)
+	// OnConnectionIdle is called with the time for which the connection of the attempt
+	// stays open, if the response was read to its end. It may be nil.
+	OnConnectionIdle func(keepAlive time.Duration)
 }
 
 // task is an item and the state of the work on it. The batch's lock guards it.
@@ -61,12 +64,18 @@
 	failures int
 	moves    int
 	attempts int
+	// warmAttempts is how many attempts went to an engine that had read the prompt for
+	// another item of the group; passedOver is how often such an item went first.
+	warmAttempts int
+	passedOver   int
 
 	upstream *catalog.Upstream
 	// reserved is the memory that is reserved at the engine for the attempt, in
 	// tokens.
 	reserved int64
-	cancel   context.CancelFunc
+	// memoryWaitSince is since when the item waits for memory; 0 if it doesn't.
+	memoryWaitSince timer.Instant
+	cancel          context.CancelFunc
 	// loan records whether the engine accepted the attempt, if it is assigned to another
 	// model and the step borrows it; nil otherwise.
 	loan func(refused bool, now timer.Instant)
@@ -77,6 +86,12 @@
 	attemptStart  timer.Instant
 	lastEventAt   timer.Instant
 	attemptEvents int
+	// promptTokens is the length of the text that the engine reads before the first event
+	// of the attempt, 0 once it has read it; promptMark is its position there, and
+	// firstEventAfter the time until the first event.
+	promptTokens    int64
+	promptMark      catalog.PromptMark
+	firstEventAfter time.Duration
 	// paceMark and paceMarkAt are the number of events and the time at which the
 	// measurement of the engine's pace began.
 	paceMark   int
@@ -90,8 +105,10 @@
 	final   *submission.Result
 	stored  bool
 	timings timings
-	// backoff delays the item after it has lost several engines in a row.
-	backoff backoff
+	// backoff delays the item after it has lost several engines in a row, or after one
+	// refused it; refusedAt is when one last did.
+	backoff   backoff
+	refusedAt timer.Instant
 }
 
 // paceEvents is how many events a running attempt needs to measure the pace of
@@ -122,6 +139,10 @@
 // tokens.
 func (t *task) memoryNeed() int64 { return int64(t.item.PromptTokens + t.tokens) }
 
+// largestMemory returns the memory that the item takes with the longest text that it may
+// have, in tokens.
+func (t *task) largestMemory() int64 { return int64(t.item.PromptTokens + t.item.MostTokens) }
+
 // addEvent adds an event, and reports false if it is not the next one.
 func (t *task) addEvent(e Event, now timer.Instant) bool {
 	if e.Number != t.lastEvent+1 {
--- a/internal/batch/schedule/place.go
+++ b/internal/batch/schedule/place.go
@@ -18,12 +18,25 @@
 	// Memory is the engine's memory for prompts and outputs in tokens, 0 if unknown;
 	// Reserved is what its running streams are expected to need by their end.
 	Memory, Reserved int64
+	// Streams are its running streams, as far as they are known one by one; Reserved covers
+	// all of them.
+	Streams []StreamMemory
+	// Held reports that the engine is kept for an item that waits for its memory.
+	Held bool
 	// OtherModel reports whether the engine is assigned to another model that has a step under
 	// way.
 	OtherModel bool
 	// ReportAge is the age of the engine's last load report, a long time if it never sent
 	// one.
 	ReportAge time.Duration
+	// Slowdown is the slowdown of its machine by that report.
+	Slowdown Slowdown
+	// IdleConnection reports whether this instance has an idle connection to the engine.
+	IdleConnection bool
+	// Warm reports whether the engine has read the prompt of the item before, and StepItems
+	// is the number of items of the step that run at it.
+	Warm      bool
+	StepItems int
 }
 
 // maxOtherModelReportAge is the greatest age of a load report that still shows free
@@ -62,6 +75,9 @@
 	// a long output then stalls for longer than it would lose at an engine of an older
 	// kind.
 	memoryExcessCost = 0.5
+	// maxConnectionCost bounds the cost of a new connection. It is that of a difference in
+	// memory of a fifth, so that no engine is filled for its idle connections.
+	maxConnectionCost = 0.02
 )
 
 // Cost returns the expected time per event of one more item at the engine, relative to
@@ -101,6 +117,20 @@
 	Overloaded bool
 	// Memory is the memory that the item is expected to need by its end, in tokens.
 	Memory int64
+	// MemoryLeft is the part of Memory that is not yet generated.
+	MemoryLeft float64
+	// MemorySpread is the standard deviation of what items need from what they are expected
+	// to need, as a share of that; 0 if unknown.
+	MemorySpread float64
+	// WaitedForMemory is how long the item has waited for memory.
+	WaitedForMemory time.Duration
+	// PromptReading is the time that an engine needs to read the item's prompt; 0 if
+	// unknown.
+	PromptReading time.Duration
+	// LongestDuration is the longest ExpectedDuration of the unfinished items of the step,
+	// and StepLoad is that of their number.
+	LongestDuration time.Duration
+	StepLoad        float64
 }
 
 // Limits for the placement of short items.
@@ -127,18 +157,46 @@
 // for one. Long items go to the engines with the fastest events: some engines of a
 // service may be of an older, slower kind, and the longest items of a step, which begin
 // first, would run there for longer than the step has. Short items go to those older
-// engines, and leave half of the slots of the fast ones free.
+// engines, and leave half of the slots of the fast ones free. Items that no engine has memory
+// for wait.
 func Pick(engines []Engine, n Need) int {
-	best := -1
+	best, wait := n.best(engines)
+	if wait > 0 && n.waitsForMemory(halfFull(engines)) {
+		return -1
+	}
+	return best
+}
+
+// best returns the index of the engine where the item costs the least, the wait for memory
+// included, or -1 if none has a free slot for it, and that wait. An item may wait for a fast
+// engine while one of an older kind has memory.
+func (n Need) best(engines []Engine) (int, time.Duration) {
+	best, least, wait := -1, 0.0, time.Duration(0)
 	for i, e := range engines {
-		if e.FreeSlots < 1 || n.Short() && n.Waited < maxShortItemWait && !n.Overloaded && e.closedToShortItems() {
+		if e.Held || e.FreeSlots < 1 || n.Short() && n.Waited < maxShortItemWait && !n.Overloaded && e.closedToShortItems() {
 			continue
 		}
-		if best < 0 || n.cost(e) < n.cost(engines[best]) {
-			best = i
+		cost := n.cost(e)
+		if best >= 0 && cost >= least {
+			continue
+		}
+		w := n.memoryWait(e)
+		if w > 0 {
+			cost += float64(w) / float64(n.durationOrDefault())
+		}
+		if best < 0 || cost < least {
+			best, least, wait = i, cost, w
 		}
 	}
-	return best
+	return best, wait
+}
+
+// durationOrDefault returns the expected run time, or a default if it is unknown.
+func (n Need) durationOrDefault() time.Duration {
+	if n.ExpectedDuration <= 0 {
+		return unknownDuration
+	}
+	return n.ExpectedDuration
 }
 
 // Short reports whether the item is expected to end long before its step.
@@ -147,17 +205,27 @@
 // cost returns the cost of the item at an engine; lower is better. Short items prefer
 // engines of an older kind that are not failing.
 func (n Need) cost(e Engine) float64 {
-	cost := e.Cost() + memoryExcessCost*n.memoryExcess(e)
+	cost := e.Cost() + memoryExcessCost*n.memoryExcess(e) + e.Slowdown.cost(n.ExpectedDuration) - n.warmGain(e) + n.connectionCost(e)
 	if n.Short() && e.Pace > olderEnginePace && e.Pace < failingEnginePace {
 		return cost - e.Pace
 	}
 	return cost
 }
 
+// connectionCost returns the cost of a new connection to the engine, if one is needed, which
+// delays the first event. A quiet day opened 1,000 connections to engines, although streams left
+// as many idle.
+func (n Need) connectionCost(e Engine) float64 {
+	if e.IdleConnection {
+		return 0
+	}
+	return min(maxConnectionCost, float64(connectionTime)/float64(n.durationOrDefault()))
+}
+
 // memoryExcess returns by how much the item would exceed the engine's memory, as a
-// fraction of that memory.
+// fraction of that memory. It is 0 if the spread is known, as the item may wait then.
 func (n Need) memoryExcess(e Engine) float64 {
-	if e.Memory <= 0 {
+	if e.Memory <= 0 || n.MemorySpread > 0 {
 		return 0
 	}
 	return max(0, float64(e.Reserved+n.Memory)/float64(e.Memory)-1)
@@ -168,99 +236,3 @@
 func (e Engine) closedToShortItems() bool {
 	return e.Pace <= olderEnginePace && e.FreeSlots <= (1-shortItemSlotShare)*float64(e.Slots)
 }
-
-// Progress describes how far the current attempt of an item has come.
-type Progress struct {
-	// SinceLastEvent is the time since the last event, or since the attempt began.
-	SinceLastEvent time.Duration
-	// Ran is the time since the attempt began, and Events the number of events that it
-	// had.
-	Ran    time.Duration
-	Events int
-	// TotalEvents is the number of events that the item has in total, from all attempts.
-	TotalEvents int
-	// Moves is how often the item was moved before.
-	Moves int
-	// ExpectedEvents is the total number of events that the item is expected to have; 0 if
-	// unknown.
-	ExpectedEvents float64
-	// MaxEvents is the largest number of events that it can have; 0 if unknown.
-	MaxEvents float64
-	// Pace is the pace of its engine, as in Engine.
-	Pace float64
-}
-
-// Limits for moving streams to other engines.
-const (
-	// defaultEventInterval stands in for the typical time between events until that is
-	// known.
-	defaultEventInterval = 60 * time.Millisecond
-	// stallIntervals and minStall define a stalled stream: it has been silent for more
-	// than stallIntervals typical event intervals, and for more than minStall. Reading a
-	// prompt again takes some milliseconds, so moving early costs little; but engines
-	// pause for several events while they read the prompts of others.
-	stallIntervals = 6
-	minStall       = 300 * time.Millisecond
-	// minPaceEvents is the number of events from which on the pace of an attempt is
-	// known.
-	minPaceEvents = 4
-	// slowStreamFactor is how many times slower than typical a stream must be to move.
-	slowStreamFactor = 2.2
-	// maxMoves bounds the moves of one item. An item that was moved that often is
-	// presumed to fail at every engine.
-	maxMoves = 8
-	// minPaceRatio is how many times slower than the other engine a stream's own must be
-	// for an optional move; the paces of equal engines differ by less.
-	minPaceRatio = 1.15
-	// minGain is the time that an optional move must save. Each move makes an engine read
-	// the text again, and a wrong one is followed by another move.
-	minGain = 250 * time.Millisecond
-	// maxOptionalMoves is the number of moves of any kind after which an item makes no
-	// more optional ones.
-	maxOptionalMoves = 3
-	// longTailShare is the least number of further events that is expected, as a share
-	// of the events so far, also when an item is beyond its estimate. Lengths have a
-	// long tail: the longer a text is, the more is still to come.
-	longTailShare = 0.5
-)
-
-// ShouldMove reports whether an attempt should move to another engine because its
-// stream is stalled or much slower than typical. interval is the typical time between
-// events, 0 if unknown; hasFreeEngine reports whether an engine that is not slow has a
-// free slot.
-func ShouldMove(p Progress, interval time.Duration, hasFreeEngine bool) bool {
-	if !hasFreeEngine || p.Moves >= maxMoves {
-		return false
-	}
-	if interval <= 0 {
-		interval = defaultEventInterval
-	}
-	if p.SinceLastEvent > max(stallIntervals*interval, minStall) {
-		return true
-	}
-	return p.Events >= minPaceEvents && p.Ran/time.Duration(p.Events) > time.Duration(slowStreamFactor*float64(interval))
-}
-
-// Remaining returns how many further events are expected.
-func (p Progress) Remaining() float64 {
-	made := float64(p.TotalEvents)
-	left := max(p.ExpectedEvents-made, longTailShare*made)
-	if p.MaxEvents > made {
-		return min(left, p.MaxEvents-made)
-	}
-	return left
-}
-
-// MoveGain returns how much earlier an item would end at an engine of the given pace, or
-// zero if moving there is not worth its cost. interval is the typical time between
-// events.
-func MoveGain(p Progress, interval time.Duration, pace float64) time.Duration {
-	if p.Events < minPaceEvents || p.Moves >= maxOptionalMoves || p.Pace < minPaceRatio*pace {
-		return 0
-	}
-	gain := time.Duration(p.Remaining() * float64(interval) * (p.Pace - pace))
-	if gain < minGain {
-		return 0
-	}
-	return gain
-}
