--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -40,6 +40,11 @@
 	requestedAt timer.Instant
 	tasks       map[string]*task
 	queue       []*task
+	// acceptedAt is when the first event of an attempt last came: an engine accepted an
+	// item.
+	acceptedAt timer.Instant
+	// prompts holds the engines that have read the prompt of a group, oldest first.
+	prompts map[string][]warmPrompt
 	// openInGroup is the number of unfinished items of each group.
 	openInGroup map[string]int
 	// wholeGroups is the number of whole groups: those whose items are all
@@ -81,6 +86,9 @@
 	rankedAt   timer.Instant
 	// borrowed is what the step has borrowed from other models.
 	borrowed borrowed
+	// movesHeldUntil is until when no stream is moved for being slow, as all engines were
+	// slow together at the start of the step; 0 if they were not.
+	movesHeldUntil timer.Instant
 	// medianPace is the median time between two events at the engines, as last
 	// looked up.
 	medianPace time.Duration
--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/apex/log"
 
@@ -53,18 +54,19 @@
 		candidates = ownCandidates(usable)
 		defer r.borrow(b, usable, medianPace, now)
 	}
-	engines := enginesOf(candidates)
-	for i := b.nextReady(now); i >= 0; i = b.nextReady(now) {
-		t := b.queue[i]
-		need := r.needOf(b, t, medianPace, now)
-		picked := pickAvoiding(engines, candidates, t.movedFrom, need)
+	p := r.newPlacer(b, candidates, medianPace, now)
+	for first := b.nextReady(now); first >= 0; first = b.nextReadyExcept(now, p.waiting) {
+		i, picked, need := p.next(first)
 		if picked < 0 {
+			if p.waitForMemory(b.queue[i], need) {
+				continue
+			}
 			return
 		}
-		engines[picked].FreeSlots--
-		engines[picked].Reserved += need.Memory
+		t := b.queue[i]
+		p.take(t, picked, need)
 		b.queue = slices.Delete(b.queue, i, i+1)
-		r.startAttempt(b, t, candidates[picked].u, need, now)
+		r.startAttempt(b, t, p.candidates[picked].u, need, now)
 	}
 }
 
@@ -77,12 +79,16 @@
 	t.attemptStart = now
 	t.lastEventAt = now
 	t.attemptEvents = 0
+	t.firstEventAfter = 0
+	t.promptTokens = r.tokensToRead(t)
+	t.promptMark = u.SendPrompt(t.promptTokens)
 	t.paceMark = 0
 	t.moving = false
 	t.stalled = false
 	t.attempts++
 	t.timings.waited += t.timings.lap(now)
 	t.reserved = need.Memory
+	t.memoryWaitSince = 0
 	u.Reserve(t.reserved)
 	u.Begin()
 	r.lending.sent()
@@ -101,6 +107,7 @@
 				settle(false, r.Timer.Now())
 			}
 		},
+		OnConnectionIdle: func(keepAlive time.Duration) { u.ConnectionIdle(r.Timer.Now(), keepAlive) },
 	}
 	go func() {
 		defer cancel()
@@ -138,6 +145,10 @@
 		return errOutOfOrder
 	}
 	t.backoff.reset()
+	if t.attemptEvents == 1 {
+		b.acceptedAt = now
+		r.recordFirstEvent(b, t, now)
+	}
 	return nil
 }
 
@@ -148,7 +159,12 @@
 	b.mu.Lock()
 	u.Reserve(-t.reserved)
 	r.endLoan(b, t, err, now)
-	r.recordOutcome(t, u, err, now)
+	u.PromptRead(t.promptTokens)
+	t.promptTokens = 0
+	if err != nil && t.attemptEvents == 0 && t.sharesPrompt() {
+		b.promptNotRead(t, u)
+	}
+	r.recordOutcome(t, u, err, r.tooLarge(b, t), now)
 	t.timings.ran += t.timings.lap(now)
 	if err != nil {
 		t.timings.addPause(now.Sub(t.lastEventAt), b.medianPace)
@@ -185,6 +201,8 @@
 		}
 	case errors.Is(err, errStaleWeights):
 		t.discardEvents()
+	case errors.As(err, new(*engine.RefusedError)):
+		r.itemRefused(b, t, now)
 	case errors.Is(err, engine.ErrIncompleteResponse) && !t.moving && t.attemptEvents == 0:
 		t.backoff.engineLost(now)
 	}
@@ -198,17 +216,21 @@
 }
 
 // recordOutcome records in the state of the engine how an attempt there ended.
-// The caller holds the batch's lock.
-func (r *Runner) recordOutcome(t *task, u *catalog.Upstream, err error, now timer.Instant) {
+// tooLarge says that no engine can hold the item. The caller holds the batch's lock.
+func (r *Runner) recordOutcome(t *task, u *catalog.Upstream, err error, tooLarge bool, now timer.Instant) {
 	var refused *engine.RefusedError
+	start := t.paceMarkAt
 	pace, _ := t.pace(minPaceEvents)
 	switch {
 	case err == nil, errors.Is(err, engine.ErrAttemptFailed), errors.Is(err, engine.ErrUnservable):
-		u.RecordPace(pace, now)
+		u.RecordPaceSince(pace, start, now)
 		u.Succeeded(0)
 	case errors.Is(err, engine.ErrMisdirected):
 		u.MarkLeaving()
 		u.Cancelled()
+	case errors.As(err, &refused) && tooLarge:
+		// The refusal says nothing about the engine, which takes other items.
+		u.Cancelled()
 	case errors.As(err, &refused), errors.Is(err, errStaleWeights):
 		u.RecordRefusal(now)
 		u.Cancelled()
@@ -220,7 +242,7 @@
 	case t.moving && t.stalled:
 		u.Failed(now)
 	case t.moving:
-		u.RecordPace(pace, now)
+		u.RecordPaceSince(pace, start, now)
 		u.Cancelled()
 	case errors.Is(err, context.Canceled):
 		u.Cancelled()
@@ -277,6 +299,7 @@
 		"group":      t.item.Group,
 		"upstream":   t.upstream.ID,
 		"attempts":   t.attempts,
+		"warm":       t.warmAttempts,
 		"moves":      t.moves,
 		"events":     t.lastEvent,
 		"versions":   t.versions,
--- a/internal/batch/runner/metrics.go
+++ b/internal/batch/runner/metrics.go
@@ -10,9 +10,12 @@
 type Metrics struct {
 	batches  prometheus.Counter
 	attempts *prometheus.CounterVec
-	moves    prometheus.Counter
+	moves    *prometheus.CounterVec
 	items    prometheus.Histogram
 	lent     prometheus.Gauge
+	tooLarge prometheus.Gauge
+	waiting  prometheus.Gauge
+	placed   *prometheus.CounterVec
 }
 
 // NewMetrics creates and registers the runner's metrics.
@@ -26,10 +29,10 @@
 			Name: "egretbend_item_attempts_total",
 			Help: "Attempts at items by outcome.",
 		}, []string{"outcome"}),
-		moves: prometheus.NewCounter(prometheus.CounterOpts{
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretbend_item_moves_total",
-			Help: "Streams moved to another engine.",
-		}),
+			Help: "Streams moved to another engine by reason: stalled, slow or faster.",
+		}, []string{"reason"}),
 	}
 	m.lent = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "egretbend_engines_lent",
@@ -40,7 +43,19 @@
 		Help:    "Time from the beginning of a batch to a finished item.",
 		Buckets: prometheus.ExponentialBuckets(0.1, 2, 9),
 	})
-	reg.MustRegister(m.batches, m.attempts, m.moves, m.items, m.lent)
+	m.tooLarge = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "egretbend_items_too_large",
+		Help: "Unfinished items that engines refused and whose prompt and largest output exceed the memory of every engine.",
+	})
+	m.placed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "egretbend_item_placements_total",
+		Help: "Attempts at items of a group by prompt: the engine had read it (warm), no engine had (first), or another engine had (again).",
+	}, []string{"prompt"})
+	m.waiting = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "egretbend_items_waiting_for_memory",
+		Help: "Items that wait because no engine has memory for them.",
+	})
+	reg.MustRegister(m.batches, m.attempts, m.moves, m.items, m.tooLarge, m.waiting, m.placed, m.lent)
 	return m
 }
 
@@ -56,9 +71,9 @@
 	}
 }
 
-func (m *Metrics) itemMoved() {
+func (m *Metrics) itemMoved(reason string) {
 	if m != nil {
-		m.moves.Inc()
+		m.moves.WithLabelValues(reason).Inc()
 	}
 }
 
@@ -68,6 +83,19 @@
 	}
 }
 
+func (m *Metrics) itemPlaced(prompt string) {
+	if m != nil {
+		m.placed.WithLabelValues(prompt).Inc()
+	}
+}
+
+func (m *Metrics) setItemsHeldBack(tooLarge, waiting int) {
+	if m != nil {
+		m.tooLarge.Set(float64(tooLarge))
+		m.waiting.Set(float64(waiting))
+	}
+}
+
 func (m *Metrics) countAttempt(err error) {
 	if m == nil {
 		return
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -73,11 +73,13 @@
 	CopyFinder CopyFinder
 
 	// lengths converts estimates in tokens to events, scoring estimates the time
-	// of reward calls; both learn from finished items.
+	// of reward calls; both learn from finished items. reading estimates how long
+	// engines read prompts and learns from first events.
 	lengths schedule.Lengths
 	scoring schedule.ScoringTime
 	// lending decides which engines of other models crowded steps use.
 	lending lending
+	reading schedule.PromptReading
 	tomb    tomb.Tomb
 	// batchStarted wakes watch.
 	batchStarted wake.Signal
--- a/internal/batch/runner/watch.go
+++ b/internal/batch/runner/watch.go
@@ -51,11 +51,17 @@
 	r.lending.forget(now)
 	active := false
 	workByModel := make(map[string]time.Duration)
+	tooLarge, waiting := 0, 0
 	for _, b := range list {
 		if r.checkBatch(b, workByModel, now) {
 			active = true
+			b.mu.Lock()
+			tooLarge += b.itemsTooLarge()
+			waiting += b.itemsWaitingForMemory()
+			b.mu.Unlock()
 		}
 	}
+	r.Metrics.setItemsHeldBack(tooLarge, waiting)
 	return active
 }
 
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -70,9 +70,17 @@
 	backoffUntil atomic.Int64
 	// pace is the smoothed pace in seconds, and slowness its ratio to the median of the set,
 	// both as float64 bits.
-	pace      atomic.Uint64
-	slowness  atomic.Uint64
+	pace     atomic.Uint64
+	slowness atomic.Uint64
+	// paceNoise is the smoothed relative difference between a measured pace and the smoothed
+	// pace before it, as float64 bits.
+	paceNoise atomic.Uint64
 	idleConns idleConnections
+	// reportsSlowdown says that the reports have the slowdown of the upstream's machine,
+	// slowdown is the last one, and slowPace when paces were much higher than before.
+	reportsSlowdown atomic.Bool
+	slowdown        atomic.Pointer[slowdownState]
+	slowPace        atomic.Pointer[slowPaces]
 }
 
 // receivedReport is a report with the state of this instance when it was received.
@@ -174,11 +182,19 @@
 // so that it counts at once: a stream that left a slow engine would otherwise return to it, as
 // the one with the most free slots.
 func (u *Upstream) RecordPace(pace time.Duration, now timer.Instant) {
+	if old := u.Pace(); old > 0 && pace > 0 {
+		noise := min(1, math.Abs(pace.Seconds()-old)/old)
+		u.paceNoise.Store(math.Float64bits(u.PaceNoise() + measuredPaceWeight*(noise-u.PaceNoise())))
+	}
 	if u.smoothPace(pace, measuredPaceWeight, math.Inf(1)) {
 		u.paceMeasuredAt.Store(int64(now))
 	}
 }
 
+// PaceNoise returns by how much measured paces differ from the smoothed pace, relative to it,
+// or zero if unknown.
+func (u *Upstream) PaceNoise() float64 { return math.Float64frombits(u.paceNoise.Load()) }
+
 const (
 	// measuredPaceWeight is the weight of a measurement over many events in the smoothed pace.
 	measuredPaceWeight = 0.4
@@ -242,6 +258,7 @@
 		receivedAt: now,
 		ownPeak:    u.recentPeak(now),
 	})
+	u.recordSlowdown(r.SlowdownPercent, now)
 	u.RecordVersion(r.Version)
 	if r.Leaving {
 		u.MarkLeaving()
