runner: all items that wait for memory are sent in time

Cause: a call of dispatch looks at 16 items that wait for memory, and the wait of the others began only when they were looked at: with 50 large items at engines less than half full some were sent after 7.6 s, and must be after 5 s at most. Change: when the limit is reached, the wait of all queued items begins.

--- a/internal/batch/runner/memory_test.go
+++ b/internal/batch/runner/memory_test.go
@@ -72,3 +72,58 @@
 		is.True(eventually(func() bool { return u.Reserved() == 0 }))
 	}
 }
+
+// Guards against items that wait for more than 5 s without being sent while engines are less than
+// half full: each of two engines has memory for two of 50 items, and slots for 64, and the items
+// take longer than that. More items wait than are looked at in one call of dispatch.
+func TestMemoryWaitIsBounded(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	sentAt := make(map[string]timer.Instant)
+	var b *testBench
+	b = newTestBench(t, func(ctx context.Context, _ *catalog.Upstream, attempt Attempt, emit func(Event) error) error {
+		mu.Lock()
+		if _, ok := sentAt[attempt.Item.ID]; !ok {
+			sentAt[attempt.Item.ID] = b.clock.Now()
+		}
+		mu.Unlock()
+		for n := attempt.After; n < 100; n++ {
+			if !timer.Wait(b.clock, 100*time.Millisecond, ctx.Done()) {
+				return ctx.Err()
+			}
+			if err := emitEvents(n, n+1, 5, emit); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	b.useEngines(2, 64, 16_000)
+	for range 20 {
+		b.runner.lengths.Record(1000, 9)
+		b.runner.lengths.Record(1000, 11)
+	}
+	sub := b.newSubmission()
+	for n := range 50 {
+		sub.Items = append(sub.Items, submission.Item{ID: fmt.Sprint("large", n), Path: "/x", Group: "large", PromptTokens: 5000, ExpectedTokens: 1000})
+	}
+	start := b.clock.Now()
+	is.NoErr(b.runner.Submit(context.Background(), sub, b.route))
+	is.True(eventually(func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(sentAt) == 50 || b.clock.Now().Sub(start) > 20*time.Second
+	}))
+	mu.Lock()
+	defer mu.Unlock()
+	waited := 0
+	for id, at := range sentAt {
+		if at.Sub(start) > time.Second {
+			waited++
+		}
+		if at.Sub(start) > 5*time.Second {
+			t.Errorf("%s was sent after %s", id, at.Sub(start))
+		}
+	}
+	is.Equal(len(sentAt), 50)
+	is.True(waited > 16) // the load reproduces the wait
+}
--- a/internal/batch/runner/placer.go
+++ b/internal/batch/runner/placer.go
@@ -105,7 +105,11 @@
 // start. It reports false if the item does not wait for memory.
 func (p *placer) waitForMemory(t *task, need schedule.Need) bool {
 	target := schedule.MemoryTarget(p.engines, need)
-	if target < 0 || len(p.waiting) >= schedule.MaxWaiting {
+	if target < 0 {
+		return false
+	}
+	if len(p.waiting) >= schedule.MaxWaiting {
+		p.restWaits()
 		return false
 	}
 	if p.waiting == nil {
@@ -129,6 +133,16 @@
 	return true
 }
 
+// restWaits records that all queued items wait for memory, as too many do for each to be looked
+// at: the time for which they may wait begins now.
+func (p *placer) restWaits() {
+	for _, t := range p.b.queue {
+		if t.memoryWaitSince == 0 && t.backoff.ready(p.now) && !t.backoff.tooLarge {
+			t.memoryWaitSince = p.now
+		}
+	}
+}
+
 // ahead describes the items of the queue that are ready, from the first on, for an engine, and
 // returns their indexes in the queue.
 func (p *placer) ahead(first int, u *catalog.Upstream) ([]int, []schedule.Queued) {
