--- a/internal/batch/runner/placer.go
+++ b/internal/batch/runner/placer.go
@@ -20,8 +20,8 @@
 	candidates []candidate
 	engines    []schedule.Engine
 	medianPace time.Duration
-	// longest is the longest expected run time of the unfinished items, load their number as
-	// in schedule.StepLoad.
+	// longest is the longest expected run time of the unfinished items, load the result of
+	// schedule.StepLoad.
 	longest time.Duration
 	load    float64
 	// waiting holds the items that wait for memory.
--- a/internal/batch/schedule/place.go
+++ b/internal/batch/schedule/place.go
@@ -128,7 +128,7 @@
 	// unknown.
 	PromptReading time.Duration
 	// LongestDuration is the longest ExpectedDuration of the unfinished items of the step,
-	// and StepLoad is that of their number.
+	// and StepLoad the share of the slots that those items take; see the function StepLoad.
 	LongestDuration time.Duration
 	StepLoad        float64
 }
