budget: bound what an instance holds for callers and upstreams

Callers that stop reading keep whole responses in the memory of an instance, and clients that announce large bodies keep buffers, without a bound. A Budget counts them over all requests.

--- a/internal/entry/httpserver/server.go
+++ b/internal/entry/httpserver/server.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/egretbend/egretbend/internal/entry/budget"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
@@ -30,6 +31,9 @@
 type Server struct {
 	Handler http.Handler
 	Config  *catalog.Holder
+	// Budget bounds what connections hold, and cuts those whose clients stop reading.
+	// Nil means no bound.
+	Budget *budget.Budget
 
 	mu      sync.Mutex
 	limits  catalog.Limits
@@ -84,7 +88,7 @@
 	l := s.current
 	s.mu.Unlock()
 	select {
-	case l.conns <- c:
+	case l.conns <- s.Budget.Wrap(c):
 	case <-l.done:
 		_ = c.Close()
 	}
@@ -94,6 +98,7 @@
 func (s *Server) startServer(limits catalog.Limits) *connListener {
 	server := &http.Server{
 		Handler:           s.Handler,
+		ConnContext:       budget.ConnContext,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
--- a/internal/kernel/problem/decode.go
+++ b/internal/kernel/problem/decode.go
@@ -7,13 +7,18 @@
 	"net/http"
 )
 
-// ReadBody reads a request body of at most limit bytes.
+// ReadBody reads a request body of at most limit bytes. If reading fails with an *Error,
+// it returns that.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, TooLarge.Withf("the body is larger than %d bytes", limit)
 	}
+	var typed *Error
+	if errors.As(err, &typed) {
+		return nil, typed
+	}
 	if err != nil {
 		return nil, BadRequest.Withf("the body could not be read: %w", err)
 	}
@@ -21,7 +26,7 @@
 }
 
 // ReadJSON decodes a JSON request body of at most limit bytes into v and rejects
-// unknown fields.
+// unknown fields. If reading fails with an *Error, it returns that.
 func ReadJSON(w http.ResponseWriter, r *http.Request, limit int64, v any) error {
 	r.Body = http.MaxBytesReader(w, r.Body, limit)
 	dec := json.NewDecoder(r.Body)
@@ -31,6 +36,10 @@
 	if errors.As(err, &tooLarge) {
 		return TooLarge.Withf("the body is larger than %d bytes", limit)
 	}
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed
+	}
 	if err != nil {
 		return BadRequest.Withf("the body is not the expected JSON: %w", err)
 	}
--- a/internal/kernel/problem/kind.go
+++ b/internal/kernel/problem/kind.go
@@ -53,6 +53,8 @@
 		"check at the service whether the first try ran before asking with a new ticket")
 	Overloaded = newKind("overloaded", http.StatusTooManyRequests, NotRun,
 		"ask again after the time in Retry-After")
+	BuffersFull = newKind("buffers_full", http.StatusServiceUnavailable, NotRun,
+		"ask another instance, or this one after the time in Retry-After; operators look at slow readers")
 	NoUpstream = newKind("no_upstream", http.StatusServiceUnavailable, NotRun,
 		"ask again after the time in Retry-After; operators look at the instance list")
 	Leaving = newKind("leaving", http.StatusServiceUnavailable, NotRun,
