--- a/internal/entry/budget/budget.go
+++ b/internal/entry/budget/budget.go
@@ -66,6 +66,10 @@
 	held int64
 	// cutting is the part of held whose holders were cut and have not ended yet.
 	cutting int64
+	// grower is the lease whose response of unknown length may grow while memory is
+	// scarce, and grownAt when it grew last.
+	grower  *Lease
+	grownAt timer.Instant
 	// holders is the ring of open leases. Its head is no lease.
 	holders Lease
 }
@@ -179,6 +183,7 @@
 	}
 	l.add(-l.bytes)
 	l.closed = true
+	b.endGrowth(l)
 	l.next.previous, l.previous.next = l.previous, l.next
 }
 
@@ -247,6 +252,19 @@
 // Await reserves n bytes for a response, whose request has run and can't be refused any
 // more. It waits for room until ctx is done, and cuts idle holders meanwhile.
 func (l *Lease) Await(ctx context.Context, n int64) error {
+	return l.await(ctx, n, func() bool { return true })
+}
+
+// awaitGrowth is Await for the next part of a response of unknown length. While memory is
+// scarce, one response grows at a time: if several held a part and waited for room for
+// the rest, they would wait for each other.
+func (l *Lease) awaitGrowth(ctx context.Context, n int64) error {
+	return l.await(ctx, n, func() bool { return l.mayGrow(n) })
+}
+
+// await waits until there is room for n bytes and may, which is called with budget.mu
+// held, reports true.
+func (l *Lease) await(ctx context.Context, n int64, may func() bool) error {
 	if l == nil || n <= 0 {
 		return nil
 	}
@@ -257,7 +275,7 @@
 		case l.closed || l.cut:
 			b.mu.Unlock()
 			return ErrClosed
-		case b.limit <= 0 || b.held+n <= b.limit:
+		case b.limit <= 0 || b.held+n <= b.limit && may():
 			l.add(n)
 			b.mu.Unlock()
 			return nil
@@ -274,6 +292,29 @@
 	}
 }
 
+// mayGrow reports whether a response of unknown length may grow by n bytes. Beyond half of
+// the bound, this is one response at a time, until it has not grown for minIdle because
+// its upstream is slow. budget.mu must be held.
+func (l *Lease) mayGrow(n int64) bool {
+	b := l.budget
+	if b.held+n <= b.limit/2 {
+		return true
+	}
+	now := b.timer.Now()
+	if b.grower != nil && b.grower != l && now.Sub(b.grownAt) < minIdle {
+		return false
+	}
+	b.grower, b.grownAt = l, now
+	return true
+}
+
+// endGrowth lets another response grow. mu must be held.
+func (b *Budget) endGrowth(l *Lease) {
+	if b.grower == l {
+		b.grower = nil
+	}
+}
+
 // Release returns n bytes before the lease is closed.
 func (l *Lease) Release(n int64) {
 	if l == nil {
--- a/internal/entry/budget/budget_test.go
+++ b/internal/entry/budget/budget_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -301,6 +302,34 @@
 	is.True(strings.Contains(out.String(), "bytes=5000"))
 }
 
+// Guards against responses of unknown length that each hold a part and wait for each other
+// to release it.
+func TestResponsesOfUnknownLengthEnd(t *testing.T) {
+	is := is.New(t)
+	const size = 3000
+	b := New(testLimit, timer.Real{}, nil, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	results := make(chan error)
+	for range 12 {
+		l := mustOpen(t, b, "r")
+		go func() {
+			// A reader that returns single bytes lets the responses grow together.
+			body, err := l.ReadResponse(ctx, iotest.OneByteReader(bytes.NewReader(make([]byte, size))), -1)
+			if err == nil && len(body) != size {
+				err = io.ErrShortBuffer
+			}
+			timer.Wait(timer.Real{}, 10*time.Millisecond, nil) // it is written
+			l.Close()
+			results <- err
+		}()
+	}
+	for range 12 {
+		is.NoErr(<-results)
+	}
+	is.Equal(b.Usage().HeldBytes, int64(0))
+}
+
 // Guards against a client that occupies memory by announcing a large body, and against
 // bytes of a body that is cut off.
 func TestBodyIsReservedAsItArrives(t *testing.T) {
--- a/internal/entry/budget/read.go
+++ b/internal/entry/budget/read.go
@@ -31,23 +31,41 @@
 // -1 if that is unknown. It waits for room until ctx is done. After an error it holds
 // nothing of the response.
 func (l *Lease) ReadResponse(ctx context.Context, r io.Reader, length int64) ([]byte, error) {
-	// A response of known length is reserved as a whole: responses that hold a part
-	// and wait for room for the rest would wait for each other.
+	// A response of known length is reserved as a whole, so that it never holds a part
+	// while it waits for the rest.
+	await := l.Await
+	if length < 0 {
+		await = l.awaitGrowth
+	}
 	reserved := int64(0)
 	body, err := l.read(r, length, length, func(n int64) error {
-		err := l.Await(ctx, n)
+		err := await(ctx, n)
 		if err == nil {
 			reserved += n
 		}
 		return err
 	})
+	l.endResponse(reserved, err)
 	if err != nil {
-		l.Release(reserved)
 		return nil, err
 	}
 	return body, nil
 }
 
+// endResponse lets another response grow, and releases what was reserved for one that
+// failed.
+func (l *Lease) endResponse(reserved int64, err error) {
+	if l == nil {
+		return
+	}
+	if err != nil {
+		l.Release(reserved)
+	}
+	l.budget.mu.Lock()
+	l.budget.endGrowth(l)
+	l.budget.mu.Unlock()
+}
+
 // read reads length bytes, or all if length is negative, into a buffer that starts with
 // at most first bytes and doubles. It calls reserve before each growth.
 func (l *Lease) read(r io.Reader, length, first int64, reserve func(int64) error) ([]byte, error) {
