httpserver, caller, trainer: bound the memory of the documented interface

Requests of callers and trainers held bodies, answers and batches without a bound. The Mux opens a lease for each, counts bodies as they are read and refuses at the bound with buffers_full (503, not run); operators' paths are never refused. The relay waits for room before it reads an answer. Settings memory_mb and buffers_share give the bound, and status shows what is held, refused and cut.

Measured by TestFullBuffersRefuseCallersOnly, TestBuffersShareHasRange and TestBufferBytes.

--- a/internal/entry/caller/completions.go
+++ b/internal/entry/caller/completions.go
@@ -9,6 +9,7 @@
 
 	"goji.io/pat"
 
+	"github.com/egretbend/egretbend/internal/entry/budget"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/rollout/sample"
@@ -38,6 +39,9 @@
 // maxTokens is the maximum value of max_tokens in a request.
 const maxTokens = 1 << 20
 
+// completionBytes is the memory for the buffers of a completion.
+const completionBytes = 16 << 10
+
 // handleCompletion serves POST /v1/models/{deployment}/completions.
 func (s *Server) handleCompletion(w http.ResponseWriter, r *http.Request) {
 	deployment := pat.Param(r, "deployment")
@@ -56,6 +60,10 @@
 		problem.Write(w, problem.BadRequest.Withf("expected a prompt and max_tokens from 1 to %d", maxTokens))
 		return
 	}
+	if err := budget.FromContext(r.Context()).Reserve(completionBytes); err != nil {
+		problem.Write(w, err)
+		return
+	}
 	ctx, cancel := meta.context(r.Context())
 	defer cancel()
 	out := &completionWriter{
--- a/internal/entry/caller/part.go
+++ b/internal/entry/caller/part.go
@@ -1,8 +1,12 @@
 package caller
 
 import (
+	"context"
+	"io"
+
 	"goji.io/pat"
 
+	"github.com/egretbend/egretbend/internal/entry/budget"
 	"github.com/egretbend/egretbend/internal/entry/httpserver"
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
 	"github.com/egretbend/egretbend/internal/fleet/member"
@@ -37,6 +41,9 @@
 			Router: part.MustGet[*router.Router](h),
 			Client: client,
 			Timer:  h.Timer,
+			ReadBody: func(ctx context.Context, body io.Reader, length int64) ([]byte, error) {
+				return budget.FromContext(ctx).ReadResponse(ctx, body, length)
+			},
 		},
 		Generator: part.MustGet[*stream.Generator](h),
 		Tickets: &ticket.Issuer{
--- a/internal/entry/caller/services.go
+++ b/internal/entry/caller/services.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 
 	"goji.io/pat"
 	"goji.io/pattern"
 
+	"github.com/egretbend/egretbend/internal/entry/budget"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/route/relay"
 	"github.com/egretbend/egretbend/internal/route/ticket"
@@ -138,12 +138,16 @@
 		return
 	}
 	defer res.Body.Close()
-	s.copyResponse(w, res)
+	s.copyResponse(ctx, w, res)
 }
 
 // copyResponse copies the response of a ticket's issuer to the caller.
-func (s *Server) copyResponse(w http.ResponseWriter, res *http.Response) {
-	body, err := io.ReadAll(res.Body)
+func (s *Server) copyResponse(ctx context.Context, w http.ResponseWriter, res *http.Response) {
+	length := res.ContentLength
+	if res.Body == http.NoBody { // the length that a response to HEAD states is not its own
+		length = 0
+	}
+	body, err := budget.FromContext(ctx).ReadResponse(ctx, res.Body, length)
 	if err != nil {
 		problem.Write(w, problem.AnswerRejected.Withf("the response of the ticket's issuer was cut short: %w", err))
 		return
--- a/internal/entry/command/command_test.go
+++ b/internal/entry/command/command_test.go
@@ -53,6 +53,19 @@
 	}
 }
 
+// Guards against a share of the memory for buffers that leaves none for the rest of the
+// instance.
+func TestBuffersShareHasRange(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	is.NoErr(os.WriteFile(path, []byte(`{"name": "n", "region": "r", "failure_domain": "f", "memory_mb": -1, "buffers_share": 0.9,
+		"listen": "127.0.0.1:1", "peer_listen": "127.0.0.1:2", "key_value": {"address": "127.0.0.1:3"}, "roster": {"address": "127.0.0.1:4"}}`), 0o600))
+	code, _, errOut := runCommand("check", "--settings", path)
+	is.Equal(code, ExitInput)
+	is.True(strings.Contains(errOut, "buffers_share: expected at most 0.5"))
+	is.True(strings.Contains(errOut, "memory_mb: expected at least 0"))
+}
+
 // Guards against an instance that listens on an open network without a certificate,
 // unless its settings allow plain text. Anyone on that network could read prompts and
 // change the configuration.
--- a/internal/entry/command/fleet.go
+++ b/internal/entry/command/fleet.go
@@ -67,6 +67,8 @@
 
 func (a *app) printStatus(s operator.Status) {
 	fmt.Fprintf(a.out, "instance %s, configuration revision %d (highest told: %d)\n", s.Instance, s.Revision, s.HighestRevision)
+	fmt.Fprintf(a.out, "buffers  %d of %d bytes held, %d requests refused, %d slow readers cut\n",
+		s.Buffers.HeldBytes, s.Buffers.BoundBytes, s.Buffers.Refused, s.Buffers.Cut)
 	for _, m := range s.Members {
 		note := ""
 		if m.Leaving {
--- a/internal/entry/httpserver/part.go
+++ b/internal/entry/httpserver/part.go
@@ -14,6 +14,7 @@
 	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 
+	"github.com/egretbend/egretbend/internal/entry/budget"
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/kernel/certificate"
@@ -56,7 +57,9 @@
 }
 
 func makeMux(h *part.Host) (part.Part, error) {
-	part.Provide(h, NewMux())
+	b := budget.New(budget.Bytes(int64(h.Settings.MemoryMB)<<20, h.Settings.BuffersShare), h.Timer, h.Journal, h.Metrics)
+	part.Provide(h, b)
+	part.Provide(h, NewMux(b))
 	return part.Noop{}, nil
 }
 
@@ -64,6 +67,7 @@
 type listener struct {
 	host    *part.Host
 	mux     *Mux
+	budget  *budget.Budget
 	members *member.Table
 	holder  *configuration.Holder
 	runner  *runner.Runner
@@ -74,6 +78,7 @@
 	l := &listener{
 		host:    h,
 		mux:     part.MustGet[*Mux](h),
+		budget:  part.MustGet[*budget.Budget](h),
 		members: part.MustGet[*member.Table](h),
 		holder:  part.MustGet[*configuration.Holder](h),
 		runner:  part.MustGet[*runner.Runner](h),
@@ -111,11 +116,13 @@
 	}
 	l.server = &http.Server{
 		Handler:           l.mux,
+		ConnContext:       budget.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	ln = l.budget.Listener(ln)
 	security := l.host.Settings.Security
 	if security.Certificate != "" {
 		pair := &certificate.Pair{
--- a/internal/entry/operator/server.go
+++ b/internal/entry/operator/server.go
@@ -10,6 +10,7 @@
 
 	"goji.io/pat"
 
+	"github.com/egretbend/egretbend/internal/entry/budget"
 	"github.com/egretbend/egretbend/internal/entry/httpserver"
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
 	"github.com/egretbend/egretbend/internal/fleet/listing"
@@ -49,6 +50,7 @@
 	Journal       *journal.Journal
 	Client        *peer.Client
 	Timer         timer.Service
+	Budget        *budget.Budget
 	Instance      string
 	// Leave stops this instance gracefully.
 	Leave func()
@@ -75,6 +77,7 @@
 		Journal:       h.Journal,
 		Client:        part.MustGet[*peer.Client](h),
 		Timer:         h.Timer,
+		Budget:        part.MustGet[*budget.Budget](h),
 		Instance:      h.Settings.Name,
 		Leave:         h.RequestShutdown,
 	}
@@ -263,6 +266,7 @@
 	Upstreams       []UpstreamStatus  `json:"upstreams"`
 	Limits          []LimitStatus     `json:"limits"`
 	Sessions        []runner.Overview `json:"sessions"`
+	Buffers         budget.Usage      `json:"buffers"`
 }
 
 func (s *Server) getStatus(w http.ResponseWriter, _ *http.Request) {
@@ -271,6 +275,7 @@
 		Revision:        s.Configuration.Revision(),
 		HighestRevision: s.Configuration.GossipedRevision(),
 		Sessions:        s.Runner.Sessions(),
+		Buffers:         s.Budget.Usage(),
 	}
 	for _, m := range s.Members.View().Known {
 		status.Members = append(status.Members, MemberStatus{
--- a/internal/entry/trainer/server.go
+++ b/internal/entry/trainer/server.go
@@ -5,6 +5,7 @@
 
 	"goji.io/pat"
 
+	"github.com/egretbend/egretbend/internal/entry/budget"
 	"github.com/egretbend/egretbend/internal/entry/httpserver"
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
 	"github.com/egretbend/egretbend/internal/fleet/version"
@@ -137,9 +138,22 @@
 		return
 	}
 	batch, err := s.Runner.Read(r.Context(), pat.Param(r, "trainer"), body)
+	if err == nil {
+		// The batch before was acknowledged: this one waits for room and is not refused.
+		err = budget.FromContext(r.Context()).Await(r.Context(), batchBytes(batch))
+	}
 	if err != nil {
 		problem.Write(w, err)
 		return
 	}
 	problem.WriteJSON(w, http.StatusOK, batch)
 }
+
+// batchBytes returns about how much memory the JSON form of a batch takes.
+func batchBytes(b session.Batch) int64 {
+	n := 0
+	for _, e := range b.Entries {
+		n += len(e.Sample)
+	}
+	return int64(n)
+}
--- a/internal/kernel/setting/instance.go
+++ b/internal/kernel/setting/instance.go
@@ -19,6 +19,8 @@
 	DataFolder    string   `json:"data_folder" default:"" doc:"folder for bulk data; empty where the instance has no disk"`
 	LogLevel      string   `json:"log_level" default:"info" oneof:"debug,info,warn,error" doc:"lowest level that is written"`
 	Seed          uint64   `json:"seed" default:"0" doc:"seed of this instance's random choices; 0 takes one from the system"`
+	MemoryMB      int      `json:"memory_mb" default:"0" min:"0" doc:"memory that this instance may use, in MiB; 0 is unknown, and buffers have no bound then"`
+	BuffersShare  float64  `json:"buffers_share" default:"0.2" min:"0" max:"0.5" doc:"share of the memory for what is held for callers and upstreams; 0 means no bound"`
 	Security      Security `json:"security" doc:"keys and certificates"`
 }
 
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -26,6 +26,9 @@
 	Router *router.Router
 	Client *wire.Client
 	Timer  timer.Service
+	// ReadBody reads the body of an answer, with its length or -1 if that is unknown.
+	// It may wait until there is room for it. Nil reads it at once.
+	ReadBody func(ctx context.Context, body io.Reader, length int64) ([]byte, error)
 }
 
 // Do sends a call and repeats it at other upstreams until it is answered or may not be
@@ -121,7 +124,7 @@
 	if err != nil {
 		return nil, r.classifyFailure(ctx, u, sent, err)
 	}
-	answer, err := readAnswer(res, d, attempt, reuse)
+	answer, err := r.readAnswer(ctx, res, d, attempt, reuse)
 	if err != nil {
 		return nil, r.classifyFailure(ctx, u, true, err)
 	}
@@ -205,7 +208,7 @@
 
 // readAnswer reads the complete answer. It rejects a body with neither a length nor
 // chunked encoding, since a crashing upstream could truncate it without any sign.
-func readAnswer(res *http.Response, d configuration.Deployment, attempt string, reuse wire.Reuse) (*Answer, error) {
+func (r *Relay) readAnswer(ctx context.Context, res *http.Response, d configuration.Deployment, attempt string, reuse wire.Reuse) (*Answer, error) {
 	defer res.Body.Close()
 	if echo := res.Header.Get(HeaderAttempt); !matchesAttempt(echo, attempt, d.EchoesAttempt, reuse) {
 		return nil, problem.AnswerRejected.Withf("the answer is for attempt %q, not %q", echo, attempt)
@@ -214,7 +217,14 @@
 	if res.ContentLength < 0 && !chunked {
 		return nil, problem.AnswerRejected.Withf("the answer has neither a content length nor chunked encoding")
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, d.MaxAnswerBytes+1))
+	limited := io.LimitReader(res.Body, d.MaxAnswerBytes+1)
+	var body []byte
+	var err error
+	if r.ReadBody != nil {
+		body, err = r.ReadBody(ctx, limited, min(bodyLength(res), d.MaxAnswerBytes+1))
+	} else {
+		body, err = io.ReadAll(limited)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("the answer was truncated: %w", err)
 	}
@@ -230,6 +240,15 @@
 	return answer, nil
 }
 
+// bodyLength returns the length of the body of a response, or -1 if it is unknown. A
+// response to HEAD states the length of a body that it doesn't have.
+func bodyLength(res *http.Response) int64 {
+	if res.Body == http.NoBody {
+		return 0
+	}
+	return res.ContentLength
+}
+
 // recordLoad records the load that the service reported with its answer, if it did.
 func (r *Relay) recordLoad(u *upstream.Upstream, h http.Header) {
 	var report engine.LoadReport
