--- a/internal/entry/budget/conn.go
+++ b/internal/entry/budget/conn.go
@@ -103,6 +103,15 @@
 	_ = c.SetDeadline(time.Unix(1, 0))
 }
 
+// CloseWrite closes the sending side. The server calls it before it closes a connection
+// whose request it did not read to the end, so that the client still gets the response.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.broken.Load() {
--- a/internal/entry/budget/read.go
+++ b/internal/entry/budget/read.go
@@ -67,7 +67,7 @@
 }
 
 // read reads length bytes, or all if length is negative, into a buffer that starts with
-// at most first bytes and doubles. It calls reserve before each growth.
+// at most first bytes and grows. It calls reserve before each growth.
 func (l *Lease) read(r io.Reader, length, first int64, reserve func(int64) error) ([]byte, error) {
 	size := min(length, first)
 	if length < 0 {
@@ -80,8 +80,12 @@
 	for int64(len(body)) != length {
 		if len(body) == cap(body) {
 			grown := 2 * int64(cap(body))
-			if length >= 0 {
+			switch {
+			case length >= 0:
 				grown = min(grown, length)
+			case cap(body) >= firstRead:
+				// A body of unknown length may end here: less is wasted then.
+				grown = int64(cap(body)) * 5 / 4
 			}
 			if err := reserve(grown - int64(cap(body))); err != nil {
 				return nil, err
