--- a/internal/entry/budget/conn_test.go
+++ b/internal/entry/budget/conn_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/egretbend/egretbend/internal/kernel/journal"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 )
 
@@ -91,3 +95,54 @@
 	is.Equal(read, largeResponse)
 	is.Equal(b.Usage().Cut, int64(0))
 }
+
+// Guards against a lease that does not find its connection when the server speaks TLS, or
+// when the connection carries its second request: such a holder could not be cut.
+func TestLeaseFindsConnection(t *testing.T) {
+	is := is.New(t)
+	clock := &timer.Manual{}
+	b := New(testLimit, clock, nil, nil)
+	open := make(chan *Lease)
+	proceed := make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		l, err := b.Open(r.Context(), "r")
+		if err != nil {
+			t.Error(err)
+		}
+		defer l.Close()
+		open <- l
+		<-proceed
+	}))
+	server.Listener = b.Listener(server.Listener)
+	server.Config.ConnContext = ConnContext
+	server.StartTLS()
+	defer server.Close()
+	results := make(chan error)
+	post := func() *Lease {
+		go func() {
+			// The client would repeat a GET by itself after the cut.
+			res, err := server.Client().Post(server.URL, "text/plain", nil)
+			if err == nil {
+				_ = res.Body.Close()
+			}
+			results <- err
+		}()
+		return <-open
+	}
+	first := post()
+	is.True(first.conn != nil)
+	is.True(first.conn.lease.Load() == first)
+	proceed <- struct{}{}
+	is.NoErr(<-results)
+	second := post()
+	is.True(second.conn == first.conn) // it was kept
+	is.True(second.conn.lease.Load() == second)
+	is.NoErr(second.Await(doneContext(), testLimit))
+	second.startWait()
+	clock.Advance(minIdle)
+	_, err := b.Open(context.Background(), "other")
+	is.True(problem.Is(err, problem.BuffersFull))
+	proceed <- struct{}{}
+	is.True(<-results != nil) // its connection was cut
+	is.True(timer.Poll(timer.Real{}, time.Millisecond, 20*time.Second, nil, func() bool { return b.Usage().HeldBytes == 0 }))
+}
