--- a/internal/route/admission/gate.go
+++ b/internal/route/admission/gate.go
@@ -120,6 +120,8 @@
 	// answers, for each decreaseInterval since the last decrease. With 0.3 and a decrease by
 	// 0.6, 11% of the sends of TestStorm were refused in one of four seeds.
 	lowIncrease = 0.2
+	// idleIncrease is that growth after an answer of an upstream that reports no waiting request.
+	idleIncrease = 0.6
 	// refusedTarget is the share of refused sends above which the window of the lower classes
 	// grows more slowly, and refusedWeight the weight of one send in that share. Without it,
 	// 10% of the sends of TestStorm were refused at upstreams that queue two requests.
@@ -570,7 +572,11 @@
 	}
 	step := 1.0
 	if g.low.decreased {
-		step = min(1, lowIncrease*float64(since)/float64(decreaseInterval)/g.low.size)
+		increase := lowIncrease
+		if report.Known && report.Waiting == 0 {
+			increase = idleIncrease
+		}
+		step = min(1, increase*float64(since)/float64(decreaseInterval)/g.low.size)
 		step *= min(1, refusedTarget/g.refusedShare)
 	}
 	g.low.size = min(g.low.size+step, g.slots)
--- a/internal/route/admission/gate_test.go
+++ b/internal/route/admission/gate_test.go
@@ -397,6 +397,23 @@
 	is.True(g.low.size < size)
 }
 
+// Guards against reward calls of steps that wait although upstreams have nothing to do: after a
+// decrease, their window grows faster while upstreams report an empty queue.
+func TestWindowGrowsFasterWhileNothingWaits(t *testing.T) {
+	is := is.New(t)
+	grown := func(waiting int) float64 {
+		now := at(0)
+		g := newGate(8)
+		fill(g, Reward, now)
+		g.Finish(Reward, Refused, Timing{}, Report{}, now)
+		before := g.low.size
+		g.Finish(Reward, Answered, Timing{}, Report{Known: true, Waiting: waiting, Slots: 2}, now.Add(2*decreaseInterval))
+		return g.low.size - before
+	}
+	is.True(grown(1) > 0)
+	is.True(grown(0) > 2*grown(1))
+}
+
 // Guards against hedging that adds load to a service that refuses or that requests wait for.
 func TestHedgeNeedsRoom(t *testing.T) {
 	is := is.New(t)
