forward, poison: a suspected request spares the last upstream of its service

Change: a suspected request is refused, with the time at which upstreams are back, while one more crash would leave fewer than one of three or more upstreams.

--- a/internal/route/forward/claim.go
+++ b/internal/route/forward/claim.go
@@ -67,6 +67,10 @@
 	if r.Permission == poison.Refused {
 		return problem.Quarantined.Withf("%s", r.Verdict).WithRetryAfter(r.RetryAfter)
 	}
+	if delay := r.Verdict.SparingDelay(len(d.group.Upstreams)); delay > 0 {
+		d.endClaim(false)
+		return problem.Quarantined.Withf("%s; the upstreams that are left serve other requests", r.Verdict).WithRetryAfter(delay)
+	}
 	return d.startAttempt(ctx)
 }
 
--- a/internal/route/forward/claim_test.go
+++ b/internal/route/forward/claim_test.go
@@ -27,13 +27,19 @@
 
 	mu        sync.Mutex
 	crashes   int
+	total     int
 	acquired  int
 	refusals  []poison.ClaimRequest
 	ended     []bool
 	published int
 }
 
-func (c *fakeClaims) verdict() poison.Verdict { return poison.Verdict{Crashes: c.crashes} }
+func (c *fakeClaims) verdict() poison.Verdict {
+	return poison.Verdict{
+		Crashes:      c.crashes,
+		TotalCrashes: c.total,
+	}
+}
 
 // ReportCutOff implements CrashReporter.
 func (c *fakeClaims) ReportCutOff(cut crash.Cut) {
@@ -115,6 +121,23 @@
 	}
 }
 
+// Guards against a poison request that takes the last upstreams of a small service, so that
+// requests beside it are refused until one is back.
+func TestSuspectedRequestSparesLastUpstream(t *testing.T) {
+	is := is.New(t)
+	for total, runs := range map[int]int{4: 1, 5: 0} { // of 6 upstreams
+		c := &fakeClaims{permission: poison.Serial, crashes: 1, total: total}
+		s, err := c.send(t, 1, answers)
+		is.Equal(s.counted().runs, runs)
+		is.Equal(err == nil, runs > 0)
+		if err != nil {
+			e := problem.From(err)
+			is.Equal(e.Kind.Outcome, problem.NotRun)
+			is.True(e.RetryAfter > 0)
+		}
+	}
+}
+
 // Guards against a second attempt without a claim after a crash, and against a claim that
 // is not ended or reported as answered.
 func TestSecondAttemptAfterCrashIsClaimed(t *testing.T) {
--- a/internal/route/poison/claim.go
+++ b/internal/route/poison/claim.go
@@ -71,3 +71,21 @@
 	}
 	return Once
 }
+
+const (
+	// crashRecoveryTime is how long an upstream that crashed is away, until it is listed again.
+	crashRecoveryTime = 4 * time.Second
+	// minSparingUpstreams is the size of a service from which on an upstream is spared. In a
+	// smaller one, sparing it would refuse every request that stood beside one crash.
+	minSparingUpstreams = 3
+)
+
+// SparingDelay returns how long a suspected request must not be sent, so that one upstream of
+// the service stays up for other requests, or 0 if it may be sent. upstreams is the number of
+// upstreams that are listed.
+func (v Verdict) SparingDelay(upstreams int) time.Duration {
+	if upstreams < minSparingUpstreams || v.Age >= crashRecoveryTime || upstreams-v.TotalCrashes >= 2 {
+		return 0
+	}
+	return crashRecoveryTime - v.Age
+}
