forward, admission, runner, schedule: faults found by review

Cause: read by reviewers who had not written the parts. A request that waited at the gate went out on the verdict and the list of upstreams from before the wait; crashes that are not on record were no longer counted; a suspected request that was refused was told to return after 100 ms; waiters at the gate were not woken when the bound by reports ended; ready results were refused as new work when memory was short; four refused loans could end borrowing for good; items waited for memory one after the other at a single engine; all running items were described each 100 ms for nothing. Change: each is mended where it is. Measured: TestRefusedLoansAreForgivenWithTime; the other tests pass unchanged.

--- a/internal/batch/runner/move.go
+++ b/internal/batch/runner/move.go
@@ -74,6 +74,10 @@
 // slowTogether reports whether all engines of a step are slow at its start, or were a
 // moment ago, so that no stream is moved for being slow. The caller holds b.mu.
 func (r *Runner) slowTogether(b *Batch, usable int, medianPace time.Duration, paceNoise float64, now timer.Instant) bool {
+	age := now.Sub(b.startedAt)
+	if !schedule.AtStepStart(age) {
+		return now < b.movesHeldUntil
+	}
 	var streams []schedule.Stream
 	for _, t := range b.tasks {
 		if t.phase == running && !t.moving {
@@ -83,7 +87,6 @@
 			})
 		}
 	}
-	age := now.Sub(b.startedAt)
 	if !schedule.SlowTogether(streams, usable, medianPace, age) {
 		return now < b.movesHeldUntil
 	}
--- a/internal/batch/runner/placer.go
+++ b/internal/batch/runner/placer.go
@@ -105,6 +105,10 @@
 func (p *placer) waitForMemory(t *task, need schedule.Need) bool {
 	target := schedule.MemoryTarget(p.engines, need)
 	if target < 0 {
+		if len(p.waiting) > 0 {
+			// The engines that are left are kept for the items that wait already.
+			p.restWaits()
+		}
 		return false
 	}
 	if len(p.waiting) >= schedule.MaxWaiting {
--- a/internal/batch/runner/reward.go
+++ b/internal/batch/runner/reward.go
@@ -51,6 +51,9 @@
 				Class:  admission.Reward,
 				Due:    due,
 			})
+			if err == nil && answer.Stream != nil {
+				_ = answer.Stream.Close()
+			}
 			if err == nil && answer.Status < http.StatusMultipleChoices {
 				return answer.Signature, nil
 			}
--- a/internal/batch/schedule/lend.go
+++ b/internal/batch/schedule/lend.go
@@ -31,6 +31,9 @@
 	// tenth, and an instance's own engines refuse some.
 	refusalsPerSend = 0.05
 	maxRefusals     = 4
+	// maxIdleTime is how long an instance without a send waits until it may risk another
+	// refusal. Queued items must not wait over five seconds beside idle engines.
+	maxIdleTime = 2 * time.Second
 )
 
 // loan is the state of one engine that may lend slots.
@@ -52,6 +55,8 @@
 	loans map[string]*loan
 	// spent is the number of refusals that were risked, less what later sends earned.
 	spent float64
+	// idleSince is since when nothing was sent; 0 after a send.
+	idleSince timer.Instant
 }
 
 // loanOf returns the state of an engine.
@@ -84,6 +89,7 @@
 // without a recent report may take one item a second, whose answer brings a report.
 func (l *Lender) Allows(id string, e Engine, expected time.Duration, ownerCrowded bool, now timer.Instant) bool {
 	s := l.loanOf(id)
+	l.forgive(now)
 	if !s.free || now < s.refusedUntil || l.spent > maxRefusals-1 {
 		return false
 	}
@@ -124,8 +130,22 @@
 	s.refusedUntil = now.Add(refusedLoanBackoff)
 }
 
+// forgive allows one more loan after a time without a send: an instance whose own engines are
+// full of long streams sends nothing that would reduce the refusals that count.
+func (l *Lender) forgive(now timer.Instant) {
+	if l.idleSince == 0 {
+		l.idleSince = now
+	}
+	if now.Sub(l.idleSince) >= maxIdleTime {
+		l.spent = min(l.spent, maxRefusals-1)
+	}
+}
+
 // Sent records an item that is sent to any engine.
-func (l *Lender) Sent() { l.spent = max(0, l.spent-refusalsPerSend) }
+func (l *Lender) Sent() {
+	l.spent = max(0, l.spent-refusalsPerSend)
+	l.idleSince = 0
+}
 
 // Forget removes the state of the engines that were not observed since a time.
 func (l *Lender) Forget(since timer.Instant) {
--- a/internal/batch/schedule/lend_test.go
+++ b/internal/batch/schedule/lend_test.go
@@ -250,3 +250,25 @@
 	is.True(borrowed > 500)
 	is.True(longestWait <= maxShortLoan)
 }
+
+// Guards against a step whose own engines are full of long streams and that borrows nothing any
+// more, although other engines are idle, because four loans were refused at once.
+func TestRefusedLoansAreForgivenWithTime(t *testing.T) {
+	is := is.New(t)
+	var l Lender
+	e := Engine{FreeSlots: 8, Slots: 8, Pace: 1, ReportAge: 100 * time.Millisecond}
+	now := timer.Instant(time.Hour)
+	for i := range maxRefusals {
+		id := string(rune('a' + i))
+		l.Lent(id, now)
+		l.Settle(id, true, now)
+	}
+	ready := func(at timer.Instant) bool {
+		for past := now; past <= at; past = past.Add(100 * time.Millisecond) {
+			l.Observe("z", e, false, past)
+		}
+		return l.Allows("z", e, maxShortLoan, false, at)
+	}
+	is.True(!ready(now.Add(500 * time.Millisecond)))
+	is.True(ready(now.Add(3 * time.Second)))
+}
--- a/internal/batch/schedule/move.go
+++ b/internal/batch/schedule/move.go
@@ -144,6 +144,10 @@
 	minSlowShare   = 0.5
 )
 
+// AtStepStart reports whether a step began so recently that its engines may still read its
+// prompts.
+func AtStepStart(age time.Duration) bool { return age <= stepStart }
+
 // SlowTogether reports whether all engines of a step are slow at its start. They read the
 // prompts of the step then, and a stream that moves is read once more by an engine that is
 // no faster. age is the time since the step began, usable the number of usable engines.
--- a/internal/route/admission/gate.go
+++ b/internal/route/admission/gate.go
@@ -32,7 +32,7 @@
 	// answerTime is the smoothed time until an answer begins, which is shorter if it streams.
 	answerTime [classes]float64
 	// lastRefusal is when an upstream last refused a request, and lastContention when an
-	// interactive request last waited or was refused; both are valid if contended is set.
+	// interactive request last waited or was refused; refusedEver and contendedEver tell whether there was one.
 	lastRefusal    timer.Instant
 	refusedEver    bool
 	lastContention timer.Instant
@@ -222,6 +222,9 @@
 
 // WakeAt returns when Next must be called although nothing ends, and whether that is needed.
 func (g *Gate) WakeAt(now timer.Instant) (timer.Instant, bool) {
+	if reports := g.lastRefusal.Add(contentionTime); g.queues[Interactive].length > 0 && g.refusedEver && now < reports {
+		return reports, true
+	}
 	waiting := g.queues[Reward].length+g.queues[Background].length > 0
 	return g.pausedUntil, waiting && now < g.pausedUntil
 }
--- a/internal/route/admission/service.go
+++ b/internal/route/admission/service.go
@@ -122,6 +122,7 @@
 	now := s.timer.Now()
 	s.mu.Lock()
 	s.updateBound(r.Class, now)
+	s.startWaiting(now)
 	if s.gate.Admit(r.Class, now) {
 		s.mu.Unlock()
 		return nil
--- a/internal/route/forward/claim.go
+++ b/internal/route/forward/claim.go
@@ -62,6 +62,10 @@
 	}
 	r := d.f.CrashClaims.Acquire(ctx, d.claimRequest())
 	d.verdict = r.Verdict
+	if !d.verdict.Suspected() {
+		// The crashes are not on record, for example while there is no secret.
+		d.cutAttempts += crashes
+	}
 	d.claims.held = r.Claim
 	d.claims.once = r.Permission == poison.Once
 	if r.Permission == poison.Refused {
--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -23,9 +23,25 @@
 	if err := d.passGate(ctx); err != nil {
 		return err
 	}
+	if err := d.judgeAgain(); err != nil {
+		return d.leaveGateOnError(err)
+	}
 	return d.startAdmitted(ctx)
 }
 
+// judgeAgain renews the verdict on a request that may have waited at the gate, and returns an
+// error if the request is quarantined by now.
+func (d *dispatch) judgeAgain() error {
+	if d.gate == nil || d.f.PoisonDetector == nil || d.verdict.Trial {
+		return nil
+	}
+	d.verdict = d.f.PoisonDetector.Judge(d.req.digest)
+	if d.verdict.Quarantined() {
+		return problem.Quarantined.Withf("%s", d.verdict).WithRetryAfter(d.verdict.RetryAfter)
+	}
+	return nil
+}
+
 // startHedge starts a second attempt while the first is in flight, if the gate has room.
 func (d *dispatch) startHedge(ctx context.Context) {
 	if d.gate != nil && !d.gate.AcquireHedge(d.req.Class) {
@@ -97,6 +113,10 @@
 	if err := d.gate.Acquire(ctx, r); err != nil {
 		return d.notAdmitted(err)
 	}
+	// The list of upstreams may have changed while the request waited.
+	if group := d.f.Upstreams.Group(d.service); len(group.Upstreams) > 0 {
+		d.group = group
+	}
 	return nil
 }
 
@@ -203,9 +223,10 @@
 }
 
 // retryAfter returns when a caller whose request upstreams refused may retry. err is why no
-// other attempt was started, if any; the gate knows when there is room.
+// other attempt was started, if any; the gate knows when there is room, and a verdict when a
+// suspected request may come again.
 func retryAfter(err error) time.Duration {
-	if problem.Is(err, problem.Overloaded) || problem.Is(err, problem.UpstreamRefused) {
+	if problem.Is(err, problem.Overloaded) || problem.Is(err, problem.UpstreamRefused) || problem.Is(err, problem.Quarantined) {
 		return problem.From(err).RetryAfter
 	}
 	return retryAfterRefused
--- a/internal/route/poison/claim.go
+++ b/internal/route/poison/claim.go
@@ -66,6 +66,9 @@
 
 // PermitWithoutClaim returns how a suspected request may be sent while no claim can be taken.
 func (v Verdict) PermitWithoutClaim(ran bool) Permission {
+	if !v.Suspected() {
+		return Unrestricted // it was answered meanwhile
+	}
 	if ran || v.Quarantined() || v.TotalCrashes >= refuseWithoutClaimFrom {
 		return Refused
 	}
