--- a/internal/route/admission/window.go
+++ b/internal/route/admission/window.go
@@ -24,14 +24,15 @@
 	queuedDecrease = 0.9
 	queuedPerSlot  = 2
 	// lowIncrease is the growth of the window of the lower classes in a window's worth of
-	// answers, for each decreaseInterval since the last decrease. With 0.3 and a decrease by
-	// 0.6, 11% of the sends of TestStorm were refused in one of four seeds.
+	// answers, for each decreaseInterval since the last decrease. Upstreams that queue few
+	// requests refuse more than a tenth of the sends if it is larger.
 	lowIncrease = 0.2
-	// idleIncrease is that growth after an answer of an upstream that reports no waiting request.
+	// idleIncrease is that growth after an answer of an upstream that reports no waiting
+	// request: such an upstream has room.
 	idleIncrease = 0.6
 	// refusedTarget is the share of refused sends above which the window of the lower classes
-	// grows more slowly, and refusedWeight the weight of one send in that share. Without it,
-	// 10% of the sends of TestStorm were refused at upstreams that queue two requests.
+	// grows more slowly, and refusedWeight the weight of one send in that share. It keeps
+	// refused sends below a tenth also at upstreams that queue few requests.
 	refusedTarget = 0.02
 	refusedWeight = 0.02
 	// maxWindowFactor bounds the window to this multiple of the slots. Upstreams may queue
