--- a/internal/route/upstream/slowdown_test.go
+++ b/internal/route/upstream/slowdown_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against an engine that counts as of an older kind because its machine was busy while
-// its pace was measured, and against a pace that is made up to be faster than the engine is.
+// its pace was measured, and against a pace that is recorded as faster than the engine is.
 func TestReportedSlowdownIsNotLearned(t *testing.T) {
 	is := is.New(t)
 	const usual = 50 * time.Millisecond
