--- a/internal/batch/runner/memory_test.go
+++ b/internal/batch/runner/memory_test.go
@@ -77,6 +77,12 @@
 // half full: each of two engines has memory for two of 50 items, and slots for 64, and the items
 // take longer than that. More items wait than are looked at in one call of dispatch.
 func TestMemoryWaitIsBounded(t *testing.T) {
+	for engines, slots := range map[int]int{1: 128, 2: 64} {
+		t.Run(fmt.Sprint(engines), func(t *testing.T) { checkMemoryWait(t, engines, slots) })
+	}
+}
+
+func checkMemoryWait(t *testing.T, engines, slots int) {
 	is := is.New(t)
 	var mu sync.Mutex
 	sentAt := make(map[string]timer.Instant)
@@ -97,7 +103,7 @@
 		}
 		return nil
 	})
-	b.useEngines(2, 64, 16_000)
+	b.useEngines(engines, slots, 16_000)
 	for range 20 {
 		b.runner.lengths.Record(1000, 9)
 		b.runner.lengths.Record(1000, 11)
--- a/internal/route/admission/window_test.go
+++ b/internal/route/admission/window_test.go
@@ -226,3 +226,21 @@
 	is.Equal(interactive, instances*slots)
 	is.Equal(reward, homes*slots/2)
 }
+
+// Guards against interactive requests that wait although there is room, because nothing wakes
+// them when old load reports stop to bound the window.
+func TestWaitersAreWokenWhenReportsAreOld(t *testing.T) {
+	is := is.New(t)
+	now := at(0)
+	g := newGate(8)
+	is.True(g.Admit(Interactive, now))
+	is.True(g.Admit(Interactive, now))
+	g.Finish(Interactive, Refused, Timing{}, Report{}, now)
+	g.SetBound(1)
+	is.Equal(enqueue(g, Request{Deadline: at(5 * time.Second)}, now).Refusal.Reason, "")
+	is.True(g.Next(now) == nil)
+	wake, ok := g.WakeAt(now)
+	is.True(ok)
+	is.Equal(wake, now.Add(contentionTime))
+	is.True(g.Next(wake) != nil)
+}
--- a/internal/route/forward/claim_test.go
+++ b/internal/route/forward/claim_test.go
@@ -23,6 +23,7 @@
 type fakeClaims struct {
 	crashed    bool
 	silent     bool // never reports the result of a check
+	unrecorded bool // crashes are not on record, as without a secret
 	permission poison.Permission
 
 	mu        sync.Mutex
@@ -44,7 +45,7 @@
 // ReportCutOff implements CrashReporter.
 func (c *fakeClaims) ReportCutOff(cut crash.Cut) {
 	c.mu.Lock()
-	if c.crashed {
+	if c.crashed && !c.unrecorded {
 		c.crashes++
 	}
 	c.mu.Unlock()
@@ -233,3 +234,13 @@
 		is.Equal(c.ended, []bool{readAll})
 	}
 }
+
+// Guards against a request that is sent as often as its route allows because its crashes are not
+// on record and no longer counted by its own attempts.
+func TestUnrecordedCrashesEndAttempts(t *testing.T) {
+	is := is.New(t)
+	c := &fakeClaims{permission: poison.Serial, crashed: true, unrecorded: true}
+	s, err := c.send(t, 6, cuts)
+	is.True(problem.Is(err, problem.UpstreamFailed))
+	is.Equal(s.counted().runs, 3)
+}
--- a/internal/route/forward/gate_test.go
+++ b/internal/route/forward/gate_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,8 @@
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/admission"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/fingerprint"
+	"github.com/egretbend/egretbend/internal/route/poison"
 )
 
 // addGates gives a forwarder the gates that an instance has.
@@ -207,3 +210,84 @@
 		is.Equal(f.testGate().InFlight(admission.Interactive), 0)
 	}
 }
+
+// changingDetector implements PoisonDetector with a verdict that changes.
+type changingDetector struct {
+	verdict atomic.Pointer[poison.Verdict]
+}
+
+// Judge implements PoisonDetector.
+func (d *changingDetector) Judge(func() fingerprint.Digest) poison.Verdict {
+	if v := d.verdict.Load(); v != nil {
+		return *v
+	}
+	return poison.Verdict{}
+}
+
+// RecordAnswer implements PoisonDetector.
+func (d *changingDetector) RecordAnswer(func() fingerprint.Digest) {}
+
+// waitAtGate starts a reward call that waits at the gate, calls change, lets it pass and returns
+// its answer.
+func waitAtGate(t *testing.T, f *Forwarder, change func()) (*Answer, error) {
+	t.Helper()
+	is := is.New(t)
+	g := f.testGate()
+	for range 12 { // the starting window
+		is.NoErr(g.Acquire(context.Background(), admission.Request{Class: admission.Reward}))
+	}
+	type result struct {
+		answer *Answer
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		answer, err := f.Do(context.Background(), Request{ID: "x", Route: patient(catalog.Idempotent), Class: admission.Reward})
+		done <- result{answer, err}
+	}()
+	timer.Wait(f.Timer, 10*time.Second, nil) // it waits
+	change()
+	for range 12 {
+		g.Release(admission.Reward, admission.Answered, admission.Timing{}, nil)
+	}
+	r := <-done
+	return r.answer, r.err
+}
+
+// Guards against a request that is sent after its wait although it was quarantined meanwhile.
+func TestWaitingRequestIsJudgedAgain(t *testing.T) {
+	is := is.New(t)
+	s := &sender{behaviours: []behaviour{answers}}
+	f, stop := newForwarder(s, 6)
+	defer stop()
+	addGates(f)
+	d := &changingDetector{}
+	f.PoisonDetector = d
+	_, err := waitAtGate(t, f, func() { d.verdict.Store(&poison.Verdict{Crashes: 4, RetryAfter: time.Minute}) })
+	is.True(problem.Is(err, problem.Quarantined))
+	is.Equal(problem.From(err).Kind.Outcome, problem.NotRun)
+	is.Equal(problem.From(err).RetryAfter, time.Minute)
+	is.Equal(s.counted().sent, 0)
+	is.True(leavesGate(f))
+}
+
+// Guards against a request that is sent to the upstreams of before its wait, which have left.
+func TestWaitingRequestUsesCurrentUpstreams(t *testing.T) {
+	is := is.New(t)
+	f, stop := newForwarder(&sender{behaviours: []behaviour{answers}}, 6)
+	defer stop()
+	addGates(f)
+	answer, err := waitAtGate(t, f, func() {
+		f.Upstreams.Update([]catalog.Entry{{ID: "new", Service: "s", Address: "new", Slots: 24}}, []string{"u0", "u1", "u2", "u3", "u4", "u5"})
+	})
+	is.NoErr(err)
+	is.Equal(answer.Upstream, "new")
+}
+
+// Guards against a suspected request that returns at once, because the time of a refusal by an
+// upstream replaced that of its verdict.
+func TestQuarantineTellsWhenToReturn(t *testing.T) {
+	is := is.New(t)
+	is.Equal(retryAfter(problem.Quarantined.Withf("x").WithRetryAfter(4*time.Second)), 4*time.Second)
+	is.Equal(retryAfter(nil), retryAfterRefused)
+}
--- a/internal/route/poison/poison_test.go
+++ b/internal/route/poison/poison_test.go
@@ -226,3 +226,11 @@
 		})
 	}
 }
+
+// Guards against refusing a request that was answered elsewhere while the store was away.
+func TestClearedRequestNeedsNoClaim(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Verdict{}.PermitWithoutClaim(true), Unrestricted)
+	is.Equal(Verdict{Crashes: 1, TotalCrashes: 1}.PermitWithoutClaim(true), Refused)
+	is.Equal(Verdict{Crashes: 1, TotalCrashes: 1}.PermitWithoutClaim(false), Once)
+}
