wire, catalog, residency: fields and hooks for slow start, evacuation and data residency

An abandoned request whose bytes a network partition held up was delivered after the partition healed: a capacity order under an old fencing token arrived 5.4 s after it was given up. Connections to upstreams are reset when they are closed, and a request can be withheld immediately before its first byte.

The catalog has the region and the remaining cold time of an upstream, the slow start of a service and the allowed regions of routes and organisations; nothing decides by them yet.

--- a/internal/outside/engine/adapter.go
+++ b/internal/outside/engine/adapter.go
@@ -88,6 +88,9 @@
 var (
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = errors.New("the request was not sent")
+	// ErrWithdrawn means that no byte of the request was sent, because its upstream may not
+	// receive it any more. It says nothing about the upstream's health.
+	ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
 	// ErrIncompleteResponse means that the request was sent, but that no complete and
 	// valid response arrived. The upstream may have run it.
 	ErrIncompleteResponse = errors.New("the stream ended early")
--- a/internal/route/catalog/configuration.go
+++ b/internal/route/catalog/configuration.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/egretbend/egretbend/internal/route/organisation"
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 // Kind determines how the requests of a route may be handled.
@@ -53,6 +54,8 @@
 	GiveUpAfter time.Duration
 	// Public routes require no key.
 	Public bool
+	// Regions are the regions in which requests of the route may be served and stored.
+	Regions residency.Regions
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -105,6 +108,10 @@
 	Connections int
 	Engine      *Engine
 	Scaling     *Scaling
+	// ColdStart is how long an upstream is cold after its start, and ColdRate the requests per
+	// second that a cold one can take. Slow start is off unless both are positive.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Limits bound the requests of callers.
--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -16,8 +16,14 @@
 	Service       string
 	Address       string
 	FailureDomain string
-	Slots         int
-	Leaving       bool
+	// Region is the region of the failure domain; it is empty if the settings don't map the
+	// failure domain to a region.
+	Region  string
+	Slots   int
+	Leaving bool
+	// ColdFor is how much longer the upstream is cold, counted from the receipt of the entry.
+	// It is negative if the entry does not say so in a usable form.
+	ColdFor time.Duration
 	// Reclaimable reports whether the platform may take the upstream away at short notice.
 	Reclaimable bool
 	// Born distinguishes incarnations with the same ID.
--- a/internal/route/organisation/organisation.go
+++ b/internal/route/organisation/organisation.go
@@ -5,6 +5,8 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"fmt"
+
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 // Digest is the SHA-256 digest of a key.
@@ -34,6 +36,8 @@
 	Digests []Digest
 	// Priority is its rank; 0 is the highest. It takes precedence over that of a route.
 	Priority int
+	// Regions are the regions in which its requests may be served and stored.
+	Regions residency.Regions
 }
 
 // Directory finds organisations by their keys. Its zero value is empty.
--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -75,7 +75,9 @@
 // returned only with a nil error.
 func (c *Client) Do(req *http.Request, reuse Reuse) (res *http.Response, sent bool, err error) {
 	c.once.Do(c.configureTransports)
-	var tracker connTracker
+	tracker := connTracker{
+		beforeWrite: beforeWriteOf(req.Context()),
+	}
 	trace := &httptrace.ClientTrace{
 		GotConn: tracker.gotConn,
 	}
@@ -89,11 +91,32 @@
 	}
 	res, err = transport.RoundTrip(req)
 	if err != nil {
-		return nil, tracker.sealAll(), err
+		sent = tracker.sealAll()
+		if withheld := tracker.withheldErr(); withheld != nil && !sent {
+			err = withheld
+		}
+		return nil, sent, err
 	}
 	return res, true, nil
 }
 
+// beforeWriteKey is the context key of WithBeforeWrite.
+type beforeWriteKey struct{}
+
+// WithBeforeWrite returns a context for requests that call check when their connection is
+// ready, immediately before the first byte is written. If check returns an error, nothing is
+// written and Do returns that error. A request that the transport moves to another connection
+// calls check again.
+func WithBeforeWrite(ctx context.Context, check func() error) context.Context {
+	return context.WithValue(ctx, beforeWriteKey{}, check)
+}
+
+// beforeWriteOf returns the function that was set by WithBeforeWrite, or nil.
+func beforeWriteOf(ctx context.Context) func() error {
+	check, _ := ctx.Value(beforeWriteKey{}).(func() error)
+	return check
+}
+
 // CloseIdle closes the connections that are not in use.
 func (c *Client) CloseIdle() {
 	c.pooled.CloseIdleConnections()
@@ -106,6 +129,10 @@
 	uses []connUse
 	// uncounted is set once a connection was given whose bytes are not counted.
 	uncounted bool
+	// beforeWrite is called with each connection; nil is not called. withheld is the error
+	// that it returned.
+	beforeWrite func() error
+	withheld    error
 }
 
 // connUse is a connection and the bytes written to it before the request.
@@ -119,6 +146,18 @@
 	c, ok := info.Conn.(*conn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.beforeWrite != nil {
+		t.withheld = t.beforeWrite()
+	}
+	if t.withheld != nil {
+		// The transport writes the request next. The write fails on a closed connection.
+		if ok {
+			c.seal()
+		} else {
+			_ = info.Conn.Close()
+		}
+		return
+	}
 	if !ok {
 		// A TLS connection hides the counted one below it, so bytes of the
 		// request may have been sent without being counted.
@@ -131,6 +170,13 @@
 	})
 }
 
+// withheldErr returns the error with which the request was withheld, or nil.
+func (t *connTracker) withheldErr() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.withheld
+}
+
 // sealAll seals all connections of the request and reports whether any of them may
 // have been written to on its behalf.
 func (t *connTracker) sealAll() bool {
--- a/internal/route/wire/conn.go
+++ b/internal/route/wire/conn.go
@@ -31,6 +31,16 @@
 	return c.Conn.Write(p)
 }
 
+// Close implements net.Conn. It resets the connection: after an ordinary close the kernel
+// keeps bytes that a network partition holds up, and delivers an abandoned request
+// seconds later, when the partition heals.
+func (c *conn) Close() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return c.Conn.Close()
+}
+
 // bytesWritten returns how many bytes were passed to Write so far.
 func (c *conn) bytesWritten() uint64 {
 	c.mu.Lock()
