--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/egretbend/egretbend/internal/kernel/dial"
 )
 
 // MaxConns is the maximum number of open connections to peers. A new connection
@@ -17,6 +19,15 @@
 // calls in progress are not closed.
 const MaxConns = 32
 
+// userTimeout ends a connection whose calls don't arrive. An instance that is paused while
+// it is partitioned can't close it at the deadline of its call.
+const userTimeout = 2 * time.Second
+
+// dialer opens the connections to other instances.
+var dialer = dial.Dialer{
+	UserTimeout: userTimeout,
+}
+
 // Client calls other instances, and keeps one connection open to each of them.
 // Its zero value is ready to use.
 type Client struct {
@@ -34,6 +45,8 @@
 // conn is a connection to one address.
 type conn struct {
 	rpc *rpc.Client
+	// raw is the connection below TLS.
+	raw net.Conn
 	// lastUse is the value of Client.useCount at the last use.
 	lastUse uint64
 	// busy is the number of calls in progress.
@@ -65,17 +78,16 @@
 	if err != nil {
 		return fmt.Errorf("peer %s: %w", address, err)
 	}
+	// The connection is also reset if the deadline passes while the call is being written.
+	// Go returns only then, and the call must not arrive later.
+	stop := context.AfterFunc(ctx, func() { c.discard(address, cn) })
 	call := cn.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
-	peerClosed := false
-	select {
-	case <-call.Done:
-		peerClosed = errors.Is(call.Error, rpc.ErrShutdown) && !cn.closedLocally.Load()
-		c.release(address, cn, call.Error)
-	case <-ctx.Done():
-		c.discard(address, cn)
-		<-call.Done // closing ended the call, so reply is no longer written to
+	<-call.Done // discard ends the call as well, so reply is no longer written to
+	if !stop() {
 		return fmt.Errorf("peer %s: %s: %w", address, method, ctx.Err())
 	}
+	peerClosed := errors.Is(call.Error, rpc.ErrShutdown) && !cn.closedLocally.Load()
+	c.release(address, cn, call.Error)
 	if peerClosed {
 		return fmt.Errorf("peer %s: %s: %w", address, method, errPeerClosed)
 	}
@@ -117,27 +129,36 @@
 		return cn, nil
 	}
 	c.mu.Unlock()
-	nc, err := c.dial(ctx, address)
+	nc, raw, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	cn := &conn{
 		rpc:  rpc.NewClient(c.Bytes.wrap(nc)),
+		raw:  raw,
 		busy: 1,
 	}
 	c.add(address, cn)
 	return cn, nil
 }
 
-func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
-	if c.TLS == nil {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", address)
+// dial opens a connection to address, and returns it together with the TCP connection below.
+func (c *Client) dial(ctx context.Context, address string) (nc, raw net.Conn, err error) {
+	raw, err = dialer.DialContext(ctx, "tcp", address)
+	if err != nil || c.TLS == nil {
+		return raw, raw, err
+	}
+	config := c.TLS
+	if host, _, err := net.SplitHostPort(address); err == nil && config.ServerName == "" {
+		config = config.Clone()
+		config.ServerName = host
 	}
-	d := tls.Dialer{
-		Config: c.TLS,
+	tc := tls.Client(raw, config)
+	if err := tc.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, nil, err
 	}
-	return d.DialContext(ctx, "tcp", address)
+	return tc, raw, nil
 }
 
 // add makes cn the connection to address, and closes another one if there are
@@ -193,6 +214,8 @@
 	}
 	c.mu.Unlock()
 	cn.closedLocally.Store(true)
+	// Closing TLS would write an alert first, which waits while the buffers are full.
+	_ = cn.raw.Close()
 	_ = cn.rpc.Close()
 }
 
--- a/internal/fleet/peer/client_test.go
+++ b/internal/fleet/peer/client_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -55,6 +58,29 @@
 	}
 }
 
+// A call's deadline passes while it is written to an instance that reads nothing. Guards
+// against a kernel that delivers the call later, for example the submission of a batch that
+// was accepted elsewhere since.
+func TestCallIsResetAtItsDeadline(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	c := &Client{}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	large := make([]byte, 8<<20)
+	var reply int
+	err = c.Call(ctx, ln.Addr().String(), "Any.Method", &large, &reply)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	nc, err := ln.Accept()
+	is.NoErr(err)
+	defer nc.Close()
+	_, err = io.Copy(io.Discard, nc)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
+
 // An instance restarts while its peers keep connections to its earlier process.
 // If the first call over such a connection fails, a batch that is submitted to
 // the instance runs at one of the smallest instances instead, and its step is
--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -8,6 +9,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"github.com/egretbend/egretbend/internal/kernel/dial"
 )
 
 // Limits of connections to upstreams.
@@ -16,6 +19,11 @@
 	idleTime        = 20 * time.Second
 	idlePerUpstream = 32
 	maxHeaderBytes  = 64 << 10
+	// defaultUserTimeout ends the connection of a request whose bytes don't arrive. It is
+	// shorter than the 3 s after the end of a batch from which on no item may reach an engine,
+	// in case the instance is paused and can't close the connection. It also ends the request
+	// of an upstream that reads nothing for so long.
+	defaultUserTimeout = 2500 * time.Millisecond
 )
 
 // Client sends requests to upstreams. Its zero value is ready to use.
@@ -23,8 +31,12 @@
 	// TLS configures https connections; with nil the system's root certificates
 	// are used.
 	TLS *tls.Config
+	// UserTimeout is how long sent bytes may stay unacknowledged before the connection is
+	// reset; 0 means defaultUserTimeout.
+	UserTimeout time.Duration
 
 	once   sync.Once
+	dialer dial.Dialer
 	pooled http.Transport
 	fresh  http.Transport
 }
@@ -46,8 +58,12 @@
 // configureTransports sets up both transports; only the pooled one keeps connections
 // alive.
 func (c *Client) configureTransports() {
+	c.dialer = dial.Dialer{
+		Timeout:     dialTimeout,
+		UserTimeout: cmp.Or(c.UserTimeout, defaultUserTimeout),
+	}
 	for _, t := range []*http.Transport{&c.pooled, &c.fresh} {
-		t.DialContext = dial
+		t.DialContext = c.dial
 		t.MaxIdleConnsPerHost = idlePerUpstream
 		t.IdleConnTimeout = idleTime
 		t.MaxResponseHeaderBytes = maxHeaderBytes
@@ -58,11 +74,8 @@
 }
 
 // dial opens a connection whose written bytes are counted.
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout: dialTimeout,
-	}
-	nc, err := d.DialContext(ctx, network, address)
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	nc, err := c.dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -106,8 +119,17 @@
 // WithBeforeWrite returns a context for requests that call check when their connection is
 // ready, immediately before the first byte is written. If check returns an error, nothing is
 // written and Do returns that error. A request that the transport moves to another connection
-// calls check again.
+// calls check again. A check that ctx has already is called first.
 func WithBeforeWrite(ctx context.Context, check func() error) context.Context {
+	if earlier := beforeWriteOf(ctx); earlier != nil {
+		later := check
+		check = func() error {
+			if err := earlier(); err != nil {
+				return err
+			}
+			return later()
+		}
+	}
 	return context.WithValue(ctx, beforeWriteKey{}, check)
 }
 
--- a/internal/route/wire/conn.go
+++ b/internal/route/wire/conn.go
@@ -10,7 +10,8 @@
 var errSealed = errors.New("the connection is closed for writing: its request was abandoned")
 
 // conn counts the bytes written to a connection and can be sealed, after which
-// every write fails.
+// every write fails. Closing it resets it, so that the kernel delivers nothing of an
+// abandoned request later.
 type conn struct {
 	net.Conn
 
@@ -31,16 +32,6 @@
 	return c.Conn.Write(p)
 }
 
-// Close implements net.Conn. It resets the connection: after an ordinary close the kernel
-// keeps bytes that a network partition holds up, and delivers an abandoned request
-// seconds later, when the partition heals.
-func (c *conn) Close() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	return c.Conn.Close()
-}
-
 // bytesWritten returns how many bytes were passed to Write so far.
 func (c *conn) bytesWritten() uint64 {
 	c.mu.Lock()
