duty: a call ends before the permission of its holder

A holder in a partitioned domain wrote a capacity order whose bytes arrived after those of the next holder, under the old token. The arithmetic of the wait did not hold either: a call could begin at the end of maxLeaseAge and last 0.9 s more, an order to an engine began up to 0.6 s and one of several capacity orders some seconds after the token was looked at, a holder that was found missing late in the acquisition had its wait counted from before it, and calls under two tokens of one holder (after a new lease, and at the end of its wait) overlapped.

Every call is now made in the context of Holder.BeginCall, which ends with the permission, withholds a call that is late immediately before its first byte, and keeps calls under a new token back until those under the old one have ended. HandoverWait grows by DeliveryTimeout (0.5 s), the TCP_USER_TIMEOUT of the connections of duty calls, in case the instance is paused. The arithmetic stands in the package's documentation; the model test of holders now has a network that holds calls up and judges their arrivals instead of their beginnings, which is stricter.

--- a/internal/fleet/capacity/decision_test.go
+++ b/internal/fleet/capacity/decision_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/egretbend/egretbend/internal/fleet/duty"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/standin/property"
@@ -131,6 +132,14 @@
 // FencingToken implements Holder.
 func (h *fakeHolder) FencingToken() (uint64, bool) { return h.fence, h.fence != 0 }
 
+// BeginCall implements Holder.
+func (h *fakeHolder) BeginCall(ctx context.Context, fence uint64, _ time.Duration) (context.Context, func(), error) {
+	if fence != h.fence {
+		return nil, nil, duty.ErrWithheld
+	}
+	return ctx, func() {}, nil
+}
+
 func newOrderer() (*Orderer, *fakePlatform, *fakeHolder, *timer.Manual) {
 	clock := &timer.Manual{}
 	clock.Advance(time.Hour)
--- a/internal/fleet/capacity/orderer.go
+++ b/internal/fleet/capacity/orderer.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"gopkg.in/tomb.v2"
 
+	"github.com/egretbend/egretbend/internal/fleet/duty"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/route/catalog"
@@ -50,6 +51,8 @@
 type Holder interface {
 	// FencingToken returns the fencing token and whether orders may be given now.
 	FencingToken() (uint64, bool)
+	// BeginCall returns the context for one call, or duty.ErrWithheld.
+	BeginCall(ctx context.Context, fence uint64, timeout time.Duration) (call context.Context, end func(), err error)
 }
 
 // Orderer orders engines while this instance holds the duty. An order states the total
@@ -208,14 +211,20 @@
 
 // sendOrder sends one order and records its outcome.
 func (o *Orderer) sendOrder(ctx context.Context, service string, t Target, g Group, st *domainState) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	err := o.Platform.Order(ctx, o.fence, Order{
-		Service:     service,
-		Domain:      t.Domain,
-		Count:       t.Count,
-		Reclaimable: true,
-	})
+	// An earlier order of this round may have taken until the end of the permission.
+	ctx, end, err := o.Holder.BeginCall(ctx, o.fence, orderTimeout)
+	if err == nil {
+		err = o.Platform.Order(ctx, o.fence, Order{
+			Service:     service,
+			Domain:      t.Domain,
+			Count:       t.Count,
+			Reclaimable: true,
+		})
+		end()
+	}
+	if errors.Is(err, duty.ErrWithheld) {
+		return
+	}
 	now := o.Timer.Now()
 	outcome := "ordered"
 	switch {
--- a/internal/fleet/duty/doc.go
+++ b/internal/fleet/duty/doc.go
@@ -15,4 +15,28 @@
 // revision at which the holder wrote that key is its fencing token, so a later holder
 // always has a higher token. A call is recorded before it is made, and the next holder
 // finds unfinished calls in that record.
+//
+// # Order of calls
+//
+// Calls of two holders arrive at least three seconds apart, and never one with a lower fencing
+// token after one with a higher token. Each call is made in the context of BeginCall:
+//
+//   - The permission P of a holder ends maxLeaseAge (1.2 s) after the request of its last
+//     successful renewal. Nobody finds its key missing before that renewal, so that
+//     P <= T + 1.2 s, where T is the time at which the next holder finds it missing. If T is not
+//     known, the time after the next holder's acquisition takes its place.
+//   - The deadline of a call is at most P, whatever its own timeout: 0.6 s for orders to
+//     engines, 0.9 s for capacity orders and usage reports. A call is begun, and its first byte
+//     written, only if at least minCallTime (0.2 s) is left.
+//   - At the deadline the connection is reset, also while it is being written: the kernel drops
+//     what was not delivered, and what is under way arrives within networkDelay (0.2 s). If the
+//     instance is paused and can't reset it, TCP_USER_TIMEOUT does so DeliveryTimeout (0.5 s)
+//     after the bytes were written. So the last call arrives before
+//     max(P + 0.2 s, P - 0.2 s + 0.5 s + 0.2 s) = P + 0.5 s <= T + 1.7 s.
+//   - The next holder makes its first call at T + HandoverWait (4.7 s), three seconds later.
+//
+// The token of one holder also changes, with its lease and at the end of its wait. Calls under
+// the new token wait until those under the earlier one have ended and networkDelay has passed.
+// Connections are reset as well when their process ends, so that a holder that restarts can
+// continue at once.
 package duty
--- a/internal/fleet/duty/holder.go
+++ b/internal/fleet/duty/holder.go
@@ -24,27 +24,41 @@
 const (
 	// keepInterval is the time between two calls of Maintain.
 	keepInterval = 600 * time.Millisecond
-	// maxLeaseAge is how long after the last renewal of its lease the holder
-	// may still make calls. It is shorter than the lease, so that a holder that
-	// has lost its connection stops before another one can start.
+	// maxLeaseAge is how long after the last renewal of its lease the calls of the holder
+	// may last. It is shorter than the lease, so that a holder that has lost its
+	// connection stops before another one can start.
 	maxLeaseAge = 1200 * time.Millisecond
+	// networkDelay is the longest time that bytes are expected to be under way to their
+	// receiver. Regions are up to 120 ms apart.
+	networkDelay = 200 * time.Millisecond
+	// minCallTime is the shortest time that a call is begun with. It covers the
+	// networkDelay of a call that is written last.
+	minCallTime = networkDelay
+	// DeliveryTimeout is the TCP_USER_TIMEOUT of connections for calls of the duty. It is
+	// how long the kernel may retain the bytes of a call if its instance is paused just
+	// after it has written them. Two regions 120 ms apart still get one lost packet
+	// repeated in time.
+	DeliveryTimeout = 500 * time.Millisecond
 	// takeoverDelay is how long the holder must be missing before another instance
 	// takes over. A holder that restarts continues without this delay.
 	takeoverDelay = 1500 * time.Millisecond
+	// engineLeaseTime is how long engines and the platform get no calls from another holder
+	// after one of the previous holder.
+	engineLeaseTime = 3 * time.Second
 	// HandoverWait is the time between the detection that the previous holder is missing
-	// and the first order of the new one. Engines must not get orders from two holders
-	// within three seconds, and a holder whose lease was revoked relies on it for
-	// another maxLeaseAge at most.
-	HandoverWait = 3*time.Second + maxLeaseAge
+	// and the first call of the new one. A holder whose lease was revoked relies on it for
+	// another maxLeaseAge at most, and its last call arrives within DeliveryTimeout after
+	// that. The package's documentation has the arithmetic.
+	HandoverWait = engineLeaseTime + maxLeaseAge + DeliveryTimeout
 	// keepTimeout is the time limit of one call of Maintain.
 	keepTimeout = 900 * time.Millisecond
 )
 
 // Presence is the view of the instances that the election uses.
 type Presence interface {
-	// LeaseRenewedWithin returns the ID of this instance's lease, zero if it has none, and
-	// whether the lease was renewed within the given time.
-	LeaseRenewedWithin(within time.Duration) (uint64, bool)
+	// LeaseRenewed returns the ID of this instance's lease and the instant before its last
+	// successful renewal, and whether there is one.
+	LeaseRenewed() (lease uint64, at timer.Instant, ok bool)
 	// DutyValue returns the last value read from the key of a duty. ParseValue parses it.
 	DutyValue(duty string) string
 	// Present reports whether the view contains an instance.
@@ -71,16 +85,21 @@
 	// holder that restarts is still the holder.
 	Name string
 
-	// mu guards fence, lease and callsFrom, which other goroutines read.
+	// mu guards the fields up to callsUntil, which other goroutines read.
 	mu        sync.Mutex
 	fence     uint64
 	lease     uint64
 	callsFrom timer.Instant
-	holds     atomic.Bool
+	// waitOver says that the stored value no longer has the waiting mark. No calls are
+	// made before: removing the mark changes the fencing token.
+	waitOver bool
+	// calls is the number of calls in progress, and callsUntil the time after which no
+	// call that was begun so far can arrive.
+	calls      int
+	callsUntil timer.Instant
+	holds      atomic.Bool
 	// missing is the holder that was found to be missing, if any.
 	missing missingHolder
-	// waitOver says that the stored value no longer has the waiting mark.
-	waitOver bool
 }
 
 // missingHolder records when a holder was found to be missing.
@@ -125,21 +144,56 @@
 				"error": err.Error(),
 			})
 		}
-		select {
-		case <-ticker.C:
-		case <-t.Dying():
+		if !h.waitForMaintain(t, ticker) {
 			return nil
 		}
 	}
 }
 
+// waitForMaintain waits until the next call of Maintain is due: at each tick, and at the end
+// of the wait of a new holder. It reports false if t dies.
+func (h *Holder) waitForMaintain(t *tomb.Tomb, ticker *timer.Subscription) bool {
+	var waitEnd <-chan timer.Instant
+	h.mu.Lock()
+	if now := h.Timer.Now(); h.fence != 0 && !h.waitOver && h.callsFrom > now {
+		once := h.Timer.Once(h.callsFrom.Sub(now))
+		defer once.Close()
+		waitEnd = once.C
+	}
+	h.mu.Unlock()
+	select {
+	case <-ticker.C:
+	case <-waitEnd:
+	case <-t.Dying():
+		return false
+	}
+	return true
+}
+
 // FencingToken returns the fencing token, which is the revision of Key, and whether this
 // instance may make calls now.
 func (h *Holder) FencingToken() (uint64, bool) {
-	lease, fresh := h.Presence.LeaseRenewedWithin(maxLeaseAge)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.fence, h.fence != 0 && fresh && lease == h.lease && h.Timer.Now() >= h.callsFrom
+	return h.fence, h.timeLeft() >= minCallTime
+}
+
+// timeLeft returns the time until the permission of this instance to make calls ends, or 0 if
+// it has none. The caller holds h.mu.
+func (h *Holder) timeLeft() time.Duration {
+	lease, renewed, ok := h.Presence.LeaseRenewed()
+	now := h.Timer.Now()
+	if !ok || h.fence == 0 || lease != h.lease || !h.waitOver || now < h.callsFrom {
+		return 0
+	}
+	return max(0, renewed.Add(maxLeaseAge).Sub(now))
+}
+
+// leaseFresh returns the ID of this instance's lease, and whether it was renewed less than
+// maxLeaseAge ago.
+func (h *Holder) leaseFresh() (uint64, bool) {
+	lease, renewed, ok := h.Presence.LeaseRenewed()
+	return lease, ok && h.Timer.Now().Sub(renewed) < maxLeaseAge
 }
 
 // Holds reports whether this instance is the holder, even if it still has to wait
@@ -151,7 +205,7 @@
 func (h *Holder) Maintain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	lease, fresh := h.Presence.LeaseRenewedWithin(maxLeaseAge)
+	lease, fresh := h.leaseFresh()
 	if h.fence != 0 && lease == h.lease && (h.waitOver || h.Timer.Now() < h.callsFrom) {
 		return nil
 	}
@@ -231,7 +285,8 @@
 		return nil
 	}
 	callsFrom := h.firstCallTime(previous, waiting)
-	if h.missing.holder == previous && h.missing.revision == item.Revision && h.fence == 0 {
+	detected := h.missing.holder == previous && h.missing.revision == item.Revision && h.fence == 0
+	if detected {
 		callsFrom = max(h.Timer.Now(), h.missing.since.Add(HandoverWait))
 	}
 	if item.Revision == 0 {
@@ -260,8 +315,11 @@
 	if err != nil {
 		return err
 	}
-	h.set(rev, lease, callsFrom)
-	h.waitOver = waitOver
+	if previous != "" && previous != h.Name && !detected {
+		// The previous holder may have been alive until the commit.
+		callsFrom = h.Timer.Now().Add(HandoverWait)
+	}
+	h.set(rev, lease, callsFrom, waitOver)
 	h.holds.Store(true)
 	h.missing = missingHolder{}
 	h.Journal.Info("duty held", log.Fields{
@@ -272,11 +330,15 @@
 	return nil
 }
 
-// set stores the values that FencingToken reads.
-func (h *Holder) set(fence, lease uint64, callsFrom timer.Instant) {
+// set stores the values that FencingToken reads. Calls under the new fencing token wait
+// until none under an earlier one can arrive any more.
+func (h *Holder) set(fence, lease uint64, callsFrom timer.Instant, waitOver bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.fence, h.lease, h.callsFrom = fence, lease, callsFrom
+	if fence != 0 {
+		callsFrom = max(callsFrom, h.callsUntil)
+	}
+	h.fence, h.lease, h.callsFrom, h.waitOver = fence, lease, callsFrom, waitOver
 }
 
 // firstCallTime returns the time from which this instance may make calls, given the
@@ -305,6 +367,6 @@
 			"fencing": h.fence,
 		})
 	}
-	h.set(0, 0, 0)
+	h.set(0, 0, 0, false)
 	h.holds.Store(false)
 }
--- a/internal/fleet/duty/holder_test.go
+++ b/internal/fleet/duty/holder_test.go
@@ -1,7 +1,10 @@
 package duty
 
 import (
+	"cmp"
 	"context"
+	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,9 +35,9 @@
 	first   string
 }
 
-// LeaseRenewedWithin implements Presence.
-func (p *fakePresence) LeaseRenewedWithin(within time.Duration) (uint64, bool) {
-	return p.lease, p.lease != 0 && p.clock.Now().Sub(p.renewed) < within
+// LeaseRenewed implements Presence.
+func (p *fakePresence) LeaseRenewed() (uint64, timer.Instant, bool) {
+	return p.lease, p.renewed, p.lease != 0
 }
 
 // DutyValue implements Presence.
@@ -88,20 +91,82 @@
 	is.True(second > first) // engines that check fencing tokens accept it
 }
 
+// node is an instance of a simulation and its calls in progress.
+type node struct {
+	h     *Holder
+	p     *fakePresence
+	pause int
+	calls []*call
+}
+
+// call is a call of the duty. It is written at writeAt if it may be, and arrives at arrivesAt.
+type call struct {
+	fence                         uint64
+	end                           func()
+	writeAt, deadline, arrivesAt  timer.Instant
+	written, delivered, abandoned bool
+}
+
+// arrival is a call that has arrived.
+type arrival struct {
+	at     timer.Instant
+	holder string
+	fence  uint64
+}
+
+// begin begins a call if the instance may.
+func (n *node) begin(t *rapid.T, now timer.Instant) {
+	fence, ok := n.h.FencingToken()
+	if !ok {
+		return
+	}
+	timeout := time.Duration(rapid.SampledFrom([]int{600, 900}).Draw(t, "timeout")) * time.Millisecond
+	ctx, end, err := n.h.BeginCall(context.Background(), fence, timeout)
+	if err != nil {
+		return
+	}
+	until, _ := ctx.Deadline()
+	n.calls = append(n.calls, &call{
+		fence:    fence,
+		end:      end,
+		writeAt:  now.Add(time.Duration(rapid.IntRange(0, 4).Draw(t, "write")) * tick),
+		deadline: now.Add(time.Until(until).Round(tick)),
+	})
+}
+
+// step writes the calls that are due and resets the connections of those whose deadline has
+// passed, and returns the calls that have arrived by then. A network that holds bytes up
+// delivers them at any time until the connection is reset.
+func (n *node) step(t *rapid.T, now timer.Instant) (arrived []*call) {
+	n.calls = slices.DeleteFunc(n.calls, func(c *call) bool {
+		if !c.written && now >= c.writeAt {
+			c.abandoned = n.h.checkCall(c.fence, c.deadline) != nil
+			c.written = true
+			c.arrivesAt = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "delay")) * tick)
+			c.delivered = !c.abandoned && c.arrivesAt <= now.Add(DeliveryTimeout+networkDelay)
+		}
+		ended := c.abandoned || now >= c.deadline || c.delivered && now >= c.arrivesAt
+		if ended {
+			if c.delivered && c.arrivesAt <= now.Add(networkDelay) {
+				arrived = append(arrived, c)
+			}
+			c.end()
+		}
+		return ended
+	})
+	return arrived
+}
+
 // simulateHolders drives two instances through pauses, expired leases and revoked leases.
-// Each gives an order whenever it may; an order less than three seconds after one of the
-// other instance fails the test. skipWait disables the wait of a new holder.
+// Each makes calls whenever it may, over a network that holds them up. A call that arrives
+// under a lower fencing token than an earlier one, or less than three seconds after one of the
+// other instance, fails the test. skipWait disables the wait of a new holder.
 func simulateHolders(t *rapid.T, skipWait bool) {
 	ctx := context.Background()
 	clock := &timer.Manual{}
 	store := &memorystore.Store{
 		Timer: clock,
 	}
-	type node struct {
-		h     *Holder
-		p     *fakePresence
-		pause int
-	}
 	nodes := map[string]*node{}
 	for _, name := range []string{"a", "b"} {
 		h, p := newHolder(clock, store, name)
@@ -110,15 +175,18 @@
 			p: p,
 		}
 	}
-	lastOrder := map[string]timer.Instant{}
+	var arrivals []arrival
 	for range rapid.IntRange(10, 200).Draw(t, "steps") {
-		clock.Advance(100 * time.Millisecond)
+		clock.Advance(tick)
 		for _, name := range []string{"a", "b"} {
 			n := nodes[name]
 			if n.pause > 0 {
 				n.pause--
 				continue
 			}
+			for _, c := range n.step(t, clock.Now()) {
+				arrivals = append(arrivals, arrival{c.arrivesAt, name, c.fence})
+			}
 			switch rapid.IntRange(0, 60).Draw(t, "event "+name) {
 			case 0:
 				n.pause = rapid.IntRange(1, 60).Draw(t, "pause")
@@ -138,17 +206,16 @@
 			if skipWait {
 				n.h.callsFrom = 0
 			}
-			if _, ok := n.h.FencingToken(); !ok {
-				continue
-			}
-			other := "a"
-			if name == "a" {
-				other = "b"
-			}
-			if at, ok := lastOrder[other]; ok && clock.Now().Sub(at) < 3*time.Second && lastOrder[name] < at {
-				t.Fatalf("an order of %s %v after one of %s", name, clock.Now().Sub(at), other)
-			}
-			lastOrder[name] = clock.Now()
+			n.begin(t, clock.Now())
+		}
+	}
+	slices.SortStableFunc(arrivals, func(x, y arrival) int {
+		return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.fence, y.fence))
+	})
+	for i := 1; i < len(arrivals); i++ {
+		before, after := arrivals[i-1], arrivals[i]
+		if after.fence < before.fence || after.holder != before.holder && after.at.Sub(before.at) < 3*time.Second {
+			t.Fatalf("%+v arrived after %+v", after, before)
 		}
 	}
 }
@@ -258,9 +325,31 @@
 	is.Equal(ok, false)
 }
 
+// Guards against a call that outlasts the permission of its holder, and against one that is
+// written late because its instance was paused.
+func TestCallEndsWithPermission(t *testing.T) {
+	is := is.New(t)
+	clock, _, h, _ := newActiveHolder(is)
+	fence, ok := h.FencingToken()
+	is.True(ok)
+	clock.Advance(maxLeaseAge - 3*tick)
+	ctx, end, err := h.BeginCall(context.Background(), fence, time.Minute)
+	is.NoErr(err)
+	defer end()
+	deadline, ok := ctx.Deadline()
+	is.True(ok)
+	is.True(time.Until(deadline) <= 3*tick)
+	is.NoErr(h.checkCall(fence, clock.Now().Add(3*tick)))
+	clock.Advance(2 * tick)
+	is.True(errors.Is(h.checkCall(fence, clock.Now().Add(tick)), ErrWithheld))
+	_, _, err = h.BeginCall(context.Background(), fence, time.Minute)
+	is.True(errors.Is(err, ErrWithheld))
+}
+
 const tick = 100 * time.Millisecond
 
-// Guards against engines that get orders from two holders within three seconds.
+// Guards against calls that arrive from two holders within three seconds, or with a lower
+// fencing token after a higher one, as when a healed partition delivers what it held up.
 func TestHoldersKeepHandoverWait(t *testing.T) {
 	property.CheckN(t, 200, func(t *rapid.T) { simulateHolders(t, false) })
 }
--- a/internal/fleet/registry/lease.go
+++ b/internal/fleet/registry/lease.go
@@ -92,8 +92,15 @@
 // LeaseRenewedWithin returns the ID of this instance's lease, and whether it was renewed
 // less than within ago.
 func (r *Registry) LeaseRenewedWithin(within time.Duration) (uint64, bool) {
-	at := r.renewedAt.Load()
-	return r.currentLease.Load(), at != 0 && r.Timer.Now().Sub(timer.Instant(at)) < within
+	lease, at, ok := r.LeaseRenewed()
+	return lease, ok && r.Timer.Now().Sub(at) < within
+}
+
+// LeaseRenewed returns the ID of this instance's lease and the instant before its last
+// successful renewal, and whether it is held.
+func (r *Registry) LeaseRenewed() (lease uint64, at timer.Instant, ok bool) {
+	at = timer.Instant(r.renewedAt.Load())
+	return r.currentLease.Load(), at, at != 0
 }
 
 // maxWriteTries is how many times a write of this instance's entry is attempted
--- a/internal/fleet/usage/property_test.go
+++ b/internal/fleet/usage/property_test.go
@@ -58,6 +58,11 @@
 // FencingToken implements Holder.
 func (n *node) FencingToken() (uint64, bool) { return n.fence, n.fence != 0 }
 
+// BeginCall implements Holder.
+func (n *node) BeginCall(ctx context.Context, _ uint64, _ time.Duration) (context.Context, func(), error) {
+	return ctx, func() {}, nil
+}
+
 // Report implements Receiver.
 func (n *node) Report(_ context.Context, _ uint64, r Report) error {
 	if n.paused {
--- a/internal/fleet/usage/reporter.go
+++ b/internal/fleet/usage/reporter.go
@@ -50,6 +50,8 @@
 	// FencingToken returns the fencing token, which is the revision of the duty's key, and
 	// whether calls may be made now.
 	FencingToken() (uint64, bool)
+	// BeginCall returns the context for one call, or duty.ErrWithheld.
+	BeginCall(ctx context.Context, fence uint64, timeout time.Duration) (call context.Context, end func(), err error)
 }
 
 // Reporter reports each window once while this instance holds the duty.
@@ -255,8 +257,11 @@
 	if fence, ok := r.Holder.FencingToken(); !ok || fence != r.fence {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
+	ctx, end, err := r.Holder.BeginCall(ctx, r.fence, reportTimeout)
+	if err != nil {
+		return err
+	}
+	defer end()
 	if err := r.Receiver.Report(ctx, r.fence, *r.last); err != nil {
 		return err
 	}
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"gopkg.in/tomb.v2"
 
+	"github.com/egretbend/egretbend/internal/fleet/duty"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/kernel/wake"
@@ -93,6 +94,8 @@
 type Holder interface {
 	// FencingToken returns the fencing token and whether orders may be given now.
 	FencingToken() (uint64, bool)
+	// BeginCall returns the context for one call, or duty.ErrWithheld.
+	BeginCall(ctx context.Context, fence uint64, timeout time.Duration) (call context.Context, end func(), err error)
 	// Holds reports whether this instance is the holder, even if it still has to
 	// wait before it gives orders.
 	Holds() bool
@@ -317,9 +320,12 @@
 	if !o.ensureOrderCount(ctx, u, s, &c) {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	err := o.Engines.Order(callCtx, u, c)
-	cancel()
+	// The permission may have ended while the engine was asked for its order count.
+	callCtx, end, err := o.Holder.BeginCall(ctx, c.Fence, orderTimeout)
+	if err == nil {
+		err = o.Engines.Order(callCtx, u, c)
+		end()
+	}
 	var state State
 	var stateErr error
 	if errors.Is(err, ErrOrderCount) {
@@ -335,6 +341,9 @@
 	case err == nil:
 		s.orderCount = c.ExpectedOrders + 1
 		s.waitUntil = now.Add(loadTimeout)
+	case errors.Is(err, duty.ErrWithheld):
+		outcome = "withheld"
+		s.loading = false
 	case errors.Is(err, ErrVersionLoaded):
 		outcome = "standing"
 		s.reported = mergeVersions(s.reported, map[string]uint64{c.Model: c.Version})
--- a/internal/fleet/weights/orderer_test.go
+++ b/internal/fleet/weights/orderer_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/egretbend/egretbend/internal/fleet/duty"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
@@ -43,6 +44,23 @@
 	}, nil
 }
 
+// fakeHolder is a Holder that may give orders under its fencing token.
+type fakeHolder uint64
+
+// FencingToken implements Holder.
+func (h fakeHolder) FencingToken() (uint64, bool) { return uint64(h), true }
+
+// Holds implements Holder.
+func (h fakeHolder) Holds() bool { return true }
+
+// BeginCall implements Holder.
+func (h fakeHolder) BeginCall(ctx context.Context, fence uint64, _ time.Duration) (context.Context, func(), error) {
+	if fence != uint64(h) {
+		return nil, nil, duty.ErrWithheld
+	}
+	return ctx, func() {}, nil
+}
+
 // Guards against a holder that sends a wrong order count after it restarts, as all
 // instances do after a power loss. If its first order to each engine carried a count of
 // zero, it would be refused, the next one would follow half a second later, and the
@@ -59,6 +77,7 @@
 	}
 	upstreams.Update([]catalog.Entry{{ID: "e", Service: "s", Address: "e", Slots: 8, Versions: map[string]uint64{"m": 4}}}, nil)
 	o := &Orderer{
+		Holder:      fakeHolder(7),
 		Upstreams:   upstreams,
 		Engines:     engine,
 		Timer:       clock,
