coordinator, runner, ledger: an end reaches the owner that the claim names

The owner of a batch was partitioned and the batch taken over. The instance that stored the end notified the owner that it remembered, four times, and the new owner sent items for 20 s after the end was acknowledged.

A former owner that is asked to end the batch no longer ends it in the ledger by itself, but leaves it to the caller, who then knows the owner.

So that the end also reaches the owner if the notifying instance is lost, an owner reads the claim of a batch whose items it still sends 1 s after the last call that confirmed it, and drops the batch if the claim is gone or not its own. A write of results confirms the claim as well. Without confirmation for 1.8 s it withholds items, also one whose connection becomes ready after that; with the delivery timeout of 1 s (wire.WithDeliveryTimeout) no item arrives later than 3 s after the end. While the service is down for all instances it goes on. A withdrawn attempt doesn't count against its engine.

--- a/internal/batch/coordinator/cleanup_test.go
+++ b/internal/batch/coordinator/cleanup_test.go
@@ -24,7 +24,8 @@
 		is.NoErr(err)
 	}
 	now := time.Now()
-	is.NoErr(c.Ledger.End(ctx, "old", now))
+	_, err := c.Ledger.End(ctx, "old", now)
+	is.NoErr(err)
 	before, err := store.Range(ctx, "", keyvalue.Fresh)
 	is.NoErr(err)
 	c.cleanUp(ctx, now.Add(endedRetention-time.Second))
--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -41,10 +41,6 @@
 	ledgerTimeout = 4 * time.Second
 	// endTimeout bounds ending a batch.
 	endTimeout = 3 * time.Second
-	// endNotifyTries is how often the owner of a batch that was ended in the
-	// ledger is told so, endNotifyPause the pause before each try.
-	endNotifyTries = 4
-	endNotifyPause = 400 * time.Millisecond
 	// hintTimeout bounds telling one instance who owns a batch.
 	hintTimeout = 300 * time.Millisecond
 	// readRetryAfter tells readers when to retry: the results of a step are listed
@@ -354,41 +350,3 @@
 	}
 	return problem.PlatformDown.Withf("end of batch %s: %w", id, err).WithRetryAfter(unavailableRetryAfter)
 }
-
-// endElsewhere has the owner end a batch. If that fails it ends the batch in the
-// ledger and tells the owner afterwards.
-func (d *Coordinator) endElsewhere(ctx context.Context, id string) error {
-	owner, ok := d.remoteOwner(ctx, id)
-	if ok {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		err := d.Peers.End(call, owner.Address, id)
-		cancel()
-		if err == nil {
-			return nil
-		}
-	}
-	if err := d.Ledger.End(ctx, id, time.Now()); err != nil {
-		return err
-	}
-	go d.notifyEnd(id, owner)
-	return nil
-}
-
-// notifyEnd tells the owner that its batch was ended in the ledger. An owner that is
-// just taking the batch over does not know the batch when it is first asked, and
-// would send items to engines until its next write, long after the end was
-// acknowledged to the trainer. An owner without a name stands for this instance.
-func (d *Coordinator) notifyEnd(id string, owner ledger.Owner) {
-	for range endNotifyTries {
-		timer.Wait(d.Timer, endNotifyPause, nil)
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		err := d.Runner.End(ctx, id)
-		if owner.Instance != "" && owner != d.Ledger.Self {
-			err = d.Peers.End(ctx, owner.Address, id)
-		}
-		cancel()
-		if err == nil {
-			return
-		}
-	}
-}
--- a/internal/batch/coordinator/end_test.go
+++ b/internal/batch/coordinator/end_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"gopkg.in/tomb.v2"
 
 	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/batch/runner"
 	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/fleet/registry"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
 
@@ -60,7 +64,95 @@
 	<-peers.ended
 }
 
-// The same, but the end is in the ledger before the next owner has read the batch.
+// partitionedPeers has a former owner that does not answer, and a new one that does after
+// some attempts.
+type partitionedPeers struct {
+	silentPeers
+	asked *atomic.Int32
+	ended chan struct{}
+}
+
+// End implements Peers.
+func (p partitionedPeers) End(_ context.Context, address, _ string) error {
+	if address != "new" || p.asked.Add(1) < 6 {
+		return errSilent
+	}
+	p.ended <- struct{}{}
+	return nil
+}
+
+// Guards against an end that only the former owner of a batch is told, which is partitioned,
+// while the instance that has taken the batch over goes on with it, and against giving up on
+// an owner that does not answer for some seconds.
+func TestOwnerNamedByTheClaimIsToldOfTheEnd(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c, store := newCoordinator(t, nil)
+	value, err := json.Marshal(registry.Member{Name: "old", Incarnation: "1"})
+	is.NoErr(err)
+	_, err = store.Commit(ctx, keyvalue.Transaction{
+		Writes: []keyvalue.Write{
+			{Key: registry.InstanceKey("old"), Value: value},
+		},
+	})
+	is.NoErr(err)
+	var tb tomb.Tomb
+	tb.Go(func() error { return c.Registry.Run(&tb) })
+	defer func() { tb.Kill(nil); _ = tb.Wait() }()
+	c.Registry.AwaitView(&tb, time.Second)
+	owners := make(map[string]*ledger.Ledger)
+	for _, name := range []string{"old", "new"} {
+		owners[name] = &ledger.Ledger{
+			Store: store,
+			Self:  ledger.Owner{Instance: name, Incarnation: "1", Address: name},
+		}
+	}
+	claim, err := owners["old"].Accept(ctx, &submission.Submission{ID: "b"})
+	is.NoErr(err)
+	_, err = owners["new"].TakeOver(ctx, claim, "")
+	is.NoErr(err)
+	c.RecordOwner(OwnerHint{Batch: "b", Owner: claim.Owner})
+	peers := partitionedPeers{
+		asked: &atomic.Int32{},
+		ended: make(chan struct{}, 1),
+	}
+	c.Peers = peers
+	is.NoErr(c.End(ctx, "b"))
+	<-peers.ended
+	is.NoErr(c.End(ctx, "b")) // repeated by the trainer
+}
+
+// A former owner that is not partitioned from the ledger is asked to end a batch that another
+// instance has taken over. Guards against an end that the new owner is not told.
+func TestFormerOwnerLeavesTheEndToTheLedger(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c, store := newCoordinator(t, nil)
+	sub := &submission.Submission{
+		ID:          "b",
+		SubmittedMS: time.Now().UnixMilli(),
+		Items:       []submission.Item{{ID: "x", Path: "/x"}},
+	}
+	is.NoErr(c.Runner.Submit(ctx, sub, catalog.Route{}))
+	claim, err := c.Ledger.Find(ctx, "b")
+	is.NoErr(err)
+	successor := &ledger.Ledger{
+		Store: store,
+		Self:  ledger.Owner{Instance: "new", Incarnation: "1", Address: "new"},
+	}
+	_, err = successor.TakeOver(ctx, claim, "")
+	is.NoErr(err)
+	peers := partitionedPeers{
+		asked: &atomic.Int32{},
+		ended: make(chan struct{}, 1),
+	}
+	c.Peers = peers
+	is.NoErr(c.End(ctx, "b"))
+	<-peers.ended
+	is.Equal(c.Runner.Has("b"), false)
+}
+
+// Guards against taking over a batch whose end is in the ledger before the next owner has read the batch.
 func TestEndedBatchIsNotTakenOver(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
@@ -69,7 +161,8 @@
 		ID: "b",
 	})
 	is.NoErr(err)
-	is.NoErr(c.Ledger.End(ctx, "b", time.Now()))
+	_, err = c.Ledger.End(ctx, "b", time.Now())
+	is.NoErr(err)
 	c.Runner.Configuration.Update(catalog.Configuration{
 		Version: 1,
 	}.WithIndex())
--- a/internal/batch/ledger/ledger.go
+++ b/internal/batch/ledger/ledger.go
@@ -35,6 +35,10 @@
 	resolvePause    = 150 * time.Millisecond
 )
 
+// endAttempts is how often the end of a batch is tried whose claim changes meanwhile, or
+// whose outcome is unknown.
+const endAttempts = 4
+
 // Errors of the operations.
 var (
 	// ErrExists means that the batch was accepted before: another process owns it, or it
@@ -179,24 +183,56 @@
 	return Claim{}, ErrOutcomeUnknown
 }
 
-// End ends a batch. It may be repeated.
-func (l *Ledger) End(ctx context.Context, id string, now time.Time) error {
-	item, err := l.Store.Get(ctx, openPrefix+id)
-	if errors.Is(err, keyvalue.ErrNotFound) {
-		return l.checkEnded(ctx, id)
-	}
-	if err != nil {
-		return err
+// End ends a batch. It may be repeated. It returns the claim that the end replaced, whose
+// owner does not know of the end; it has no owner if the batch was ended before.
+func (l *Ledger) End(ctx context.Context, id string, now time.Time) (Claim, error) {
+	var replaced Claim
+	var err error
+	// Another instance may take the batch over between the two calls.
+	for range endAttempts {
+		var c Claim
+		c, err = l.Find(ctx, id)
+		if errors.Is(err, ErrUnknown) {
+			// If an attempt without an answer has ended the batch, its claim is the last.
+			return replaced, l.checkEnded(ctx, id)
+		}
+		if err != nil {
+			return Claim{}, err
+		}
+		replaced = c
+		err = l.endAtRevision(ctx, id, c.Revision, now)
+		if !errors.Is(err, ErrFenced) && !errors.Is(err, keyvalue.ErrOutcomeUnknown) {
+			break
+		}
 	}
-	return l.endAtRevision(ctx, id, item.Revision, now)
+	return replaced, err
 }
 
 // EndClaimed ends a batch that this process owns, normally with a single call of the
-// service.
+// service. It returns ErrFenced if the batch has another owner.
 func (l *Ledger) EndClaimed(ctx context.Context, c Claim, now time.Time) error {
-	err := l.endAtRevision(ctx, c.Batch, c.Revision, now)
-	if errors.Is(err, ErrFenced) || errors.Is(err, keyvalue.ErrOutcomeUnknown) {
-		return l.End(ctx, c.Batch, now)
+	var err error
+	for range endAttempts {
+		err = l.endAtRevision(ctx, c.Batch, c.Revision, now)
+		if !errors.Is(err, keyvalue.ErrOutcomeUnknown) {
+			break
+		}
+	}
+	if !errors.Is(err, ErrFenced) {
+		return err
+	}
+	err = l.checkEnded(ctx, c.Batch)
+	if errors.Is(err, ErrUnknown) {
+		return ErrFenced
+	}
+	return err
+}
+
+// Confirm returns ErrFenced if the batch of a claim has another owner or is ended.
+func (l *Ledger) Confirm(ctx context.Context, c Claim) error {
+	found, err := l.Find(ctx, c.Batch)
+	if errors.Is(err, ErrUnknown) || err == nil && found.Revision != c.Revision {
+		return ErrFenced
 	}
 	return err
 }
--- a/internal/batch/ledger/property_test.go
+++ b/internal/batch/ledger/property_test.go
@@ -146,7 +146,7 @@
 		case "settle":
 			store.ApplyDelayed()
 		case "end":
-			_ = o.ledger.End(ctx, "b", time.Unix(1, 0))
+			_, _ = o.ledger.End(ctx, "b", time.Unix(1, 0))
 		}
 	}
 	if len(accepted) > 1 {
--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -32,8 +32,9 @@
 	// acquired before mu.
 	writeMu sync.Mutex
 
-	mu    sync.Mutex
-	claim ledger.Claim
+	mu           sync.Mutex
+	claim        ledger.Claim
+	confirmation confirmation
 	// unstored says that the ledger has not accepted the batch yet; requestedAt
 	// is when the batch was last requested.
 	unstored    bool
--- /dev/null
+++ b/internal/batch/runner/confirm.go
@@ -0,0 +1,131 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/route/wire"
+)
+
+// No item of a batch may reach an engine later than 3 s after the end of the batch was
+// acknowledged, also if its owner is partitioned and can't learn of the end. The three times
+// claimTrust, itemDeliveryTimeout and 200 ms on the network add up to this.
+const (
+	// confirmInterval is how long after a claim was last confirmed it is read again. It
+	// leaves claimTrust - confirmInterval for the read.
+	confirmInterval = time.Second
+	// claimTrust is how long after a claim was confirmed items are sent.
+	claimTrust = 1800 * time.Millisecond
+	// itemDeliveryTimeout is how long the kernel may retain the bytes of an item.
+	itemDeliveryTimeout = time.Second
+	// confirmTimeout limits reading a claim, and asking whether the key-value service is
+	// down.
+	confirmTimeout = 500 * time.Millisecond
+	// confirmRetryPause is the pause after a claim that could not be read.
+	confirmRetryPause = 300 * time.Millisecond
+)
+
+// confirmation is what is known of the claim on a batch. The batch's lock guards it.
+type confirmation struct {
+	// at is the start of the last call that showed that the claim is valid: an end of the
+	// batch that was stored earlier would have been seen.
+	at timer.Instant
+	// reading says that the claim is being read, and nextAt is when it may be read again.
+	reading bool
+	nextAt  timer.Instant
+	// withheld says that items are withheld as the claim is not confirmed.
+	withheld bool
+}
+
+// confirmed records that a call that began at an instant has shown that the claim is valid.
+// The caller holds b.mu.
+func (b *Batch) confirmed(at timer.Instant) { b.confirmation.at = max(b.confirmation.at, at) }
+
+// claimTrusted reports whether the claim was confirmed so lately that items may be sent. The
+// caller holds b.mu.
+func (b *Batch) claimTrusted(now timer.Instant) bool {
+	return b.unstored || now.Sub(b.confirmation.at) < claimTrust
+}
+
+// withClaimCheck returns the context of an attempt, which is withheld if the claim is no longer
+// trusted when its connection is ready.
+func (r *Runner) withClaimCheck(b *Batch) context.Context {
+	ctx := wire.WithDeliveryTimeout(b.ctx, itemDeliveryTimeout)
+	return wire.WithBeforeWrite(ctx, func() error {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.over() || !b.claimTrusted(r.Timer.Now()) {
+			return engine.ErrWithdrawn
+		}
+		return nil
+	})
+}
+
+// confirmClaim reads the claim on a batch whose items are still sent if nothing has confirmed
+// it lately. The caller holds b.mu.
+func (r *Runner) confirmClaim(b *Batch, now timer.Instant) {
+	c := &b.confirmation
+	if !b.claimTrusted(now) && !c.withheld {
+		c.withheld = true
+		r.Journal.Warn("items withheld until the claim is confirmed", nil, log.Fields{
+			"request_id":     b.sub.ID,
+			"open":           b.open,
+			"unconfirmed_ms": now.Sub(c.at).Milliseconds(),
+		})
+	}
+	if b.unstored || b.open == 0 || c.reading || now < c.nextAt || now.Sub(c.at) < confirmInterval {
+		return
+	}
+	c.reading = true
+	claim := b.claim
+	go func() {
+		at, err := r.readClaim(claim)
+		if errors.Is(err, ledger.ErrFenced) {
+			r.Drop(b.sub.ID, err)
+			return
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		c.reading = false
+		if err != nil {
+			c.nextAt = r.Timer.Now().Add(confirmRetryPause)
+			return
+		}
+		b.confirmed(at)
+		if c.withheld {
+			c.withheld = false
+			r.Journal.Info("claim confirmed again", log.Fields{
+				"request_id": b.sub.ID,
+			})
+		}
+		b.dispatchWake.Set()
+	}()
+}
+
+// readClaim reads a claim and returns the time from which on it is confirmed. While no instance
+// reaches the key-value service, no batch can be ended or taken over, which confirms it as well.
+func (r *Runner) readClaim(claim ledger.Claim) (timer.Instant, error) {
+	began := r.Timer.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	err := r.Ledger.Confirm(ctx, claim)
+	cancel()
+	if err == nil || errors.Is(err, ledger.ErrFenced) {
+		return began, err
+	}
+	if r.StoreDown == nil {
+		return r.Timer.Now(), nil
+	}
+	began = r.Timer.Now()
+	ctx, cancel = context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	if r.StoreDown(ctx) {
+		return began, nil
+	}
+	return 0, err
+}
--- /dev/null
+++ b/internal/batch/runner/confirm_test.go
@@ -0,0 +1,148 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/standin/memorystore"
+)
+
+// resendingBench returns a bench whose engines lose each stream after one event, so that the
+// item is sent on and on, and functions that return the time of the last attempt and cut the
+// runner off from the key-value service.
+func resendingBench(t *testing.T) (b *testBench, lastSent func() timer.Instant, cut *atomic.Bool) {
+	var mu sync.Mutex
+	var last timer.Instant
+	b = newTestBench(t, func(ctx context.Context, _ *catalog.Upstream, attempt Attempt, emit func(Event) error) error {
+		mu.Lock()
+		last = b.clock.Now()
+		mu.Unlock()
+		timer.Wait(b.clock, 50*time.Millisecond, ctx.Done())
+		_ = emitEvents(attempt.After, attempt.After+1, 5, emit)
+		return engine.ErrIncompleteResponse
+	})
+	cut = &atomic.Bool{}
+	b.store.Fault = func(memorystore.Operation) memorystore.Fault {
+		if cut.Load() {
+			return memorystore.Down
+		}
+		return memorystore.None
+	}
+	return b, func() timer.Instant {
+		mu.Lock()
+		defer mu.Unlock()
+		return last
+	}, cut
+}
+
+// Guards against an owner that sends items of an ended batch on and on, when the instance that
+// stored the end is lost before it tells the owner.
+func TestOwnerFindsTheEndInTheLedger(t *testing.T) {
+	is := is.New(t)
+	b, lastSent, _ := resendingBench(t)
+	is.NoErr(b.submit("x"))
+	is.True(eventually(func() bool { return lastSent() > 0 }))
+	l := *b.runner.Ledger
+	_, err := l.End(context.Background(), "b", time.Now())
+	is.NoErr(err)
+	ended := b.clock.Now()
+	is.True(eventually(func() bool { return !b.runner.Has("b") }))
+	is.True(lastSent().Sub(ended) <= claimTrust)
+}
+
+// Guards against an owner that is partitioned from the key-value service and goes on sending
+// items of a batch that other instances may have ended, or that sends items after the
+// partition has healed before it has looked.
+func TestPartitionedOwnerWithholdsItems(t *testing.T) {
+	is := is.New(t)
+	b, lastSent, cut := resendingBench(t)
+	b.runner.StoreDown = func(context.Context) bool { return false }
+	is.NoErr(b.submit("x"))
+	is.True(eventually(func() bool { return lastSent() > 0 }))
+	l := *b.runner.Ledger
+	claim, err := l.Find(context.Background(), "b")
+	is.NoErr(err)
+	cut.Store(true)
+	began := b.clock.Now()
+	is.True(eventually(func() bool { return b.clock.Now().Sub(began) > 2*claimTrust }))
+	is.True(lastSent().Sub(began) <= claimTrust+50*time.Millisecond)
+	is.True(b.runner.Has("b"))
+	cut.Store(false)
+	is.True(eventually(func() bool { return b.clock.Now().Sub(lastSent()) < 50*time.Millisecond })) // confirmed again
+	cut.Store(true)
+	began = b.clock.Now()
+	is.True(eventually(func() bool { return b.clock.Now().Sub(began) > 2*claimTrust }))
+	stopped := lastSent()
+	l.Self.Instance = "j"
+	cut.Store(false)
+	// The runner may read its claim before this, and sends items until it reads it again.
+	_, err = l.TakeOver(context.Background(), claim, "")
+	is.NoErr(err)
+	taken := b.clock.Now()
+	is.True(eventually(func() bool { return !b.runner.Has("b") }))
+	is.True(lastSent() == stopped || lastSent().Sub(taken) <= claimTrust)
+}
+
+// Guards against a step that stands still while the key-value service is down for all
+// instances, when no batch can be ended.
+func TestOwnerGoesOnWhileStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	b, lastSent, cut := resendingBench(t)
+	b.runner.StoreDown = func(context.Context) bool { return true }
+	is.NoErr(b.submit("x"))
+	cut.Store(true)
+	began := b.clock.Now()
+	is.True(eventually(func() bool { return lastSent().Sub(began) > 2*claimTrust }))
+}
+
+// Guards against reading the claim of a batch whose results are written all the time.
+func TestWriteConfirmsClaim(t *testing.T) {
+	is := is.New(t)
+	var b *testBench
+	b = newTestBench(t, func(ctx context.Context, _ *catalog.Upstream, _ Attempt, emit func(Event) error) error {
+		timer.Wait(b.clock, 200*time.Millisecond, ctx.Done())
+		return emitEvents(0, 1, 5, emit)
+	})
+	is.NoErr(b.submit("x"))
+	accepted := b.clock.Now()
+	is.Equal(len(b.waitForResults(1)), 1)
+	is.Equal(b.store.CallCount(memorystore.Get), 0)
+	batch := b.runner.find("b")
+	batch.mu.Lock()
+	defer batch.mu.Unlock()
+	is.True(batch.confirmation.at > accepted)
+}
+
+// A group that was not whole at the end of a step is submitted again under the same IDs.
+// Guards against the end of the first batch stopping the items of the second.
+func TestEndLeavesSameItemsOfLaterBatch(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	proceed := make(chan struct{})
+	b := newTestBench(t, func(ctx context.Context, _ *catalog.Upstream, _ Attempt, emit func(Event) error) error {
+		select {
+		case <-proceed:
+			return emitEvents(0, 2, 5, emit)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	})
+	is.NoErr(b.submit("x"))
+	later := b.newSubmission("x")
+	later.ID, later.Step = "c", 1
+	is.NoErr(b.runner.Submit(ctx, later, b.route))
+	is.NoErr(b.runner.End(ctx, "b"))
+	close(proceed)
+	is.True(eventually(func() bool {
+		page, err := b.runner.Read(ctx, "c", 0, 0)
+		return err == nil && len(page.Results) == 1
+	}))
+}
--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -40,7 +40,7 @@
 // caller holds b.mu.
 func (r *Runner) dispatch(b *Batch) {
 	now := r.Timer.Now()
-	if b.over() || b.nextReady(now) < 0 {
+	if b.over() || b.nextReady(now) < 0 || !b.claimTrusted(now) {
 		return
 	}
 	usable := r.usableCandidates(b, now)
@@ -72,7 +72,7 @@
 
 // startAttempt starts one attempt at an item. The caller holds b.mu.
 func (r *Runner) startAttempt(b *Batch, t *task, u *catalog.Upstream, need schedule.Need, now timer.Instant) {
-	ctx, cancel := context.WithCancel(b.ctx)
+	ctx, cancel := context.WithCancel(r.withClaimCheck(b))
 	t.phase = running
 	t.upstream = u
 	t.cancel = cancel
@@ -244,7 +244,7 @@
 	case t.moving:
 		u.RecordPaceSince(pace, start, now)
 		u.Cancelled()
-	case errors.Is(err, context.Canceled):
+	case errors.Is(err, context.Canceled), errors.Is(err, engine.ErrWithdrawn):
 		u.Cancelled()
 	case errors.Is(err, engine.ErrNotSent):
 		u.Unreachable(now)
--- a/internal/batch/runner/prepare.go
+++ b/internal/batch/runner/prepare.go
@@ -51,9 +51,9 @@
 	return b.unstored && !b.over()
 }
 
-// attachClaim marks a batch that runs here already as stored under a claim. It
-// reports false if there is no such batch.
-func (r *Runner) attachClaim(claim ledger.Claim) bool {
+// attachClaim marks a batch that runs here already as stored under a claim, which a call
+// that began at an instant has returned. It reports false if there is no such batch.
+func (r *Runner) attachClaim(claim ledger.Claim, began timer.Instant) bool {
 	b := r.find(claim.Batch)
 	if b == nil {
 		return false
@@ -65,6 +65,7 @@
 	}
 	b.unstored = false
 	b.claim = claim
+	b.confirmed(began)
 	r.Journal.Decision("stored", log.Fields{
 		"request_id": b.sub.ID,
 		"pending":    len(b.pending),
--- a/internal/batch/runner/prepare_test.go
+++ b/internal/batch/runner/prepare_test.go
@@ -126,8 +126,11 @@
 	_, err := l.Accept(ctx, sub)
 	is.NoErr(err)
 	b.runner.Ledger.Store = &endingStore{
-		Store:    b.store,
-		endBatch: func() { is.NoErr(l.End(ctx, "b", time.Now())) },
+		Store: b.store,
+		endBatch: func() {
+			_, err := l.End(ctx, "b", time.Now())
+			is.NoErr(err)
+		},
 	}
 	is.True(errors.Is(b.runner.Submit(ctx, sub, b.route), ledger.ErrExists))
 	is.Equal(b.runner.Has("b"), false)
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -68,6 +68,9 @@
 	// EngineAssignment assigns engines to models; if it is nil, every engine serves all
 	// models.
 	EngineAssignment EngineAssignment
+	// StoreDown reports whether no instance reaches the key-value service; if it is nil, a
+	// service that this process does not reach counts as down for all.
+	StoreDown func(ctx context.Context) bool
 	// CopyFinder finds the results and texts that an earlier owner of a batch had;
 	// if it is nil, nothing is found.
 	CopyFinder CopyFinder
@@ -106,6 +109,7 @@
 
 // Submit accepts a batch and starts it. Its errors are those of ledger.Accept.
 func (r *Runner) Submit(ctx context.Context, sub *submission.Submission, route catalog.Route) error {
+	began := r.Timer.Now()
 	claim, err := r.Ledger.Accept(ctx, sub)
 	if errors.Is(err, ledger.ErrExists) {
 		r.dropUnstored(sub.ID, err)
@@ -113,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	if r.attachClaim(claim) {
+	if r.attachClaim(claim, began) {
 		return nil
 	}
 	if claim.AlreadyAccepted {
@@ -125,13 +129,16 @@
 		}
 		return err
 	}
-	r.startBatch(newBatch(sub, claim, nil, nil, r.earlierTokens(sub)), route, "accept")
+	b := newBatch(sub, claim, nil, nil, r.earlierTokens(sub))
+	b.confirmed(began)
+	r.startBatch(b, route, "accept")
 	return nil
 }
 
 // Adopt continues a batch that this process has claimed.
 func (r *Runner) Adopt(ctx context.Context, claim ledger.Claim) error {
-	if r.attachClaim(claim) {
+	began := r.Timer.Now()
+	if r.attachClaim(claim, began) {
 		return nil
 	}
 	copied := r.findCopy(ctx, claim.Batch)
@@ -155,6 +162,8 @@
 	c := <-copied
 	b := newBatch(rec.Submission, claim, rec.Results, mergeProgress(rec.Progress, c.Progress), r.earlierTokens(rec.Submission))
 	b.mu.Lock()
+	// The end was looked for in the ledger after began.
+	b.confirmed(began)
 	b.restored = b.restoreResults(c.Results, r.Timer.Now())
 	b.mu.Unlock()
 	r.startBatch(b, route, "take_over")
@@ -349,7 +358,13 @@
 			"age_ms":      r.Timer.Now().Sub(b.startedAt).Milliseconds(),
 		})
 	}
-	if err := r.Ledger.EndClaimed(ctx, claim, time.Now()); err != nil {
+	err := r.Ledger.EndClaimed(ctx, claim, time.Now())
+	if errors.Is(err, ledger.ErrFenced) {
+		// The caller ends the batch in the ledger and notifies its present owner.
+		r.Drop(id, err)
+		return ErrNotRunHere
+	}
+	if err != nil {
 		return err
 	}
 	b.mu.Lock()
--- a/internal/batch/runner/watch.go
+++ b/internal/batch/runner/watch.go
@@ -88,6 +88,7 @@
 		})
 		b.giveUp(now)
 	}
+	r.confirmClaim(b, now)
 	b.medianPace = r.medianPace(b)
 	if b.nextReady(now) >= 0 {
 		r.lending.recordWaiting(b.sub.Model, now)
--- a/internal/batch/runner/write.go
+++ b/internal/batch/runner/write.go
@@ -93,6 +93,8 @@
 			b.mu.Lock()
 			b.claim = next
 			b.writeInFlight = false
+			// The chunk may have been stored by an earlier attempt.
+			b.confirmed(b.writeStartedAt)
 			b.listResults(results, r.Timer.Now())
 			b.mu.Unlock()
 			return true
--- a/internal/fleet/duty/call.go
+++ b/internal/fleet/duty/call.go
@@ -33,6 +33,7 @@
 	h.calls++
 	h.callsUntil = max(h.callsUntil, deadline.Add(DeliveryTimeout))
 	call = wire.WithBeforeWrite(ctx, func() error { return h.checkCall(fence, deadline) })
+	call = wire.WithDeliveryTimeout(call, DeliveryTimeout)
 	call, cancel := context.WithTimeout(call, timeout)
 	return call, sync.OnceFunc(func() {
 		cancel()
--- a/internal/fleet/duty/holder.go
+++ b/internal/fleet/duty/holder.go
@@ -34,7 +34,7 @@
 	// minCallTime is the shortest time that a call is begun with. It covers the
 	// networkDelay of a call that is written last.
 	minCallTime = networkDelay
-	// DeliveryTimeout is the TCP_USER_TIMEOUT of connections for calls of the duty. It is
+	// DeliveryTimeout is the TCP_USER_TIMEOUT of connections while they carry a call. It is
 	// how long the kernel may retain the bytes of a call if its instance is paused just
 	// after it has written them. Two regions 120 ms apart still get one lost packet
 	// repeated in time.
--- a/internal/kernel/dial/dial.go
+++ b/internal/kernel/dial/dial.go
@@ -40,3 +40,16 @@
 	}
 	return nc, nil
 }
+
+// SetUserTimeout sets the UserTimeout of an open TCP connection.
+func SetUserTimeout(nc net.Conn, d time.Duration) error {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(raw, d)
+}
--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -19,11 +18,10 @@
 	idleTime        = 20 * time.Second
 	idlePerUpstream = 32
 	maxHeaderBytes  = 64 << 10
-	// defaultUserTimeout ends the connection of a request whose bytes don't arrive. It is
-	// shorter than the 3 s after the end of a batch from which on no item may reach an engine,
-	// in case the instance is paused and can't close the connection. It also ends the request
-	// of an upstream that reads nothing for so long.
-	defaultUserTimeout = 2500 * time.Millisecond
+	// deliveryTimeout is for requests without WithDeliveryTimeout. An upstream may be paused
+	// and read nothing of a large body for some time, and a domain that is evacuated must
+	// get nothing any more 5 s later.
+	deliveryTimeout = 2500 * time.Millisecond
 )
 
 // Client sends requests to upstreams. Its zero value is ready to use.
@@ -31,9 +29,6 @@
 	// TLS configures https connections; with nil the system's root certificates
 	// are used.
 	TLS *tls.Config
-	// UserTimeout is how long sent bytes may stay unacknowledged before the connection is
-	// reset; 0 means defaultUserTimeout.
-	UserTimeout time.Duration
 
 	once   sync.Once
 	dialer dial.Dialer
@@ -60,7 +55,7 @@
 func (c *Client) configureTransports() {
 	c.dialer = dial.Dialer{
 		Timeout:     dialTimeout,
-		UserTimeout: cmp.Or(c.UserTimeout, defaultUserTimeout),
+		UserTimeout: deliveryTimeout,
 	}
 	for _, t := range []*http.Transport{&c.pooled, &c.fresh} {
 		t.DialContext = c.dial
@@ -80,7 +75,8 @@
 		return nil, err
 	}
 	return &conn{
-		Conn: nc,
+		Conn:            nc,
+		deliveryTimeout: deliveryTimeout,
 	}, nil
 }
 
@@ -89,7 +85,8 @@
 func (c *Client) Do(req *http.Request, reuse Reuse) (res *http.Response, sent bool, err error) {
 	c.once.Do(c.configureTransports)
 	tracker := connTracker{
-		beforeWrite: beforeWriteOf(req.Context()),
+		beforeWrite:     beforeWriteOf(req.Context()),
+		deliveryTimeout: deliveryTimeoutOf(req.Context()),
 	}
 	trace := &httptrace.ClientTrace{
 		GotConn: tracker.gotConn,
@@ -139,6 +136,24 @@
 	return check
 }
 
+// deliveryTimeoutKey is the context key of WithDeliveryTimeout.
+type deliveryTimeoutKey struct{}
+
+// WithDeliveryTimeout returns a context for requests whose bytes must not be delivered later
+// than d after they were written, also if this process is paused. The kernel resets their
+// connection if bytes have not been acknowledged by then.
+func WithDeliveryTimeout(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, deliveryTimeoutKey{}, d)
+}
+
+// deliveryTimeoutOf returns the delivery timeout for the requests of a context.
+func deliveryTimeoutOf(ctx context.Context) time.Duration {
+	if d, ok := ctx.Value(deliveryTimeoutKey{}).(time.Duration); ok {
+		return d
+	}
+	return deliveryTimeout
+}
+
 // CloseIdle closes the connections that are not in use.
 func (c *Client) CloseIdle() {
 	c.pooled.CloseIdleConnections()
@@ -155,6 +170,8 @@
 	// that it returned.
 	beforeWrite func() error
 	withheld    error
+	// deliveryTimeout is the delivery timeout of the request.
+	deliveryTimeout time.Duration
 }
 
 // connUse is a connection and the bytes written to it before the request.
@@ -168,6 +185,7 @@
 	c, ok := info.Conn.(*conn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	setDeliveryTimeout(info.Conn, t.deliveryTimeout)
 	if t.beforeWrite != nil {
 		t.withheld = t.beforeWrite()
 	}
--- a/internal/route/wire/conn.go
+++ b/internal/route/wire/conn.go
@@ -1,9 +1,13 @@
 package wire
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/kernel/dial"
 )
 
 // errSealed is returned by writes to a sealed connection.
@@ -14,6 +18,9 @@
 // abandoned request later.
 type conn struct {
 	net.Conn
+	// deliveryTimeout is the TCP_USER_TIMEOUT of the connection, which only the request
+	// that the connection was given to changes.
+	deliveryTimeout time.Duration
 
 	mu      sync.Mutex
 	written uint64
@@ -32,6 +39,16 @@
 	return c.Conn.Write(p)
 }
 
+// setDeliveryTimeout sets the TCP_USER_TIMEOUT of a connection of a Client.
+func setDeliveryTimeout(nc net.Conn, d time.Duration) {
+	if secure, ok := nc.(*tls.Conn); ok {
+		nc = secure.NetConn()
+	}
+	if c, ok := nc.(*conn); ok && c.deliveryTimeout != d && dial.SetUserTimeout(c.Conn, d) == nil {
+		c.deliveryTimeout = d
+	}
+}
+
 // bytesWritten returns how many bytes were passed to Write so far.
 func (c *conn) bytesWritten() uint64 {
 	c.mu.Lock()
