kvfallback, platform: tell an outage of the store from a partition

An owner that can't confirm its claims must stop sending items, as another instance may have ended its batches; during an outage of the store nobody can, and a step must not stand still. It can't tell the two apart by itself, and neither can the instances of its own failure domain, which are partitioned with it.

kvfallback.Outage asks two instances of each other failure domain. Only if one of each answers, and none reaches the store, is the store down; the oldest evidence counts, so an instance that rejects the call without trying says how old its last failed call is.

--- a/internal/batch/runner/confirm.go
+++ b/internal/batch/runner/confirm.go
@@ -121,11 +121,10 @@
 	if r.StoreDown == nil {
 		return r.Timer.Now(), nil
 	}
-	began = r.Timer.Now()
 	ctx, cancel = context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
-	if r.StoreDown(ctx) {
-		return began, nil
+	if until, down := r.StoreDown(ctx); down {
+		return until, nil
 	}
 	return 0, err
 }
--- a/internal/batch/runner/confirm_test.go
+++ b/internal/batch/runner/confirm_test.go
@@ -64,7 +64,7 @@
 func TestPartitionedOwnerWithholdsItems(t *testing.T) {
 	is := is.New(t)
 	b, lastSent, cut := resendingBench(t)
-	b.runner.StoreDown = func(context.Context) bool { return false }
+	b.runner.StoreDown = func(context.Context) (timer.Instant, bool) { return 0, false }
 	is.NoErr(b.submit("x"))
 	is.True(eventually(func() bool { return lastSent() > 0 }))
 	l := *b.runner.Ledger
@@ -96,7 +96,7 @@
 func TestOwnerGoesOnWhileStoreIsDown(t *testing.T) {
 	is := is.New(t)
 	b, lastSent, cut := resendingBench(t)
-	b.runner.StoreDown = func(context.Context) bool { return true }
+	b.runner.StoreDown = func(context.Context) (timer.Instant, bool) { return b.clock.Now(), true }
 	is.NoErr(b.submit("x"))
 	cut.Store(true)
 	began := b.clock.Now()
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -68,9 +68,10 @@
 	// EngineAssignment assigns engines to models; if it is nil, every engine serves all
 	// models.
 	EngineAssignment EngineAssignment
-	// StoreDown reports whether no instance reaches the key-value service; if it is nil, a
-	// service that this process does not reach counts as down for all.
-	StoreDown func(ctx context.Context) bool
+	// StoreDown reports whether no instance reaches the key-value service, and up to when
+	// this is known. If it is nil, a service that this process does not reach counts as down
+	// for all.
+	StoreDown func(ctx context.Context) (until timer.Instant, down bool)
 	// CopyFinder finds the results and texts that an earlier owner of a batch had;
 	// if it is nil, nothing is found.
 	CopyFinder CopyFinder
--- a/internal/fleet/kvfallback/call.go
+++ b/internal/fleet/kvfallback/call.go
@@ -59,6 +59,9 @@
 	Text     string
 	// Compared holds the items of a *keyvalue.ConflictError.
 	Compared []keyvalue.Item
+	// DownForMS is how long ago the last call that failed began, if this call was rejected
+	// without trying the service.
+	DownForMS int64
 }
 
 // Failure is the code of an error in messages between instances.
@@ -210,6 +213,7 @@
 func (s *Server) Call(c *Call, reply *Reply) error {
 	if !s.store.TriesDirectFirst() {
 		reply.Failure = FailureDown
+		reply.DownForMS = s.store.sinceDirectFailed().Milliseconds()
 		return nil
 	}
 	timeout := c.timeout(peerTimeout) + c.transferTime()
@@ -218,9 +222,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	began := s.store.Timer.Now()
 	*reply = c.MakeAt(ctx, s.store.Direct)
 	if c.Kind != KindWatch {
-		s.store.recordDirect(reply.Err())
+		s.store.recordDirect(reply.Err(), began)
 	}
 	return nil
 }
--- a/internal/fleet/kvfallback/store.go
+++ b/internal/fleet/kvfallback/store.go
@@ -66,7 +66,9 @@
 	mu             sync.Mutex
 	directFailedAt timer.Instant
 	directFailed   bool
-	pausedUntil    timer.Instant
+	// failedCallBegan is when the last failed call on the direct path began.
+	failedCallBegan timer.Instant
+	pausedUntil     timer.Instant
 	// avoidUntil holds the end of the exclusion of instances, by address.
 	avoidUntil map[string]timer.Instant
 	// directLost is closed when the direct path fails after it worked.
@@ -89,6 +91,14 @@
 	return !s.directFailed
 }
 
+// sinceDirectFailed returns the time since the start of the last call on the direct path that
+// failed.
+func (s *Store) sinceDirectFailed() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Timer.Now().Sub(s.failedCallBegan)
+}
+
 // paused reports whether all paths failed within the last outagePause.
 func (s *Store) paused() bool {
 	s.mu.Lock()
@@ -124,15 +134,16 @@
 	return s.directFailed, s.directLost
 }
 
-// recordDirect records the result of a call on the direct path. If the path failed
-// after it worked, it ends the watches on it and calls OnDirectLost.
-func (s *Store) recordDirect(err error) {
+// recordDirect records the result of a call on the direct path that began at an instant. If
+// the path failed after it worked, it ends the watches on it and calls OnDirectLost.
+func (s *Store) recordDirect(err error, began timer.Instant) {
 	failed := unavailable(err)
 	s.mu.Lock()
 	failedBefore := s.directFailed
 	s.directFailed = failed
 	if failed {
 		s.directFailedAt = s.Timer.Now()
+		s.failedCallBegan = began
 		if !failedBefore && s.directLost != nil {
 			close(s.directLost)
 			s.directLost = nil
@@ -229,10 +240,11 @@
 func (s *Store) callDirect(ctx context.Context, c Call) (Reply, error) {
 	callCtx, cancel := context.WithTimeout(ctx, c.timeout(directTimeout)+c.transferTime())
 	defer cancel()
+	began := s.Timer.Now()
 	reply := c.MakeAt(callCtx, s.Direct)
 	err := reply.Err()
 	if ctx.Err() == nil || err == nil {
-		s.recordDirect(err)
+		s.recordDirect(err, began)
 	}
 	return reply, err
 }
