--- a/internal/batch/coordinator/end_test.go
+++ b/internal/batch/coordinator/end_test.go
@@ -169,3 +169,44 @@
 	is.True(errors.Is(c.Runner.Adopt(ctx, claim), ledger.ErrFenced))
 	is.Equal(c.Runner.Has("b"), false)
 }
+
+// endingStore calls onRead once, after the next listing and before the caller gets it.
+type endingStore struct {
+	keyvalue.TransactionalStore
+	onRead func()
+}
+
+// Range implements keyvalue.TransactionalStore.
+func (s *endingStore) Range(ctx context.Context, prefix string, consistency keyvalue.Consistency) (keyvalue.Listing, error) {
+	listing, err := s.TransactionalStore.Range(ctx, prefix, consistency)
+	if s.onRead != nil {
+		onRead := s.onRead
+		s.onRead = nil
+		onRead()
+	}
+	return listing, err
+}
+
+// Guards against a batch that goes on at an instance which has read it, and not yet begun it,
+// when its end arrives there.
+func TestEndDuringTakeOverStopsTheBatch(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c, store := newCoordinator(t, nil)
+	c.Runner.Configuration.Update(catalog.Configuration{
+		Version: 1,
+	}.WithIndex())
+	claim, err := c.Ledger.Accept(ctx, &submission.Submission{
+		ID:          "b",
+		SubmittedMS: time.Now().UnixMilli(),
+		Items:       []submission.Item{{ID: "x", Path: "/x"}},
+	})
+	is.NoErr(err)
+	c.Ledger.Store = &endingStore{
+		TransactionalStore: store,
+		onRead:             func() { is.NoErr(c.End(ctx, "b")) },
+	}
+	is.NoErr(c.Runner.Adopt(ctx, claim))
+	is.True(eventually(func() bool { return len(c.Runner.Claims()) == 0 }))
+	is.NoErr(c.End(ctx, "b"))
+}
--- a/internal/batch/ledger/ledger.go
+++ b/internal/batch/ledger/ledger.go
@@ -190,17 +190,18 @@
 	var err error
 	// Another instance may take the batch over between the two calls.
 	for range endAttempts {
-		var c Claim
-		c, err = l.Find(ctx, id)
-		if errors.Is(err, ErrUnknown) {
+		var item keyvalue.Item
+		item, err = l.Store.Get(ctx, openPrefix+id)
+		if errors.Is(err, keyvalue.ErrNotFound) {
 			// If an attempt without an answer has ended the batch, its claim is the last.
 			return replaced, l.checkEnded(ctx, id)
 		}
 		if err != nil {
 			return Claim{}, err
 		}
-		replaced = c
-		err = l.endAtRevision(ctx, id, c.Revision, now)
+		// A claim of another release that can't be read is ended as well.
+		replaced, _ = decodeClaim(item)
+		err = l.endAtRevision(ctx, id, item.Revision, now)
 		if !errors.Is(err, ErrFenced) && !errors.Is(err, keyvalue.ErrOutcomeUnknown) {
 			break
 		}
--- a/internal/batch/runner/confirm.go
+++ b/internal/batch/runner/confirm.go
@@ -86,28 +86,40 @@
 	claim := b.claim
 	go func() {
 		at, err := r.readClaim(claim)
-		if errors.Is(err, ledger.ErrFenced) {
+		if r.claimRead(b, at, err) {
 			r.Drop(b.sub.ID, err)
-			return
 		}
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		c.reading = false
-		if err != nil {
-			c.nextAt = r.Timer.Now().Add(confirmRetryPause)
-			return
-		}
-		b.confirmed(at)
-		if c.withheld {
-			c.withheld = false
-			r.Journal.Info("claim confirmed again", log.Fields{
-				"request_id": b.sub.ID,
-			})
-		}
-		b.dispatchWake.Set()
 	}()
 }
 
+// claimRead records the outcome of reading the claim on a batch. It reports whether the batch is
+// to be dropped.
+func (r *Runner) claimRead(b *Batch, at timer.Instant, err error) (drop bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := &b.confirmation
+	c.reading = false
+	switch {
+	case b.over():
+		// It was ended or handed over here meanwhile.
+		return false
+	case errors.Is(err, ledger.ErrFenced):
+		return true
+	case err != nil:
+		c.nextAt = r.Timer.Now().Add(confirmRetryPause)
+		return false
+	}
+	b.confirmed(at)
+	if c.withheld && b.claimTrusted(r.Timer.Now()) {
+		c.withheld = false
+		r.Journal.Info("claim confirmed again", log.Fields{
+			"request_id": b.sub.ID,
+		})
+	}
+	b.dispatchWake.Set()
+	return false
+}
+
 // readClaim reads a claim and returns the time from which on it is confirmed. While no instance
 // reaches the key-value service, no batch can be ended or taken over, which confirms it as well.
 func (r *Runner) readClaim(claim ledger.Claim) (timer.Instant, error) {
--- a/internal/batch/runner/confirm_test.go
+++ b/internal/batch/runner/confirm_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/egretbend/egretbend/internal/batch/submission"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
@@ -146,3 +147,24 @@
 		return err == nil && len(page.Results) == 1
 	}))
 }
+
+// Guards against items that are missing in the list of results because their time ended while
+// their owner was partitioned from the key-value service.
+func TestItemsGivenUpWhilePartitionedAreListedDead(t *testing.T) {
+	is := is.New(t)
+	b, lastSent, cut := resendingBench(t)
+	b.runner.StoreDown = func(context.Context) (timer.Instant, bool) { return 0, false }
+	b.route.GiveUpAfter = 3 * time.Second
+	is.NoErr(b.submit("x", "y"))
+	is.True(eventually(func() bool { return lastSent() > 0 }))
+	cut.Store(true)
+	began := b.clock.Now()
+	is.True(eventually(func() bool { return b.clock.Now().Sub(began) > b.route.GiveUpAfter }))
+	cut.Store(false)
+	for _, r := range b.waitForResults(2) {
+		is.Equal(r.State, submission.Dead)
+	}
+	page, err := b.runner.Read(context.Background(), "b", 1, 0) // from any position
+	is.NoErr(err)
+	is.Equal(len(page.Results), 1)
+}
