--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -8,6 +8,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"github.com/egretbend/egretbend/internal/kernel/dial"
 )
 
 // Limits of connections to upstreams.
@@ -16,6 +18,10 @@
 	idleTime        = 20 * time.Second
 	idlePerUpstream = 32
 	maxHeaderBytes  = 64 << 10
+	// deliveryTimeout is for requests without WithDeliveryTimeout. An upstream may be paused
+	// and read nothing of a large body for some time, and a domain that is evacuated must
+	// get nothing any more 5 s later.
+	deliveryTimeout = 2500 * time.Millisecond
 )
 
 // Client sends requests to upstreams. Its zero value is ready to use.
@@ -25,6 +31,7 @@
 	TLS *tls.Config
 
 	once   sync.Once
+	dialer dial.Dialer
 	pooled http.Transport
 	fresh  http.Transport
 }
@@ -46,8 +53,12 @@
 // configureTransports sets up both transports; only the pooled one keeps connections
 // alive.
 func (c *Client) configureTransports() {
+	c.dialer = dial.Dialer{
+		Timeout:     dialTimeout,
+		UserTimeout: deliveryTimeout,
+	}
 	for _, t := range []*http.Transport{&c.pooled, &c.fresh} {
-		t.DialContext = dial
+		t.DialContext = c.dial
 		t.MaxIdleConnsPerHost = idlePerUpstream
 		t.IdleConnTimeout = idleTime
 		t.MaxResponseHeaderBytes = maxHeaderBytes
@@ -58,16 +69,14 @@
 }
 
 // dial opens a connection whose written bytes are counted.
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout: dialTimeout,
-	}
-	nc, err := d.DialContext(ctx, network, address)
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	nc, err := c.dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
 	return &conn{
-		Conn: nc,
+		Conn:            nc,
+		deliveryTimeout: deliveryTimeout,
 	}, nil
 }
 
@@ -76,7 +85,8 @@
 func (c *Client) Do(req *http.Request, reuse Reuse) (res *http.Response, sent bool, err error) {
 	c.once.Do(c.configureTransports)
 	tracker := connTracker{
-		beforeWrite: beforeWriteOf(req.Context()),
+		beforeWrite:     beforeWriteOf(req.Context()),
+		deliveryTimeout: deliveryTimeoutOf(req.Context()),
 	}
 	trace := &httptrace.ClientTrace{
 		GotConn: tracker.gotConn,
@@ -106,8 +116,17 @@
 // WithBeforeWrite returns a context for requests that call check when their connection is
 // ready, immediately before the first byte is written. If check returns an error, nothing is
 // written and Do returns that error. A request that the transport moves to another connection
-// calls check again.
+// calls check again. A check that ctx has already is called first.
 func WithBeforeWrite(ctx context.Context, check func() error) context.Context {
+	if earlier := beforeWriteOf(ctx); earlier != nil {
+		later := check
+		check = func() error {
+			if err := earlier(); err != nil {
+				return err
+			}
+			return later()
+		}
+	}
 	return context.WithValue(ctx, beforeWriteKey{}, check)
 }
 
@@ -117,6 +136,24 @@
 	return check
 }
 
+// deliveryTimeoutKey is the context key of WithDeliveryTimeout.
+type deliveryTimeoutKey struct{}
+
+// WithDeliveryTimeout returns a context for requests whose bytes must not be delivered later
+// than d after they were written, also if this process is paused. The kernel resets their
+// connection if bytes have not been acknowledged by then.
+func WithDeliveryTimeout(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, deliveryTimeoutKey{}, d)
+}
+
+// deliveryTimeoutOf returns the delivery timeout for the requests of a context.
+func deliveryTimeoutOf(ctx context.Context) time.Duration {
+	if d, ok := ctx.Value(deliveryTimeoutKey{}).(time.Duration); ok {
+		return d
+	}
+	return deliveryTimeout
+}
+
 // CloseIdle closes the connections that are not in use.
 func (c *Client) CloseIdle() {
 	c.pooled.CloseIdleConnections()
@@ -133,6 +170,8 @@
 	// that it returned.
 	beforeWrite func() error
 	withheld    error
+	// deliveryTimeout is the delivery timeout of the request.
+	deliveryTimeout time.Duration
 }
 
 // connUse is a connection and the bytes written to it before the request.
@@ -146,6 +185,7 @@
 	c, ok := info.Conn.(*conn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	setDeliveryTimeout(info.Conn, t.deliveryTimeout)
 	if t.beforeWrite != nil {
 		t.withheld = t.beforeWrite()
 	}
--- a/internal/route/wire/conn.go
+++ b/internal/route/wire/conn.go
@@ -1,18 +1,26 @@
 package wire
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/kernel/dial"
 )
 
 // errSealed is returned by writes to a sealed connection.
 var errSealed = errors.New("the connection is closed for writing: its request was abandoned")
 
 // conn counts the bytes written to a connection and can be sealed, after which
-// every write fails.
+// every write fails. Closing it resets it, so that the kernel delivers nothing of an
+// abandoned request later.
 type conn struct {
 	net.Conn
+	// deliveryTimeout is the TCP_USER_TIMEOUT of the connection, which only the request
+	// that the connection was given to changes.
+	deliveryTimeout time.Duration
 
 	mu      sync.Mutex
 	written uint64
@@ -31,14 +39,14 @@
 	return c.Conn.Write(p)
 }
 
-// Close implements net.Conn. It resets the connection: after an ordinary close the kernel
-// keeps bytes that a network partition holds up, and delivers an abandoned request
-// seconds later, when the partition heals.
-func (c *conn) Close() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+// setDeliveryTimeout sets the TCP_USER_TIMEOUT of a connection of a Client.
+func setDeliveryTimeout(nc net.Conn, d time.Duration) {
+	if secure, ok := nc.(*tls.Conn); ok {
+		nc = secure.NetConn()
+	}
+	if c, ok := nc.(*conn); ok && c.deliveryTimeout != d && dial.SetUserTimeout(c.Conn, d) == nil {
+		c.deliveryTimeout = d
 	}
-	return c.Conn.Close()
 }
 
 // bytesWritten returns how many bytes were passed to Write so far.
