upstream, catalog, policy: coldness of upstreams

Upstreams of some services take few requests per second after their start. Nothing in the state of an upstream said so.

An upstream has the end of its coldness and the time before which this instance must not send to it. List entries, responses, lost connections and the first listing update the coldness; of contradicting news the later end holds, unless the news is certainly newer. A share is suspended while the upstream may have restarted. Policies never fall back to a held upstream. Services without a slow start are not affected.

--- a/internal/batch/runner/move.go
+++ b/internal/batch/runner/move.go
@@ -43,7 +43,7 @@
 		SlowRatio:       t.upstream.SlowdownSince(t.attemptStart),
 		MoveCost:        schedule.MoveCost(r.reading.Expected(r.tokensToRead(t))),
 	}
-	if t.upstream.Usable(now) {
+	if t.upstream.InService(now) {
 		// An engine that is ejected is not reading prompts but failing.
 		p.Reading = r.reading.Expected(t.upstream.PromptsAhead(t.promptMark))
 	}
--- a/internal/route/catalog/configuration.go
+++ b/internal/route/catalog/configuration.go
@@ -109,11 +109,14 @@
 	Engine      *Engine
 	Scaling     *Scaling
 	// ColdStart is how long an upstream is cold after its start, and ColdRate the requests per
-	// second that a cold one can take. Slow start is off unless both are positive.
+	// second that a cold one can take. If both are zero, the service has no slow start.
 	ColdStart time.Duration
 	ColdRate  float64
 }
 
+// SlowStart reports whether upstreams of the service are cold after their start.
+func (s *Service) SlowStart() bool { return s.ColdStart != 0 || s.ColdRate != 0 }
+
 // Limits bound the requests of callers.
 type Limits struct {
 	HeaderBytes   int
--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/kernel/wake"
 	"github.com/egretbend/egretbend/internal/route/upstream"
 )
 
@@ -36,6 +37,11 @@
 type Upstream struct {
 	*upstream.Upstream
 	entry atomic.Pointer[Entry]
+	// listedAt is when the entry was received. coldAssumed says that the entry is the first one
+	// of an incarnation that started while this instance ran, which counts as cold whatever the
+	// entry says. Both are guarded by the lock of Upstreams.
+	listedAt    timer.Instant
+	coldAssumed bool
 	// reservedTokens is the engine memory, in tokens, reserved for streams of this instance.
 	reservedTokens atomic.Int64
 	prompts        promptQueue
@@ -63,10 +69,22 @@
 // Upstreams holds all upstreams by ID. Its zero value is empty; Timer must be set before Update.
 type Upstreams struct {
 	Timer timer.Service
+	// ShareWanted is set when a share for a cold upstream is wanted.
+	ShareWanted wake.Signal
+	// ConnectionLost is set when an upstream may have restarted because a connection to it was
+	// lost or refused.
+	ConnectionLost wake.Signal
+	// OnBadColdness is called with an upstream whose entry has no usable figure for its
+	// coldness; nil is not called.
+	OnBadColdness func(id string, assumed time.Duration)
 
-	mu     sync.Mutex
-	byID   map[string]*Upstream
-	groups atomic.Pointer[map[string]*Group]
+	mu   sync.Mutex
+	byID map[string]*Upstream
+	// slowStart holds the slow start of the services that have one, and listed says that there
+	// was a listing.
+	slowStart map[string]time.Duration
+	listed    bool
+	groups    atomic.Pointer[map[string]*Group]
 }
 
 // Group returns the upstreams of a service; it is never nil.
@@ -106,6 +124,7 @@
 			delete(b.byID, id)
 		}
 	}
+	b.listed = true
 	b.rebuildGroups()
 }
 
@@ -137,14 +156,83 @@
 			since = since.Add(-time.Minute)
 		}
 		u.SetSlowStart(since)
+		u.SetColdSignals(&b.ShareWanted, &b.ConnectionLost)
+		u.coldAssumed = b.listed
 		b.byID[entry.ID] = u
+	} else {
+		u.coldAssumed = false
 	}
 	u.entry.Store(entry)
+	u.listedAt = b.Timer.Now()
+	if coldStart, ok := b.slowStart[entry.Service]; ok {
+		b.applyColdness(u, coldStart)
+	}
 	if entry.Leaving {
 		u.MarkLeaving()
 	}
 }
 
+// entryDelay is how long after it was written an entry may be received: changes are coalesced
+// and may pass through another instance. An entry that was received within this time after other
+// news may be older.
+const entryDelay = 3 * time.Second
+
+// applyColdness updates the coldness of an upstream by its entry. The caller holds b.mu.
+func (b *Upstreams) applyColdness(u *Upstream, coldStart time.Duration) {
+	left := u.Listed().ColdFor
+	if Implausible(left, coldStart) {
+		left = coldStart
+		if b.OnBadColdness != nil {
+			b.OnBadColdness(u.ID, coldStart)
+		}
+	}
+	if u.coldAssumed {
+		u.AssumeCold(max(left, coldStart), u.listedAt)
+		return
+	}
+	u.RecordListedColdness(left, u.listedAt.Add(-entryDelay), u.listedAt)
+}
+
+// coldTolerance is by how much a reading may exceed the slow start of its service.
+const coldTolerance = time.Second
+
+// Implausible reports whether a reading of how much longer an upstream is cold can't be right for
+// a service with this slow start.
+func Implausible(left, coldStart time.Duration) bool {
+	return left < 0 || coldStart > 0 && left > coldStart+coldTolerance
+}
+
+// SetServices sets the services whose upstreams have a slow start. It is called before a
+// configuration comes into force, so that no request is sent without regard to it.
+func (b *Upstreams) SetServices(services map[string]Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.slowStart
+	b.slowStart = make(map[string]time.Duration)
+	for name, s := range services {
+		if s.SlowStart() {
+			b.slowStart[name] = max(0, s.ColdStart)
+		}
+	}
+	for _, u := range b.byID {
+		coldStart, slow := b.slowStart[u.Listed().Service]
+		_, before := old[u.Listed().Service]
+		switch {
+		case slow && !before:
+			b.applyColdness(u, coldStart)
+		case !slow && before:
+			u.EndColdness()
+		}
+	}
+}
+
+// AnySlowStart reports whether any service has a slow start.
+func (b *Upstreams) AnySlowStart() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.slowStart) > 0
+}
+
 // rebuildGroups replaces the groups after a change of b.byID. The caller holds b.mu.
 func (b *Upstreams) rebuildGroups() {
 	groups := make(map[string]*Group)
--- a/internal/route/policy/policy.go
+++ b/internal/route/policy/policy.go
@@ -81,16 +81,21 @@
 
 // eligible reports whether u may serve the query and is not ejected for failures.
 func (q *Query) eligible(u *upstream.Upstream) bool {
-	return u.Usable(q.Now) && q.matches(u)
+	return !u.Ejected(q.Now) && q.matches(u)
 }
 
-// matches reports whether u is not leaving, has not been tried and has recent enough
-// weights, whether or not it is ejected. An upstream whose weight version is unknown
-// counts as recent enough.
+// matches reports whether u is not leaving, may be sent to, has not been tried and has
+// recent enough weights, whether or not it is ejected. An upstream whose weight version
+// is unknown counts as recent enough.
 func (q *Query) matches(u *upstream.Upstream) bool {
 	if u.Leaving() {
 		return false
 	}
+	if u.Held(q.Now) {
+		// A share lets this instance send to the upstream while it is cold.
+		u.WantShare()
+		return false
+	}
 	for _, t := range q.Tried {
 		if t == nil {
 			break
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -76,6 +76,7 @@
 	// pace before it, as float64 bits.
 	paceNoise atomic.Uint64
 	idleConns idleConnections
+	cold      coldness
 	// reportsSlowdown says that the reports have the slowdown of the upstream's machine,
 	// slowdown is the last one, and slowPace when paces were much higher than before.
 	reportsSlowdown atomic.Bool
@@ -160,8 +161,12 @@
 // Leaving reports whether the upstream is leaving.
 func (u *Upstream) Leaving() bool { return u.leaving.Load() }
 
-// Usable reports whether the upstream may get new requests.
-func (u *Upstream) Usable(now timer.Instant) bool { return !u.leaving.Load() && !u.Ejected(now) }
+// Usable reports whether the upstream may get new requests from this instance now.
+func (u *Upstream) Usable(now timer.Instant) bool { return u.InService(now) && !u.Held(now) }
+
+// InService reports whether the upstream is neither leaving nor ejected. This instance may still
+// have to wait before it sends to a cold one.
+func (u *Upstream) InService(now timer.Instant) bool { return !u.leaving.Load() && !u.Ejected(now) }
 
 // smoothPace adds a measurement, bounded to maxJump times the smoothed pace, to the smoothed
 // pace with the given weight. It reports false and does nothing if pace is not positive.
