forward: permits for requests to cold upstreams

Each attempt takes a permit for the upstream that was chosen. An attempt that is withdrawn before it is written did not run and is made elsewhere. If all upstreams are held, the request waits for a permit that comes in time, or is refused at once with the time of one.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 
-	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/policy"
 	"github.com/egretbend/egretbend/internal/route/upstream"
@@ -13,13 +12,13 @@
 // startAttempt chooses an upstream and sends the request to it in a goroutine, which
 // puts the result into d.results.
 func (d *dispatch) startAttempt(ctx context.Context) error {
-	chosen := d.chooseUpstream()
-	if chosen == nil {
-		return problem.NoUpstream.Withf("none of the %d upstreams is usable", len(d.group.Upstreams)).
-			WithRetryAfter(retryAfterNoUpstream)
+	chosen, permit, err := d.acquireUpstream(ctx)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	d.cancels = append(d.cancels, cancel)
+	ctx = permit.Guard(ctx)
 	attempt := d.sent
 	d.tried[attempt] = chosen.Upstream
 	d.sent++
--- a/internal/route/forward/dispatch.go
+++ b/internal/route/forward/dispatch.go
@@ -197,7 +197,7 @@
 	case errors.Is(r.err, engine.ErrMisdirected):
 		r.u.MarkLeaving()
 		r.u.Cancelled()
-	case errors.As(r.err, &refused), errors.Is(r.err, context.Canceled):
+	case errors.As(r.err, &refused), errors.Is(r.err, context.Canceled), errors.Is(r.err, engine.ErrWithdrawn):
 		r.u.Cancelled()
 	case errors.Is(r.err, engine.ErrNotSent):
 		r.u.Unreachable(now)
@@ -211,7 +211,8 @@
 // mayHaveRun reports whether an attempt that failed with err may have run.
 func mayHaveRun(err error) bool {
 	var refused *engine.RefusedError
-	return !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrMisdirected) && !errors.As(err, &refused)
+	return !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrMisdirected) &&
+		!errors.Is(err, engine.ErrWithdrawn) && !errors.As(err, &refused)
 }
 
 // timeoutError returns the error for the caller when the request has timed out. An
--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/route/fingerprint"
 	"github.com/egretbend/egretbend/internal/route/poison"
 	"github.com/egretbend/egretbend/internal/route/policy"
+	"github.com/egretbend/egretbend/internal/route/slowstart"
 )
 
 // Request is a caller's request.
@@ -100,6 +101,8 @@
 	// CrashClaims serialises the attempts of suspected requests over all instances; nil does
 	// not serialise them. It needs CrashReporter and PoisonDetector.
 	CrashClaims CrashClaims
+	// SlowStart bounds the requests to cold upstreams; nil does not bound them.
+	SlowStart *slowstart.Limiter
 	// Admission holds the gates of the services; nil admits every request at once.
 	Admission *admission.Gates
 }
--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -226,7 +226,7 @@
 // other attempt was started, if any; the gate knows when there is room, and a verdict when a
 // suspected request may come again.
 func retryAfter(err error) time.Duration {
-	if problem.Is(err, problem.Overloaded) || problem.Is(err, problem.UpstreamRefused) || problem.Is(err, problem.Quarantined) {
+	if problem.Is(err, problem.Overloaded) || problem.Is(err, problem.UpstreamRefused) || problem.Is(err, problem.Quarantined) || errors.Is(err, errAllCold) {
 		return problem.From(err).RetryAfter
 	}
 	return retryAfterRefused
