runner: permits for items at cold engines

An engine that is cold has at most one free slot, and each attempt at an item takes a permit. An attempt that is withdrawn counts neither for the item nor for the engine.

Tests of the package pass with -race.

--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/slowstart"
 )
 
 // dispatchLoop starts the items of a batch as engines have free slots, until all
@@ -64,15 +65,21 @@
 			return
 		}
 		t := b.queue[i]
+		permit, ok := r.SlowStart.Take(p.candidates[picked].u, t.item.ID, now)
+		if !ok {
+			p.engines[picked].FreeSlots = 0
+			continue
+		}
 		p.take(t, picked, need)
 		b.queue = slices.Delete(b.queue, i, i+1)
-		r.startAttempt(b, t, p.candidates[picked].u, need, now)
+		r.startAttempt(b, t, p.candidates[picked].u, permit, need, now)
 	}
 }
 
-// startAttempt starts one attempt at an item. The caller holds b.mu.
-func (r *Runner) startAttempt(b *Batch, t *task, u *catalog.Upstream, need schedule.Need, now timer.Instant) {
+// startAttempt starts one attempt at an item, for which permit was taken. The caller holds b.mu.
+func (r *Runner) startAttempt(b *Batch, t *task, u *catalog.Upstream, permit slowstart.Permit, need schedule.Need, now timer.Instant) {
 	ctx, cancel := context.WithCancel(b.ctx)
+	ctx = permit.Guard(ctx)
 	t.phase = running
 	t.upstream = u
 	t.cancel = cancel
@@ -244,7 +251,7 @@
 	case t.moving:
 		u.RecordPaceSince(pace, start, now)
 		u.Cancelled()
-	case errors.Is(err, context.Canceled):
+	case errors.Is(err, context.Canceled), errors.Is(err, engine.ErrWithdrawn):
 		u.Cancelled()
 	case errors.Is(err, engine.ErrNotSent):
 		u.Unreachable(now)
--- a/internal/batch/runner/engines.go
+++ b/internal/batch/runner/engines.go
@@ -46,11 +46,19 @@
 func (b *Batch) isOtherModel(model string) bool { return model != "" && model != b.sub.Model }
 
 // freeSlots returns how many more requests an engine takes. One that refused a
-// request a moment ago takes none.
+// request a moment ago takes none, and a cold one takes one for each permit.
 func freeSlots(u *catalog.Upstream, now timer.Instant) float64 {
 	if u.BackingOff(now) {
 		return 0
 	}
+	return coldFreeSlots(u, now)
+}
+
+// coldFreeSlots returns the free slots of an engine that is not backing off.
+func coldFreeSlots(u *catalog.Upstream, now timer.Instant) float64 {
+	if u.Cold(now) {
+		return min(float64(u.PermitSlots(now)), u.FreeSlots(now))
+	}
 	return u.FreeSlots(now)
 }
 
@@ -110,12 +118,16 @@
 	group := r.Upstreams.Group(b.service)
 	medianPace := group.Set.MedianPace()
 	for _, u := range group.Upstreams {
-		if !u.Usable(now) {
+		if !u.InService(now) {
 			continue
 		}
 		if b.sub.Model != "" && u.ModelVersion(b.sub.Model) < b.sub.OldestVersion {
 			continue
 		}
+		if u.Held(now) {
+			u.WantShare()
+			continue
+		}
 		candidates = append(candidates, candidate{
 			Engine: schedule.Engine{
 				FreeSlots:         freeSlots(u, now),
--- a/internal/batch/runner/lend.go
+++ b/internal/batch/runner/lend.go
@@ -228,12 +228,17 @@
 			}
 			u := allowed[picked].u
 			j := slices.IndexFunc(usable, func(c candidate) bool { return c.u == u })
+			permit, ok := r.SlowStart.Take(u, t.item.ID, now)
+			if !ok {
+				usable[j].FreeSlots = 0
+				continue
+			}
 			usable[j].FreeSlots--
 			usable[j].Reserved += need.Memory
 			b.queue = slices.Delete(b.queue, i, i+1)
 			b.promptSent(t, u, now)
 			r.beginLoan(b, t, allowed[picked], now)
-			r.startAttempt(b, t, u, need, now)
+			r.startAttempt(b, t, u, permit, need, now)
 		}
 	}
 }
--- a/internal/batch/runner/rank.go
+++ b/internal/batch/runner/rank.go
@@ -104,8 +104,11 @@
 	var engines []schedule.StepEngine
 	items := b.itemsByEngine()
 	for _, u := range r.Upstreams.Group(b.service).Upstreams {
-		if u.Usable(now) && u.ModelVersion(b.sub.Model)+1 >= b.sub.OldestVersion {
-			slots := max(1, u.Slots)
+		if u.InService(now) && u.ModelVersion(b.sub.Model)+1 >= b.sub.OldestVersion {
+			slots := u.PermitSlots(now)
+			if slots == 0 {
+				continue
+			}
 			otherModel := b.isOtherModel(models[u.ID])
 			all += slots
 			if !otherModel {
@@ -113,7 +116,7 @@
 			}
 			engines = append(engines, schedule.StepEngine{
 				Slots:      slots,
-				FreeSlots:  u.FreeSlots(now),
+				FreeSlots:  coldFreeSlots(u, now),
 				InFlight:   u.InFlight(),
 				StepItems:  items[u],
 				OtherModel: otherModel,
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -18,6 +18,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/kernel/wake"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/slowstart"
 )
 
 // The intervals and time limits of the runner.
@@ -63,6 +64,8 @@
 	Timer         timer.Service
 	Journal       *journal.Journal
 	Metrics       *Metrics
+	// SlowStart bounds the items sent to cold engines; nil does not bound them.
+	SlowStart *slowstart.Limiter
 	// FailureDomain is the failure domain of this process.
 	FailureDomain string
 	// EngineAssignment assigns engines to models; if it is nil, every engine serves all
