upstream, admission, wire, slowstart: tests, permits in capacities and connections of their own

Requests over idle connections to a cold upstream pile up during a network partition and are delivered together when it heals. They get a connection of their own.

A cold upstream counts with its permits in the capacity of the gate and of load reports, which are recounted while any is cold. Requests wait for a share only shortly after it was asked for: while the store is down, each would wait in vain.

--- a/internal/batch/runner/engines.go
+++ b/internal/batch/runner/engines.go
@@ -125,7 +125,7 @@
 			continue
 		}
 		if u.Held(now) {
-			u.WantShare()
+			u.WantShare(now)
 			continue
 		}
 		candidates = append(candidates, candidate{
--- a/internal/route/admission/service.go
+++ b/internal/route/admission/service.go
@@ -95,25 +95,40 @@
 	mu      sync.Mutex
 	gate    Gate
 	boundAt timer.Instant
+	// countedAt is when the slots were counted, and cold says that some upstreams were cold then.
+	countedAt timer.Instant
+	cold      bool
 	// wakeScheduled says that a goroutine waits for the end of a pause.
 	wakeScheduled bool
 }
 
 // setUpstreams updates the slots after the list of upstreams has changed.
 func (s *Service) setUpstreams(set *upstream.Set) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set.Store(set)
+	now := s.timer.Now()
+	s.countSlots(set, now)
+	s.startWaiting(now)
+}
+
+// countSlots updates the slots. A cold upstream counts with what this instance may send to it. The
+// caller holds s.mu.
+func (s *Service) countSlots(set *upstream.Set, now timer.Instant) {
 	slots := 0
+	s.countedAt, s.cold = now, false
 	for _, u := range set.Upstreams {
-		if u.Slots > 0 {
+		switch {
+		case u.Cold(now):
+			slots += u.PermitSlots(now)
+			s.cold = true
+		case u.Slots > 0:
 			slots += u.Slots
-		} else {
+		default:
 			slots += unlistedSlots
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.set.Store(set)
 	s.gate.SetCapacity(float64(slots))
-	s.startWaiting(s.timer.Now())
 }
 
 // Acquire waits until the request may be sent, and counts it as in flight until Release. It
@@ -257,8 +272,12 @@
 	}()
 }
 
-// updateBound adds up recent load reports, if the gate may need them. The caller holds s.mu.
+// updateBound adds up recent load reports, if the gate may need them, and the slots while some
+// upstreams are cold. The caller holds s.mu.
 func (s *Service) updateBound(class Class, now timer.Instant) {
+	if s.cold && now.Sub(s.countedAt) >= boundInterval {
+		s.countSlots(s.set.Load(), now)
+	}
 	if class == Interactive && !s.gate.refusedLately(now) || s.boundAt != 0 && now.Sub(s.boundAt) < boundInterval {
 		return
 	}
--- a/internal/route/admission/service_test.go
+++ b/internal/route/admission/service_test.go
@@ -168,3 +168,19 @@
 		i++
 	}
 }
+
+// Guards against admitting as many requests as if a cold upstream took its share, and against
+// holding them back when it is warm.
+func TestColdUpstreamsLowerTheCapacity(t *testing.T) {
+	is := is.New(t)
+	clock := &timer.Manual{}
+	clock.Advance(time.Hour)
+	gates := &Gates{Timer: clock}
+	set := newSet(2, 4)
+	set.Upstreams[0].RecordColdness(time.Second, clock.Now(), clock.Now())
+	s := gates.Service("s", set)
+	is.Equal(s.gate.slots, 4.0)
+	clock.Advance(time.Second)
+	is.NoErr(s.Acquire(context.Background(), Request{}))
+	is.Equal(s.gate.slots, 8.0)
+}
--- a/internal/route/forward/cold.go
+++ b/internal/route/forward/cold.go
@@ -16,10 +16,8 @@
 const (
 	// maxTakes is how often an upstream is chosen whose permit another request takes first.
 	maxTakes = 8
-	// claimPoll is the interval at which a request looks for a share that is being claimed,
-	// and maxClaimWait how long. A claim takes a few round trips to the store.
-	claimPoll    = 20 * time.Millisecond
-	maxClaimWait = 300 * time.Millisecond
+	// claimPoll is the interval at which a request looks for a share that is being claimed.
+	claimPoll = 20 * time.Millisecond
 	// maxColdPause is the longest time without a look at the upstreams while a request waits:
 	// another one may have become warm.
 	maxColdPause = 50 * time.Millisecond
@@ -32,7 +30,6 @@
 // held because they are cold, it waits for a permit that comes in time, unless another attempt is
 // in flight, and otherwise returns an error with the time of the next one.
 func (d *dispatch) acquireUpstream(ctx context.Context) (*catalog.Upstream, slowstart.Permit, error) {
-	started := d.f.Timer.Now()
 	waiting := false
 	defer func() {
 		if waiting {
@@ -61,7 +58,7 @@
 		}
 		pause := min(maxColdPause, max(claimPoll, opening.At.Sub(now)))
 		switch {
-		case opening.Pending && now.Sub(started) < min(maxClaimWait, d.timeLeft()/2):
+		case opening.Pending && d.timeLeft() > 2*claimPoll:
 			pause = claimPoll
 		case opening.At == 0 || opening.Wait(now) > d.timeLeft()-minTimeLeft:
 			return nil, slowstart.Permit{}, d.refuseCold(opening, now)
--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -30,6 +30,7 @@
 	misdirects behaviour = "misdirected"
 	hangs      behaviour = "hangs"
 	cuts       behaviour = "cuts"
+	withdraws  behaviour = "withdraws"
 )
 
 // ran reports whether an upstream with this behaviour runs the request.
@@ -68,6 +69,8 @@
 		return nil, engine.ErrNotSent
 	case misdirects:
 		return nil, engine.ErrMisdirected
+	case withdraws:
+		return nil, engine.ErrWithdrawn
 	case cuts:
 		return nil, engine.ErrConnectionLost
 	case hangs:
@@ -120,7 +123,7 @@
 func checkReportedOutcome(kind catalog.Kind, gated bool) func(*rapid.T) {
 	return func(t *rapid.T) {
 		s := &sender{
-			behaviours: rapid.SliceOfN(rapid.SampledFrom([]behaviour{answers, fails, refuses, unsent, breaks, misdirects, hangs}), 1, 6).Draw(t, "behaviours"),
+			behaviours: rapid.SliceOfN(rapid.SampledFrom([]behaviour{answers, fails, refuses, unsent, breaks, misdirects, hangs, withdraws}), 1, 6).Draw(t, "behaviours"),
 		}
 		f, stop := newForwarder(s, rapid.IntRange(1, 4).Draw(t, "upstreams"))
 		defer stop()
--- a/internal/route/policy/policy.go
+++ b/internal/route/policy/policy.go
@@ -93,7 +93,7 @@
 	}
 	if u.Held(q.Now) {
 		// A share lets this instance send to the upstream while it is cold.
-		u.WantShare()
+		u.WantShare(q.Now)
 		return false
 	}
 	for _, t := range q.Tried {
--- a/internal/route/slowstart/limiter.go
+++ b/internal/route/slowstart/limiter.go
@@ -106,6 +106,9 @@
 		return ctx
 	}
 	guarded := p // allocated only here
+	if p.takenAt != 0 {
+		ctx = wire.WithFreshConnection(ctx)
+	}
 	return wire.WithBeforeWrite(ctx, guarded.Check)
 }
 
@@ -202,11 +205,15 @@
 	}
 }
 
+// maxClaimWait is how long requests wait for a share that is being claimed. A claim takes a few
+// round trips to the store.
+const maxClaimWait = 300 * time.Millisecond
+
 // Opening says when a service whose upstreams are all held takes a request.
 type Opening struct {
 	// At is the earliest time at which this instance may send to one of them; 0 if unknown.
 	At timer.Instant
-	// Pending says that a share is being claimed.
+	// Pending says that a share may be granted soon.
 	Pending bool
 	// Spacing is the time between two requests that this instance may send, 0 if they all
 	// may be sent at once.
@@ -258,7 +265,7 @@
 		if !u.MayHaveRestarted() && (o.At == 0 || u.HeldUntil() < o.At) {
 			o.At = u.HeldUntil()
 		}
-		o.Pending = o.Pending || u.ShareWanted()
+		o.Pending = o.Pending || u.ShareWanted() && now.Sub(u.ShareWantedSince()) < maxClaimWait
 		if u.HasShare() {
 			holders++
 		}
--- a/internal/route/slowstart/property_test.go
+++ b/internal/route/slowstart/property_test.go
@@ -133,7 +133,7 @@
 	switch action {
 	case "send":
 		if in.u.Held(now) {
-			in.u.WantShare()
+			in.u.WantShare(now)
 		} else if p, ok := in.claims.Limiter.Take(in.u, "", now); ok {
 			in.pending = append(in.pending, p)
 			if rapid.Bool().Draw(t, "ready") {
--- a/internal/route/upstream/coldness.go
+++ b/internal/route/upstream/coldness.go
@@ -37,6 +37,8 @@
 	until     atomic.Int64
 	heldUntil atomic.Int64
 	claim     atomic.Int32
+	// wantedAt is when the share was asked for.
+	wantedAt atomic.Int64
 
 	mu sync.Mutex
 	// wanted wakes the component that claims shares, and lost the one that probes upstreams
@@ -76,11 +78,15 @@
 
 // WantShare asks for a share of the requests that the upstream takes while it is cold, unless
 // there is one or all are taken.
-func (u *Upstream) WantShare() {
+func (u *Upstream) WantShare(now timer.Instant) {
 	if u.MayHaveRestarted() {
 		return // it is not known for which incarnation
 	}
-	if u.cold.claim.Load() == int32(claimNone) && u.cold.claim.CompareAndSwap(int32(claimNone), int32(claimWanted)) && u.cold.wanted != nil {
+	if u.cold.claim.Load() != int32(claimNone) || !u.cold.claim.CompareAndSwap(int32(claimNone), int32(claimWanted)) {
+		return
+	}
+	u.cold.wantedAt.Store(int64(now))
+	if u.cold.wanted != nil {
 		u.cold.wanted.Set()
 	}
 }
@@ -88,6 +94,9 @@
 // ShareWanted reports whether a share was asked for and neither granted nor denied.
 func (u *Upstream) ShareWanted() bool { return u.cold.claim.Load() == int32(claimWanted) }
 
+// ShareWantedSince returns when the share was asked for.
+func (u *Upstream) ShareWantedSince() timer.Instant { return timer.Instant(u.cold.wantedAt.Load()) }
+
 // ForgetWanted withdraws the wish for a share.
 func (u *Upstream) ForgetWanted() {
 	u.cold.claim.CompareAndSwap(int32(claimWanted), int32(claimNone))
--- a/internal/route/upstream/set.go
+++ b/internal/route/upstream/set.go
@@ -168,11 +168,15 @@
 	}
 }
 
-// Capacity returns the total slots of the usable upstreams, and the estimated load of other
-// instances on them.
+// Capacity returns the total slots of the upstreams in service, and the estimated load of other
+// instances on them. Cold upstreams count with what this instance may send to them.
 func (s *Set) Capacity(now timer.Instant) (slots, others float64) {
 	for _, u := range s.Upstreams {
-		if !u.Usable(now) {
+		if !u.InService(now) {
+			continue
+		}
+		if u.Cold(now) {
+			slots += float64(u.PermitSlots(now))
 			continue
 		}
 		slots += float64(max(1, u.Slots))
@@ -188,11 +192,16 @@
 
 // SlotsLeft returns how many slots of the usable upstreams other instances leave to this one,
 // by reports that are younger than maxAge, or 0 if there is no such report. It is at least one
-// otherwise. Upstreams without such a report count with all their slots.
+// otherwise. Upstreams without such a report count with all their slots, and cold ones with what
+// this instance may send to them.
 func (s *Set) SlotsLeft(now timer.Instant, maxAge time.Duration) float64 {
 	left, known := 0.0, false
 	for _, u := range s.Upstreams {
-		if !u.Usable(now) {
+		if !u.InService(now) {
+			continue
+		}
+		if u.Cold(now) {
+			left += float64(u.PermitSlots(now))
 			continue
 		}
 		report := u.report.Load()
--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -86,7 +86,7 @@
 	// it has begun to send.
 	req.GetBody = nil
 	transport := &c.pooled
-	if reuse == Fresh {
+	if reuse == Fresh || req.Context().Value(freshKey{}) != nil {
 		transport = &c.fresh
 	}
 	res, err = transport.RoundTrip(req)
@@ -117,6 +117,16 @@
 	return check
 }
 
+// freshKey is the context key of WithFreshConnection.
+type freshKey struct{}
+
+// WithFreshConnection returns a context for requests that are sent over a connection of their own.
+// A network partition can't hold them up unless it begins just after the connection is opened,
+// whereas requests over idle connections would pile up and be delivered together when it ends.
+func WithFreshConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, freshKey{}, true)
+}
+
 // CloseIdle closes the connections that are not in use.
 func (c *Client) CloseIdle() {
 	c.pooled.CloseIdleConnections()
