catalog: upstreams of evacuated failure domains are left out

Nothing could take the upstreams of a failure domain out of use at once and put them back: the leaving mark is final, and an ejection is decided by each instance.

Upstreams.SetEvacuated marks the upstreams of the given domains and leaves them out of Group and Groups. The policies skip them in groups that are older, also as the last resort for which ejected upstreams are chosen. Upstreams that return are passed to OnReturned before they can be chosen, and begin with a slow start. With AwaitEvacuations, all groups are empty until the set is known.

TestEvacuatedUpstreamsAreLeftOut and TestNoUpstreamsBeforeEvacuationsAreKnown pass; nothing calls SetEvacuated yet.

--- /dev/null
+++ b/internal/route/catalog/evacuation.go
@@ -0,0 +1,77 @@
+package catalog
+
+import "maps"
+
+// SetEvacuated replaces the set of evacuated failure domains. Group and Groups leave out their
+// upstreams, and requests to them that wait for a connection are withdrawn. The upstreams of
+// domains that are no longer in the set are put back, with a slow start.
+func (b *Upstreams) SetEvacuated(domains map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	domains = maps.Clone(domains)
+	b.evacuated.Store(&domains)
+	var returned []*Upstream
+	for _, u := range b.byID {
+		if u.Evacuated() && !domains[u.Listed().FailureDomain] {
+			returned = append(returned, u)
+			continue
+		}
+		b.applyEvacuation(u)
+	}
+	b.putBack(returned)
+	b.rebuildGroups()
+}
+
+// putBack ends the evacuation of upstreams. The caller holds b.mu.
+func (b *Upstreams) putBack(returned []*Upstream) {
+	if len(returned) > 0 && b.OnReturned != nil {
+		b.OnReturned(returned)
+	}
+	now := b.Timer.Now()
+	for _, u := range returned {
+		u.returnedAt.Store(int64(now))
+		u.SetSlowStart(now)
+		u.SetEvacuated(false)
+	}
+}
+
+// applyEvacuation marks an upstream whose failure domain is evacuated, and puts back one whose
+// list entry names another failure domain now. The caller holds b.mu.
+func (b *Upstreams) applyEvacuation(u *Upstream) {
+	switch evacuated := b.Evacuated(u.Listed().FailureDomain); {
+	case evacuated:
+		u.SetEvacuated(true)
+	case u.Evacuated():
+		b.putBack([]*Upstream{u})
+	}
+}
+
+// Evacuated reports whether a failure domain is evacuated.
+func (b *Upstreams) Evacuated(domain string) bool {
+	domains := b.evacuated.Load()
+	return domains != nil && (*domains)[domain]
+}
+
+// EvacuationsKnown reports whether SetEvacuated was called.
+func (b *Upstreams) EvacuationsKnown() bool { return b.evacuated.Load() != nil }
+
+// DomainLoad is what this instance has in one failure domain: its upstreams, and its requests
+// that are in flight there.
+type DomainLoad struct {
+	Upstreams int
+	InFlight  int64
+}
+
+// DomainLoad returns what this instance has in a failure domain, whether or not it is evacuated.
+func (b *Upstreams) DomainLoad(domain string) DomainLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var load DomainLoad
+	for _, u := range b.byID {
+		if u.Listed().FailureDomain == domain {
+			load.Upstreams++
+			load.InFlight += u.InFlight()
+		}
+	}
+	return load
+}
--- /dev/null
+++ b/internal/route/catalog/evacuation_test.go
@@ -0,0 +1,62 @@
+package catalog
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/engine"
+)
+
+func newEntryIn(id, domain string) Entry {
+	e := newEntry(id, 1, false)
+	e.FailureDomain = domain
+	return e
+}
+
+// Guards against upstreams of an evacuated domain that can still be chosen or sent to, also those
+// that appear later, against the loss of the others, and against an upstream that returns before
+// OnReturned has marked it.
+func TestEvacuatedUpstreamsAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	b := &Upstreams{
+		Timer: &timer.Manual{},
+	}
+	b.Update([]Entry{newEntryIn("u", "a"), newEntryIn("v", "b"), newEntryIn("w", "c")}, nil)
+	u := b.Group("s").Upstreams[0]
+	b.SetEvacuated(map[string]bool{"a": true, "b": true})
+	b.Update([]Entry{newEntryIn("x", "a")}, nil)
+	is.Equal(len(b.Group("s").Upstreams), 1)
+	is.Equal(b.Group("s").Upstreams[0].ID, "w")
+	is.Equal(b.Group("s").EvacuatedDomains, []string{"a", "b"})
+	is.True(errors.Is(u.CheckSend(), engine.ErrWithdrawn))
+	is.True(!u.Usable(b.Timer.Now()))
+
+	var returned []string
+	b.OnReturned = func(list []*Upstream) {
+		for _, r := range list {
+			is.True(r.Evacuated())
+			returned = append(returned, r.ID)
+		}
+	}
+	b.SetEvacuated(map[string]bool{"a": true})
+	is.Equal(returned, []string{"v"})
+	is.Equal(len(b.Group("s").Upstreams), 2)
+	is.NoErr(b.Group("s").Upstreams[0].CheckSend())
+}
+
+// Guards against an instance that sends requests before it has read which domains are evacuated.
+func TestNoUpstreamsBeforeEvacuationsAreKnown(t *testing.T) {
+	is := is.New(t)
+	b := &Upstreams{
+		Timer:            &timer.Manual{},
+		AwaitEvacuations: true,
+	}
+	b.Update([]Entry{newEntryIn("u", "a")}, nil)
+	is.Equal(len(b.Group("s").Upstreams), 0)
+	is.Equal(len(b.Groups()), 0)
+	b.SetEvacuated(nil)
+	is.Equal(len(b.Group("s").Upstreams), 1)
+}
--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 	// reservedTokens is the engine memory, in tokens, reserved for streams of this instance.
 	reservedTokens atomic.Int64
 	prompts        promptQueue
+	// returnedAt is when the evacuation of its failure domain last ended; 0 if it never was.
+	returnedAt atomic.Int64
 }
 
 // Reserve reserves engine memory for a stream; a negative number releases it.
@@ -53,9 +56,12 @@
 // ModelVersion returns the weight version of a model according to the list.
 func (u *Upstream) ModelVersion(model string) uint64 { return u.Listed().Versions[model] }
 
-// Group holds the upstreams of one service. It is immutable, but the upstreams' state is not.
+// Group holds the upstreams of one service that are not in an evacuated failure domain. It is
+// immutable, but the upstreams' state is not.
 type Group struct {
 	Upstreams []*Upstream
+	// EvacuatedDomains are the evacuated failure domains that have upstreams of the service.
+	EvacuatedDomains []string
 	// Set holds the same upstreams for the routing policies.
 	Set *upstream.Set
 }
@@ -63,10 +69,19 @@
 // Upstreams holds all upstreams by ID. Its zero value is empty; Timer must be set before Update.
 type Upstreams struct {
 	Timer timer.Service
+	// AwaitEvacuations keeps all groups empty until the first call of SetEvacuated: an instance
+	// that has not read which failure domains are evacuated must not send anything.
+	AwaitEvacuations bool
+	// OnReturned is called with the upstreams of failure domains that are no longer evacuated,
+	// before they can be chosen. It must not call methods of Upstreams that change it. It may be
+	// nil.
+	OnReturned func([]*Upstream)
 
 	mu     sync.Mutex
 	byID   map[string]*Upstream
 	groups atomic.Pointer[map[string]*Group]
+	// evacuated holds the evacuated failure domains; nil before the first SetEvacuated.
+	evacuated atomic.Pointer[map[string]bool]
 }
 
 // Group returns the upstreams of a service; it is never nil.
@@ -143,19 +158,31 @@
 	if entry.Leaving {
 		u.MarkLeaving()
 	}
+	b.applyEvacuation(u)
 }
 
-// rebuildGroups replaces the groups after a change of b.byID. The caller holds b.mu.
+// rebuildGroups replaces the groups after a change of b.byID or of the evacuated failure
+// domains. The caller holds b.mu.
 func (b *Upstreams) rebuildGroups() {
 	groups := make(map[string]*Group)
 	for _, u := range b.byID {
-		service := u.Listed().Service
-		if groups[service] == nil {
-			groups[service] = &Group{}
+		if b.AwaitEvacuations && !b.EvacuationsKnown() {
+			break
+		}
+		l := u.Listed()
+		g := groups[l.Service]
+		if g == nil {
+			g = &Group{}
+			groups[l.Service] = g
+		}
+		if !u.Evacuated() {
+			g.Upstreams = append(g.Upstreams, u)
+		} else if !slices.Contains(g.EvacuatedDomains, l.FailureDomain) {
+			g.EvacuatedDomains = append(g.EvacuatedDomains, l.FailureDomain)
 		}
-		groups[service].Upstreams = append(groups[service].Upstreams, u)
 	}
 	for _, g := range groups {
+		sort.Strings(g.EvacuatedDomains)
 		sort.Slice(g.Upstreams, func(i, j int) bool { return g.Upstreams[i].ID < g.Upstreams[j].ID })
 		g.Set = &upstream.Set{
 			Total: len(g.Upstreams),
--- a/internal/route/policy/policy.go
+++ b/internal/route/policy/policy.go
@@ -84,11 +84,11 @@
 	return u.Usable(q.Now) && q.matches(u)
 }
 
-// matches reports whether u is not leaving, has not been tried and has recent enough
+// matches reports whether u is not leaving or evacuated, has not been tried and has recent enough
 // weights, whether or not it is ejected. An upstream whose weight version is unknown
 // counts as recent enough.
 func (q *Query) matches(u *upstream.Upstream) bool {
-	if u.Leaving() {
+	if u.Leaving() || u.Evacuated() {
 		return false
 	}
 	for _, t := range q.Tried {
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"fmt"
 	"math"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,7 @@
 	previousPeak atomic.Int64
 	windowStart  atomic.Int64
 	leaving      atomic.Bool
+	evacuated    atomic.Bool
 	report       atomic.Pointer[receivedReport]
 	version      atomic.Pointer[version.Version]
 	// failures counts consecutive failures, and ejections the ejections since the last success.
@@ -160,8 +162,26 @@
 // Leaving reports whether the upstream is leaving.
 func (u *Upstream) Leaving() bool { return u.leaving.Load() }
 
+// SetEvacuated sets whether the failure domain of the upstream is evacuated.
+func (u *Upstream) SetEvacuated(evacuated bool) { u.evacuated.Store(evacuated) }
+
+// Evacuated reports whether the failure domain of the upstream is evacuated. Nothing may be sent
+// to it then.
+func (u *Upstream) Evacuated() bool { return u.evacuated.Load() }
+
+// CheckSend returns engine.ErrWithdrawn if nothing may be sent to the upstream. It is called
+// immediately before the first byte of a request is written.
+func (u *Upstream) CheckSend() error {
+	if u.Evacuated() {
+		return fmt.Errorf("%w: the failure domain %s is evacuated", engine.ErrWithdrawn, u.FailureDomain)
+	}
+	return nil
+}
+
 // Usable reports whether the upstream may get new requests.
-func (u *Upstream) Usable(now timer.Instant) bool { return !u.leaving.Load() && !u.Ejected(now) }
+func (u *Upstream) Usable(now timer.Instant) bool {
+	return !u.leaving.Load() && !u.evacuated.Load() && !u.Ejected(now)
+}
 
 // smoothPace adds a measurement, bounded to maxJump times the smoothed pace, to the smoothed
 // pace with the given weight. It reports false and does nothing if pace is not positive.
