forward, admission: requests avoid domains that are evacuated while they wait

A request chose its upstream once and kept its group. An evacuation between the choice and the first byte, at the gate, or before a retry or a hedge would have been missed, and requests without any upstream left would have waited at the gate until their deadline.

The check of the upstream runs immediately before the first byte is written. A withdrawn attempt did not run, says nothing about its upstream, and the request is sent elsewhere. Each attempt chooses from the current group. If all domains of a service are evacuated, arriving and waiting requests are refused at once, with Retry-After. Without evacuations, retries keep their group as before.

--- a/internal/route/admission/gate.go
+++ b/internal/route/admission/gate.go
@@ -204,6 +204,17 @@
 	return nil
 }
 
+// Drop removes and refuses any waiter, or returns nil if there is none.
+func (g *Gate) Drop(reason string, now timer.Instant) *Waiter {
+	for c := range Class(classes) {
+		if w := g.queues[c].pop(); w != nil {
+			w.Refusal = g.refuse(&w.Request, reason, 0, now)
+			return w
+		}
+	}
+	return nil
+}
+
 // Expire refuses a waiter whose wait is over.
 func (g *Gate) Expire(w *Waiter, now timer.Instant) {
 	g.Withdraw(w)
--- a/internal/route/admission/request.go
+++ b/internal/route/admission/request.go
@@ -95,6 +95,8 @@
 	ReasonDeadline = "deadline"
 	// ReasonQueueFull means that too many requests wait.
 	ReasonQueueFull = "queue_full"
+	// ReasonNoUpstream means that the service has no upstream left.
+	ReasonNoUpstream = "no_upstream"
 )
 
 // Timing is how long a send took.
--- a/internal/route/admission/service.go
+++ b/internal/route/admission/service.go
@@ -84,6 +84,19 @@
 	}
 }
 
+// Refresh updates the slots of all services at once after a change of the upstreams, where
+// Service would do so with the next request. setOf returns the upstreams of a service. The
+// waiting requests of a service without any are refused.
+func (g *Gates) Refresh(setOf func(service string) *upstream.Set) {
+	g.all(func(name string, s *Service) {
+		if set := setOf(name); len(set.Upstreams) == 0 {
+			s.close()
+		} else if s.set.Load() != set {
+			s.setUpstreams(set)
+		}
+	})
+}
+
 // Service is the gate of one service. Its methods may be called concurrently.
 type Service struct {
 	timer   timer.Service
@@ -97,6 +110,8 @@
 	boundAt timer.Instant
 	// wakeScheduled says that a goroutine waits for the end of a pause.
 	wakeScheduled bool
+	// closed says that the service has no upstream, so that nothing waits.
+	closed bool
 }
 
 // setUpstreams updates the slots after the list of upstreams has changed.
@@ -112,10 +127,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.set.Store(set)
+	s.closed = false
 	s.gate.SetCapacity(float64(slots))
 	s.startWaiting(s.timer.Now())
 }
 
+// close refuses the waiting requests, and those that would have to wait until setUpstreams.
+func (s *Service) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.set.Store(&upstream.Set{})
+	now := s.timer.Now()
+	for w := s.gate.Drop(ReasonNoUpstream, now); w != nil; w = s.gate.Drop(ReasonNoUpstream, now) {
+		close(w.decided)
+	}
+}
+
 // Acquire waits until the request may be sent, and counts it as in flight until Release. It
 // returns a *RefusalError if the request can't be served in time, or the error of ctx.
 func (s *Service) Acquire(ctx context.Context, r Request) error {
@@ -131,6 +159,11 @@
 		Request: r,
 		decided: make(chan struct{}),
 	}
+	if s.closed {
+		w.Refusal = s.gate.refuse(&r, ReasonNoUpstream, 0, now)
+		s.mu.Unlock()
+		return s.refusal(w)
+	}
 	if evicted := s.gate.Enqueue(w, now); evicted != nil {
 		close(evicted.decided)
 	}
@@ -227,6 +260,13 @@
 	s.startWaiting(now)
 }
 
+// Waiting returns the number of waiting requests of a class.
+func (s *Service) Waiting(class Class) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Waiting(class)
+}
+
 // InFlight returns the number of sends of a class in flight.
 func (s *Service) InFlight(class Class) int {
 	s.mu.Lock()
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"strings"
 
 	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/policy"
 	"github.com/egretbend/egretbend/internal/route/upstream"
+	"github.com/egretbend/egretbend/internal/route/wire"
 )
 
 // startAttempt chooses an upstream and sends the request to it in a goroutine, which
@@ -15,10 +19,9 @@
 func (d *dispatch) startAttempt(ctx context.Context) error {
 	chosen := d.chooseUpstream()
 	if chosen == nil {
-		return problem.NoUpstream.Withf("none of the %d upstreams is usable", len(d.group.Upstreams)).
-			WithRetryAfter(retryAfterNoUpstream)
+		return d.noUpstream()
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(wire.WithBeforeWrite(ctx, chosen.CheckSend))
 	d.cancels = append(d.cancels, cancel)
 	attempt := d.sent
 	d.tried[attempt] = chosen.Upstream
@@ -41,6 +44,17 @@
 	return nil
 }
 
+// noUpstream returns the error for a request for which there is no usable upstream. An evacuation
+// lasts longer than a gap in the list of upstreams, so its refusals state a later time.
+func (d *dispatch) noUpstream() error {
+	if len(d.group.Upstreams) == 0 && len(d.group.EvacuatedDomains) > 0 {
+		return problem.NoUpstream.Withf("all failure domains with upstreams are evacuated: %s", strings.Join(d.group.EvacuatedDomains, ", ")).
+			WithRetryAfter(retryAfterEvacuated)
+	}
+	return problem.NoUpstream.Withf("none of the %d upstreams is usable", len(d.group.Upstreams)).
+		WithRetryAfter(retryAfterNoUpstream)
+}
+
 // recordUsage counts the request for its organisation when it is first sent.
 func (d *dispatch) recordUsage() {
 	if d.undoUsage == nil && d.f.Usage != nil && d.req.Organisation != "" {
@@ -60,6 +74,10 @@
 // attempt is in flight, it returns one that was tried before, and nil if there is none
 // at all.
 func (d *dispatch) chooseUpstream() *catalog.Upstream {
+	if d.f.Upstreams.EvacuationsKnown() {
+		// A domain may have been evacuated since the last attempt.
+		d.refreshGroup()
+	}
 	q := policy.Query{
 		Random: rand.Uint64(),
 		Now:    d.f.Timer.Now(),
@@ -88,6 +106,14 @@
 	return nil
 }
 
+// refreshGroup replaces the group after the list of upstreams or the evacuated failure domains
+// have changed. It keeps a group that became empty for another reason than an evacuation.
+func (d *dispatch) refreshGroup() {
+	if group := d.f.Upstreams.Group(d.service); len(group.Upstreams)+len(group.EvacuatedDomains) > 0 {
+		d.group = group
+	}
+}
+
 // cancelOthers cancels all attempts except the winner, whose answer may still be
 // streaming; winner is nil if there is none. An attempt that took more than
 // slowAttemptFactor times as long as the winner counts as a failure of its upstream.
@@ -108,7 +134,7 @@
 		for range pending {
 			r := <-d.results
 			d.leaveGate(r, true)
-			if winner != nil && r.took > slowAttemptFactor*winner.took {
+			if winner != nil && r.took > slowAttemptFactor*winner.took && !errors.Is(r.err, engine.ErrWithdrawn) {
 				r.u.Failed(d.f.Timer.Now())
 				continue
 			}
--- a/internal/route/forward/dispatch.go
+++ b/internal/route/forward/dispatch.go
@@ -197,7 +197,7 @@
 	case errors.Is(r.err, engine.ErrMisdirected):
 		r.u.MarkLeaving()
 		r.u.Cancelled()
-	case errors.As(r.err, &refused), errors.Is(r.err, context.Canceled):
+	case errors.As(r.err, &refused), errors.Is(r.err, context.Canceled), errors.Is(r.err, engine.ErrWithdrawn):
 		r.u.Cancelled()
 	case errors.Is(r.err, engine.ErrNotSent):
 		r.u.Unreachable(now)
@@ -211,7 +211,8 @@
 // mayHaveRun reports whether an attempt that failed with err may have run.
 func mayHaveRun(err error) bool {
 	var refused *engine.RefusedError
-	return !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrMisdirected) && !errors.As(err, &refused)
+	return !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrWithdrawn) && !errors.Is(err, engine.ErrMisdirected) &&
+		!errors.As(err, &refused)
 }
 
 // timeoutError returns the error for the caller when the request has timed out. An
@@ -233,6 +234,9 @@
 	if d.possiblyRun {
 		return problem.UpstreamFailed.Withf("after %d attempts: %w", d.sent, d.lastErr)
 	}
+	if errors.Is(d.lastErr, engine.ErrWithdrawn) && problem.Is(startErr, problem.NoUpstream) {
+		return startErr
+	}
 	if d.lastErr != nil {
 		return problem.UpstreamRefused.Withf("after %d attempts: %w", d.sent, d.lastErr).WithRetryAfter(retryAfter(startErr))
 	}
--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/admission"
+	"github.com/egretbend/egretbend/internal/route/upstream"
 )
 
 // startFirst starts the first attempt once the gate of the service admits it.
@@ -114,9 +115,7 @@
 		return d.notAdmitted(err)
 	}
 	// The list of upstreams may have changed while the request waited.
-	if group := d.f.Upstreams.Group(d.service); len(group.Upstreams) > 0 {
-		d.group = group
-	}
+	d.refreshGroup()
 	return nil
 }
 
@@ -138,6 +137,10 @@
 		"expected_wait_ms": refusal.ExpectedWait.Milliseconds(),
 		"retry_after_ms":   refusal.RetryAfter.Milliseconds(),
 	})
+	if refusal.Reason == admission.ReasonNoUpstream {
+		d.refreshGroup()
+		return d.noUpstream()
+	}
 	return problem.Overloaded.With(refusal).WithRetryAfter(refusal.RetryAfter)
 }
 
@@ -184,6 +187,14 @@
 	}
 }
 
+// UpstreamsChanged applies a change of the evacuated failure domains to the requests that wait
+// at the gates: those of a service without an upstream are refused.
+func (f *Forwarder) UpstreamsChanged() {
+	if f.Admission != nil {
+		f.Admission.Refresh(func(service string) *upstream.Set { return f.Upstreams.Group(service).Set })
+	}
+}
+
 func isRefusal(err error) bool {
 	if err == nil {
 		return false // the most frequent case, without the allocation below
--- a/internal/route/forward/limits.go
+++ b/internal/route/forward/limits.go
@@ -32,6 +32,9 @@
 	// within some tenths of a second.
 	retryAfterNoUpstream = 500 * time.Millisecond
 	retryAfterRefused    = 100 * time.Millisecond
+	// retryAfterEvacuated is for a service whose failure domains are all evacuated, until an
+	// operator takes one back.
+	retryAfterEvacuated = 2 * time.Second
 )
 
 // hedgeDelay returns how long to wait for the attempts in flight before a second one is
--- a/internal/route/forward/outcome.go
+++ b/internal/route/forward/outcome.go
@@ -21,6 +21,8 @@
 		return "misdirected"
 	case errors.As(r.err, &refused):
 		return "refused"
+	case errors.Is(r.err, engine.ErrWithdrawn):
+		return "withdrawn"
 	case errors.Is(r.err, engine.ErrNotSent):
 		return "not_sent"
 	case errors.Is(r.err, engine.ErrConnectionLost):
