runner: items avoid domains that are evacuated while they wait

An item that waited for its connection would have been written to an engine whose domain was evacuated meanwhile.

The check of the engine runs immediately before the first byte.

--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/wire"
 )
 
 // dispatchLoop starts the items of a batch as engines have free slots, until all
@@ -72,7 +73,7 @@
 
 // startAttempt starts one attempt at an item. The caller holds b.mu.
 func (r *Runner) startAttempt(b *Batch, t *task, u *catalog.Upstream, need schedule.Need, now timer.Instant) {
-	ctx, cancel := context.WithCancel(b.ctx)
+	ctx, cancel := context.WithCancel(wire.WithBeforeWrite(b.ctx, u.CheckSend))
 	t.phase = running
 	t.upstream = u
 	t.cancel = cancel
@@ -244,7 +245,7 @@
 	case t.moving:
 		u.RecordPaceSince(pace, start, now)
 		u.Cancelled()
-	case errors.Is(err, context.Canceled):
+	case errors.Is(err, context.Canceled), errors.Is(err, engine.ErrWithdrawn):
 		u.Cancelled()
 	case errors.Is(err, engine.ErrNotSent):
 		u.Unreachable(now)
