--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -41,6 +41,8 @@
 	maxRetryPause = 500 * time.Millisecond
 )
 
+var errOlderListing = errors.New("the listing is older than what is known")
+
 // Mirror follows one prefix of a key-value service.
 type Mirror struct {
 	Store  keyvalue.TransactionalStore
@@ -64,6 +66,9 @@
 	// OnRemovalDelayed is called with the keys whose removal is delayed by RemovalDelay.
 	// It may be nil.
 	OnRemovalDelayed func(keys []string)
+	// RejectOlder rejects listings with an older revision than the last known one. Their missing
+	// keys would otherwise count as removed.
+	RejectOlder bool
 	// Active reports whether to follow the prefix. Nil means always.
 	Active func() bool
 
@@ -180,6 +185,9 @@
 	if err != nil {
 		return err
 	}
+	if m.RejectOlder && listing.Revision < m.revision {
+		return errOlderListing
+	}
 	m.noteAnswer()
 	var changes []keyvalue.Change
 	present := make(map[string]bool, len(listing.Items))
--- a/internal/fleet/watchrelay/relay.go
+++ b/internal/fleet/watchrelay/relay.go
@@ -44,8 +44,8 @@
 )
 
 // maxCopies is the largest number of copied prefixes: the configuration, the list
-// of upstreams and the instances.
-const maxCopies = 3
+// of upstreams, the instances and the evacuated failure domains.
+const maxCopies = 4
 
 // Membership lists the instances of the fleet.
 type Membership interface {
--- a/internal/fleet/watchrelay/relay_test.go
+++ b/internal/fleet/watchrelay/relay_test.go
@@ -279,3 +279,36 @@
 	is.True(at <= confirmed) // never later than at the watcher
 	is.True(confirmed.Sub(at) < time.Second)
 }
+
+// Guards against a change of the last copied prefix that a waiting query does not learn of before
+// its wait ends, so that an evacuation reaches a follower a second later.
+func TestQueryWakesForEveryCopy(t *testing.T) {
+	is := is.New(t)
+	clock := &timer.Manual{}
+	fleet, members := newFleet(clock, &memorystore.Store{Timer: clock}, 1)
+	relay := fleet.relays[members[0].PeerAddress]
+	q := &Query{
+		After:  make(map[string]uint64),
+		WaitMS: pollWait.Milliseconds(),
+	}
+	for i := range maxCopies {
+		prefix := fmt.Sprint("copy", i, "/")
+		relay.AddCopy(prefix).Apply(nil, 1)
+		q.After[prefix] = 1
+	}
+	for prefix := range q.After {
+		relay.EndWaits()
+		var reply Reply
+		ended := make(chan error)
+		go func() { ended <- (&Server{relay: relay}).Poll(q, &reply) }()
+		is.True(timer.Poll(timer.Real{}, time.Millisecond, 5*time.Second, nil, func() bool {
+			relay.copies[prefix].mu.Lock()
+			defer relay.copies[prefix].mu.Unlock()
+			return relay.copies[prefix].nextChange != nil
+		}))
+		relay.copies[prefix].Apply(putChange(prefix, 2), 2)
+		is.NoErr(<-ended)
+		is.Equal(len(reply.News[prefix].Changes), 1)
+		q.After[prefix] = 2
+	}
+}
--- a/internal/fleet/watchrelay/server.go
+++ b/internal/fleet/watchrelay/server.go
@@ -125,6 +125,7 @@
 	case <-c[0]:
 	case <-c[1]:
 	case <-c[2]:
+	case <-c[3]:
 	case <-timeout.C:
 	}
 }
