weights: engines that take over for an evacuated domain load at once

A change of the evacuated domains drops the cached assignments and wakes the holder of the duty. An order that was withdrawn because its engine is evacuated is not waited for.

TestOrdersFollowEvacuation: an engine of another model loads the weights of the model that lost its only engine, the evacuated engine gets no order, and one after it has returned.

--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -12,6 +12,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/kernel/wake"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
 
@@ -162,6 +163,15 @@
 	o.wake.Set()
 }
 
+// UpstreamsChanged is called after a change of the evacuated failure domains. The engines are
+// assigned anew at once, so that those that take over load their weights before items need them.
+func (o *Orderer) UpstreamsChanged() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	clear(o.assignments)
+	o.wake.Set()
+}
+
 // Run gives orders while this instance holds the duty, until t dies.
 func (o *Orderer) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
@@ -348,6 +358,9 @@
 			s.countKnown = true
 			s.loading = state.Busy
 		}
+	case errors.Is(err, engine.ErrWithdrawn):
+		outcome = "withdrawn"
+		s.loading = false
 	case errors.Is(err, ErrRefused):
 		outcome = "refused"
 		s.waitUntil = now.Add(refusalBackoff)
--- a/internal/fleet/weights/orderer_test.go
+++ b/internal/fleet/weights/orderer_test.go
@@ -79,3 +79,53 @@
 	is.Equal(engine.commands[0].ExpectedOrders, uint64(3))
 	is.Equal(engine.version, uint64(6))
 }
+
+// Guards against an evacuation that leaves a model without engines although others could load its
+// weights, against orders to an evacuated engine, and against a returned engine that keeps the
+// weights that it had before.
+func TestOrdersFollowEvacuation(t *testing.T) {
+	is := is.New(t)
+	clock := &timer.Manual{}
+	engine := &fakeEngine{}
+	upstreams := &catalog.Upstreams{
+		Timer: clock,
+	}
+	upstreams.Update([]catalog.Entry{
+		{ID: "e", Service: "s", Address: "e", FailureDomain: "a", Versions: map[string]uint64{"m": 6, "n": 1}},
+		{ID: "f", Service: "s", Address: "f", FailureDomain: "b", Versions: map[string]uint64{"m": 1, "n": 6}},
+		{ID: "g", Service: "s", Address: "g", FailureDomain: "b", Versions: map[string]uint64{"m": 1, "n": 6}},
+	}, nil)
+	o := &Orderer{
+		Upstreams:   upstreams,
+		Engines:     engine,
+		Timer:       clock,
+		latest:      map[string]uint64{"m": 6, "n": 6},
+		latestAt:    map[string]timer.Instant{},
+		orderStates: map[string]*orderState{},
+	}
+	ordered := func(id string) (Order, bool) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		s := o.orderStates[id]
+		return s.order, s.loading
+	}
+	reconcile := func() { o.reconcileService(context.Background(), 7, "s", []string{"m", "n"}, Continue) }
+	upstreams.SetEvacuated(map[string]bool{"a": true})
+	reconcile()
+	took, loading := ordered("g")
+	is.True(loading)
+	is.Equal(took, Order{Engine: "g", Model: "m", Version: 6})
+	is.True(o.orderStates["e"] == nil)
+
+	is.True(timer.Poll(timer.Real{}, time.Millisecond, 5*time.Second, nil, func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.orderStates["g"].orderCount == 1
+	}))
+	o.latest["m"] = 9
+	clock.Advance(loadTimeout)
+	upstreams.SetEvacuated(nil)
+	reconcile()
+	_, loading = ordered("e")
+	is.True(loading)
+}
--- a/internal/route/catalog/evacuation.go
+++ b/internal/route/catalog/evacuation.go
@@ -1,6 +1,11 @@
 package catalog
 
-import "maps"
+import (
+	"maps"
+	"time"
+
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+)
 
 // SetEvacuated replaces the set of evacuated failure domains. Group and Groups leave out their
 // upstreams, and requests to them that wait for a connection are withdrawn. The upstreams of
@@ -29,12 +34,18 @@
 	}
 	now := b.Timer.Now()
 	for _, u := range returned {
-		u.returnedAt.Store(int64(now))
+		u.returnedAt.Store(max(1, int64(now)))
 		u.SetSlowStart(now)
 		u.SetEvacuated(false)
 	}
 }
 
+// ReturnedWithin reports whether the evacuation of the upstream's domain ended within d before now.
+func (u *Upstream) ReturnedWithin(d time.Duration, now timer.Instant) bool {
+	at := u.returnedAt.Load()
+	return at != 0 && now.Sub(timer.Instant(at)) < d
+}
+
 // applyEvacuation marks an upstream whose failure domain is evacuated, and puts back one whose
 // list entry names another failure domain now. The caller holds b.mu.
 func (b *Upstreams) applyEvacuation(u *Upstream) {
