runner, schedule: streams and returned engines of an evacuated domain

A stream that runs in an evacuated domain may be cut off when the domain is shut down, which costs the time until the loss is noticed besides a move. An engine that returns has the weights that it had when it was evacuated.

A stream that is expected to run for more than 3 s and the cost of a move leaves the domain if another engine has a free slot that no queued item needs; one whose text must come from one version only moves to that version. Others finish. A returned engine gets no items with weights that are older than the newest of the group for 10 s. A stream at an evacuated engine is not taken for stalled while its engine reads prompts.

--- a/internal/batch/runner/engines.go
+++ b/internal/batch/runner/engines.go
@@ -109,10 +109,14 @@
 	models := r.engineModels(b, now)
 	group := r.Upstreams.Group(b.service)
 	medianPace := group.Set.MedianPace()
+	newest := newestVersion(group, b.sub.Model)
 	for _, u := range group.Upstreams {
 		if !u.Usable(now) {
 			continue
 		}
+		if u.ModelVersion(b.sub.Model) < newest && u.ReturnedWithin(maxReloadTime, now) {
+			continue
+		}
 		if b.sub.Model != "" && u.ModelVersion(b.sub.Model) < b.sub.OldestVersion {
 			continue
 		}
@@ -136,6 +140,22 @@
 	return candidates
 }
 
+// maxReloadTime is how long an engine whose evacuation ended gets no items with weights that are
+// older than those of other engines. A load takes about a second, and a fifth of the engines
+// load at a time.
+const maxReloadTime = 10 * time.Second
+
+// newestVersion returns the newest weight version of a model at the engines of a group.
+func newestVersion(group *catalog.Group, model string) uint64 {
+	newest := uint64(0)
+	if model != "" {
+		for _, u := range group.Upstreams {
+			newest = max(newest, u.ModelVersion(model))
+		}
+	}
+	return newest
+}
+
 // engineMemory returns the memory of one engine of a service in tokens; 0 if
 // unknown.
 func (r *Runner) engineMemory(service string) int64 {
--- a/internal/batch/runner/move.go
+++ b/internal/batch/runner/move.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -43,7 +44,7 @@
 		SlowRatio:       t.upstream.SlowdownSince(t.attemptStart),
 		MoveCost:        schedule.MoveCost(r.reading.Expected(r.tokensToRead(t))),
 	}
-	if t.upstream.Usable(now) {
+	if !t.upstream.Leaving() && !t.upstream.Ejected(now) {
 		// An engine that is ejected is not reading prompts but failing.
 		p.Reading = r.reading.Expected(t.upstream.PromptsAhead(t.promptMark))
 	}
@@ -142,6 +143,37 @@
 	}
 }
 
+// moveFromEvacuated moves the long streams of evacuated engines while other engines have free
+// slots. A stream whose text must come from one version moves only to an engine with that
+// version. The caller holds b.mu.
+func (r *Runner) moveFromEvacuated(b *Batch, now timer.Instant) {
+	if len(r.Upstreams.Group(b.service).EvacuatedDomains) == 0 || b.nextReady(now) >= 0 {
+		// Queued items need the free slots more.
+		return
+	}
+	medianPace, paceNoise := r.medianPace(b), r.paceNoise(b)
+	candidates := r.availableCandidates(b, now)
+	for _, t := range b.tasks {
+		if t.phase != running || t.moving || !t.upstream.Evacuated() {
+			continue
+		}
+		p := r.progressOf(t, medianPace, paceNoise, now)
+		if !schedule.LeavesEvacuated(p, medianPace) {
+			continue
+		}
+		to := slices.IndexFunc(candidates, func(c candidate) bool {
+			sameText := !b.route.SingleVersion || t.lastEvent == 0 || c.u.ModelVersion(b.sub.Model) == t.versions[0]
+			return c.FreeSlots >= 1 && c.Pace <= maxRescuePace && sameText
+		})
+		if to < 0 {
+			continue
+		}
+		candidates[to].FreeSlots--
+		t.stalled = false
+		r.moveItem(b, t, p, medianPace, "the failure domain "+t.upstream.FailureDomain+" is evacuated", "evacuated")
+	}
+}
+
 // moveToFaster moves streams to faster engines that have free slots, those with
 // the largest gain first. The caller holds b.mu.
 func (r *Runner) moveToFaster(b *Batch, now timer.Instant) {
@@ -191,8 +223,8 @@
 }
 
 // moveItem cancels the running attempt of a task so that the item continues at
-// another engine. reason is more precise than why, which is failing or faster. The caller
-// holds b.mu.
+// another engine. reason is more precise than why, except for an evacuation. The caller holds
+// b.mu.
 func (r *Runner) moveItem(b *Batch, t *task, p schedule.Progress, medianPace time.Duration, why, reason string) {
 	t.moving = true
 	t.moves++
--- a/internal/batch/runner/watch.go
+++ b/internal/batch/runner/watch.go
@@ -97,6 +97,7 @@
 	b.releaseReads(now)
 	r.measurePaces(b, now)
 	r.moveFailing(b, now)
+	r.moveFromEvacuated(b, now)
 	r.moveToFaster(b, now)
 	b.mu.Unlock()
 	b.dispatchWake.Set()
--- a/internal/batch/schedule/move.go
+++ b/internal/batch/schedule/move.go
@@ -169,6 +169,18 @@
 	return len(slow) >= minSlowEngines && float64(len(slow)) >= minSlowShare*float64(usable)
 }
 
+// evacuatedFinish is the expected time for which a stream stays at an engine whose failure domain
+// is evacuated. The domain may be shut down later: a stream that is cut off then costs its item
+// the time until the loss is noticed, besides the move.
+const evacuatedFinish = 3 * time.Second
+
+// LeavesEvacuated reports whether a stream should leave an engine whose failure domain is
+// evacuated: it would not end soon. interval is the typical time between events.
+func LeavesEvacuated(p Progress, interval time.Duration) bool {
+	left := time.Duration(p.Remaining() * float64(usualInterval(interval)) * max(1, p.Pace))
+	return p.Moves < maxOptionalMoves && left > evacuatedFinish+p.MoveCost
+}
+
 // Remaining returns how many further events are expected.
 func (p Progress) Remaining() float64 {
 	made := float64(p.TotalEvents)
