capacity: evacuated failure domains get no orders

An evacuated domain would have been ordered engines, as the only one without any.

Evacuated domains are left out, so that the others replace their engines up to their maximum. A domain that is evacuated while orders are being sent is skipped.

TestOrdererLeavesEvacuatedDomainOut: the other domain is ordered 10 engines for 64 items, and with both evacuated there is no order.

--- a/internal/fleet/capacity/decision_test.go
+++ b/internal/fleet/capacity/decision_test.go
@@ -265,3 +265,17 @@
 		is.True(order.Domain != "b" || order.Count == 10)
 	}
 }
+
+// Guards against an order to an evacuated failure domain, and against engines that are lost with
+// it and that the other domains don't make up for within their maximum.
+func TestOrdererLeavesEvacuatedDomainOut(t *testing.T) {
+	is := is.New(t)
+	o, p, _, clock := newOrderer()
+	o.Demand.RecordStep("m", 64, clock.Now())
+	reconcileFor(o, p, clock, 1)
+	setEngines(o, map[string]int{"a": 5, "b": 5})
+	o.Upstreams.SetEvacuated(map[string]bool{"a": true})
+	is.Equal(reconcileFor(o, p, clock, 5), []Order{{Service: "s", Domain: "b", Count: 10, Reclaimable: true}})
+	o.Upstreams.SetEvacuated(map[string]bool{"a": true, "b": true})
+	is.Equal(len(reconcileFor(o, p, clock, 20)), 0)
+}
--- a/internal/fleet/capacity/orderer.go
+++ b/internal/fleet/capacity/orderer.go
@@ -124,6 +124,9 @@
 	now := o.Timer.Now()
 	group := o.observe(s, now)
 	for i, t := range Targets(group) {
+		if o.Upstreams.Evacuated(t.Domain) {
+			continue // it was evacuated while the orders before were sent
+		}
 		st := o.domainState(s.Name, t.Domain)
 		if st.needsOrder(t.Count, group.Domains[i].Reclaimable, s.Scaling.BootTime, now) {
 			o.sendOrder(ctx, s.Name, t, group, st)
@@ -142,10 +145,14 @@
 }
 
 // observe returns the present engines of a group and the demand for them. Booting engines
-// of the last order count as present.
+// of the last order count as present. Evacuated failure domains are left out: they get no
+// orders, and the others replace their engines.
 func (o *Orderer) observe(s catalog.Service, now timer.Instant) Group {
 	domains := make(map[string]*Domain)
 	for name, price := range s.Scaling.Prices {
+		if o.Upstreams.Evacuated(name) {
+			continue
+		}
 		domains[name] = &Domain{
 			Name:  name,
 			Price: price,
