coordinator, runner: batches without engines are refused at once

A batch whose engines are all in evacuated domains was accepted and would have waited until its items were given up. Reward calls without an upstream were repeated, and logged, ten times a second.

Its home refuses a new batch as not run, with Retry-After. A batch that was accepted before, is being stored, or may be stored as far as the ledger tells, is not reported as not run. Reward calls are repeated once a second while all their upstreams are evacuated.

--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -88,6 +88,9 @@
 	// number of items and the tokens that they are expected to generate. It may be
 	// nil.
 	OnAccepted func(model string, items int, tokens int64)
+	// Evacuated returns the failure domains whose evacuation leaves a route without engines, and
+	// nil if there are engines. It may be nil.
+	Evacuated func(route catalog.Route) []string
 	// Config finds the route of a batch that another instance forwards.
 	Config *catalog.Holder
 
@@ -130,6 +133,9 @@
 		if errors.Is(err, ErrPrepared) {
 			return preparedProblem(err)
 		}
+		if problem.Is(err, problem.NoUpstream) && !triedHome {
+			return err
+		}
 		// The next instance repeats the same transaction, which settles whether the
 		// batch was stored.
 		triedHome = true
@@ -201,6 +207,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
+	if err := d.refuseEvacuated(ctx, sub, route); err != nil {
+		return err
+	}
 	prepared, err := d.accept(ctx, sub, route)
 	if err == nil || errors.Is(err, ledger.ErrExists) {
 		return nil
--- a/internal/batch/coordinator/peers.go
+++ b/internal/batch/coordinator/peers.go
@@ -29,9 +29,12 @@
 	NotHere bool
 	// Prepared means that the batch was begun and is not stored yet.
 	Prepared bool
-	Page     runner.Page
-	Body     []byte
-	Found    bool
+	// NoUpstream means that the batch was refused because all failure domains with engines for
+	// it are evacuated.
+	NoUpstream bool
+	Page       runner.Page
+	Body       []byte
+	Found      bool
 }
 
 // Server serves the calls of other instances.
@@ -124,7 +127,8 @@
 	defer cancel()
 	err := s.coordinator.Accept(ctx, sub, route)
 	r.Prepared = errors.Is(err, ErrPrepared)
-	if r.Prepared {
+	r.NoUpstream = problem.Is(err, problem.NoUpstream)
+	if r.Prepared || r.NoUpstream {
 		return nil
 	}
 	return err
@@ -225,6 +229,9 @@
 	if err == nil && r.Prepared {
 		return ErrPrepared
 	}
+	if err == nil && r.NoUpstream {
+		return noUpstreamProblem()
+	}
 	return err
 }
 
--- a/internal/batch/runner/reward.go
+++ b/internal/batch/runner/reward.go
@@ -23,6 +23,9 @@
 	// request, which upstreams crash on. The quarantine may end sooner than the refusal
 	// says.
 	quarantineRetryPause = time.Second
+	// evacuatedRetryPause follows a call for which all upstreams are in evacuated failure
+	// domains. Each attempt writes a line of the log.
+	evacuatedRetryPause = time.Second
 )
 
 // RewardScorer scores texts by reward calls that it sends along the routes.
@@ -67,6 +70,9 @@
 			if problem.Is(err, problem.Quarantined) {
 				pause = quarantineRetryPause
 			}
+			if len(s.Forwarder.Upstreams.EvacuatedFor(route)) > 0 {
+				pause = evacuatedRetryPause
+			}
 		}
 		if failures >= attempts {
 			return "", fmt.Errorf("%w: %d times", engine.ErrAttemptFailed, failures)
--- a/internal/route/catalog/evacuation.go
+++ b/internal/route/catalog/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
@@ -63,6 +64,21 @@
 	return domains != nil && (*domains)[domain]
 }
 
+// EvacuatedFor returns the evacuated failure domains of a route's services if these have no
+// upstream left because of them, and nil otherwise.
+func (b *Upstreams) EvacuatedFor(r Route) []string {
+	var domains []string
+	for _, s := range r.Split {
+		g := b.Group(s.Service)
+		if len(g.Upstreams) > 0 || len(g.EvacuatedDomains) == 0 {
+			return nil
+		}
+		domains = append(domains, g.EvacuatedDomains...)
+	}
+	slices.Sort(domains)
+	return slices.Compact(domains)
+}
+
 // EvacuationsKnown reports whether SetEvacuated was called.
 func (b *Upstreams) EvacuationsKnown() bool { return b.evacuated.Load() != nil }
 
