wire: reset connections on which requests still wait

The bytes of a request that were written into a partitioned connection wait in the kernel, and reach their upstream when the partition heals, however late that is.

Client.ResetUnsent resets the connections to given addresses on which written bytes are not acknowledged or a write waits. A request that was received and is being answered is not affected.

--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -27,6 +27,8 @@
 	once   sync.Once
 	pooled http.Transport
 	fresh  http.Transport
+	// open holds the address of each open connection.
+	open sync.Map
 }
 
 // Reuse says whether a request may use a connection that carried other requests.
@@ -47,7 +49,7 @@
 // alive.
 func (c *Client) configureTransports() {
 	for _, t := range []*http.Transport{&c.pooled, &c.fresh} {
-		t.DialContext = dial
+		t.DialContext = c.dial
 		t.MaxIdleConnsPerHost = idlePerUpstream
 		t.IdleConnTimeout = idleTime
 		t.MaxResponseHeaderBytes = maxHeaderBytes
@@ -58,7 +60,7 @@
 }
 
 // dial opens a connection whose written bytes are counted.
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: dialTimeout,
 	}
@@ -66,9 +68,27 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{
+	opened := &conn{
 		Conn: nc,
-	}, nil
+	}
+	opened.onClose = func() { c.open.Delete(opened) }
+	c.open.Store(opened, address)
+	return opened, nil
+}
+
+// ResetUnsent resets the connections to the given addresses on which written bytes still wait,
+// for example for the end of a network partition, and returns their number. What was not
+// delivered by then is never delivered; a request on such a connection may have run.
+func (c *Client) ResetUnsent(addresses map[string]bool) int {
+	reset := 0
+	c.open.Range(func(key, address any) bool {
+		if cn := key.(*conn); addresses[address.(string)] && cn.hasUnsent() {
+			cn.seal()
+			reset++
+		}
+		return true
+	})
+	return reset
 }
 
 // Do sends req and reports whether any byte of it may have been sent. A response is
--- a/internal/route/wire/conn.go
+++ b/internal/route/wire/conn.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"sync"
+
+	"golang.org/x/sys/unix"
 )
 
 // errSealed is returned by writes to a sealed connection.
@@ -13,6 +15,8 @@
 // every write fails.
 type conn struct {
 	net.Conn
+	// onClose is called when the connection is closed; it may be nil.
+	onClose func()
 
 	mu      sync.Mutex
 	written uint64
@@ -35,6 +39,9 @@
 // keeps bytes that a network partition holds up, and delivers an abandoned request
 // seconds later, when the partition heals.
 func (c *conn) Close() error {
+	if c.onClose != nil {
+		c.onClose()
+	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
@@ -48,6 +55,26 @@
 	return c.written
 }
 
+// hasUnsent reports whether bytes that were passed to Write have not reached the other end, as
+// far as the kernel can tell.
+func (c *conn) hasUnsent() bool {
+	if !c.mu.TryLock() {
+		return true // a write is waiting
+	}
+	c.mu.Unlock()
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unacknowledged := 0
+	err = raw.Control(func(fd uintptr) { unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && unacknowledged > 0
+}
+
 // seal closes the connection, makes further writes fail and returns how many bytes
 // were written. A write in progress holds the lock, so the connection is closed first
 // to end that write.
