platform, forward, command: what operators see of an evacuation

Nothing told which domains are evacuated and what still runs there, nor why a request was moved or refused.

'egretbend status' at the port for metrics shows the evacuations; without the setting that port answers as before. The forward line of a request that was refused, or sent more than once, names the evacuated domains of its service.

--- a/internal/entry/command/fleet.go
+++ b/internal/entry/command/fleet.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"sort"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -76,6 +77,14 @@
 		}
 		fmt.Fprintf(a.out, "member   %-20s %-14s %-22s %s%s\n", m.Instance, m.FailureDomain, m.Address, m.Status, note)
 	}
+	for _, e := range s.Evacuated {
+		note := ""
+		if !e.Known {
+			note = " unknown to this instance"
+		}
+		fmt.Fprintf(a.out, "evacuated %-19s for %s, revision %d, %d upstreams, %d requests still run there%s\n",
+			e.Domain, e.For().Round(time.Second), e.Revision, e.Upstreams, e.InFlight, note)
+	}
 	for _, l := range s.Limits {
 		fmt.Fprintf(a.out, "limit    %-20s in flight %d of %.1f published %s\n", l.Deployment, l.InFlight, l.Limit, l.Published)
 	}
--- a/internal/entry/operator/server.go
+++ b/internal/entry/operator/server.go
@@ -13,6 +13,7 @@
 	"github.com/egretbend/egretbend/internal/entry/budget"
 	"github.com/egretbend/egretbend/internal/entry/httpserver"
 	"github.com/egretbend/egretbend/internal/fleet/configuration"
+	"github.com/egretbend/egretbend/internal/fleet/evacuation"
 	"github.com/egretbend/egretbend/internal/fleet/listing"
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/fleet/peer"
@@ -267,6 +268,8 @@
 	Limits          []LimitStatus     `json:"limits"`
 	Sessions        []runner.Overview `json:"sessions"`
 	Buffers         budget.Usage      `json:"buffers"`
+	// Evacuated are the failure domains to which nothing may be sent.
+	Evacuated []evacuation.Status `json:"evacuated,omitempty"`
 }
 
 func (s *Server) getStatus(w http.ResponseWriter, _ *http.Request) {
--- a/internal/route/catalog/evacuation.go
+++ b/internal/route/catalog/evacuation.go
@@ -82,6 +82,19 @@
 // EvacuationsKnown reports whether SetEvacuated was called.
 func (b *Upstreams) EvacuationsKnown() bool { return b.evacuated.Load() != nil }
 
+// EvacuatedAddresses returns the addresses of the upstreams in evacuated failure domains.
+func (b *Upstreams) EvacuatedAddresses() map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	addresses := make(map[string]bool)
+	for _, u := range b.byID {
+		if u.Evacuated() {
+			addresses[u.Address] = true
+		}
+	}
+	return addresses
+}
+
 // DomainLoad is what this instance has in one failure domain: its upstreams, and its requests
 // that are in flight there.
 type DomainLoad struct {
--- a/internal/route/forward/dispatch.go
+++ b/internal/route/forward/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -262,6 +263,9 @@
 	if d.sent > 1 || err != nil {
 		fields["tried"] = d.attemptHistory()
 	}
+	if len(d.group.EvacuatedDomains) > 0 && (d.sent > 1 || err != nil) {
+		fields["evacuated"] = strings.Join(d.group.EvacuatedDomains, ", ")
+	}
 	if d.verdict.Suspected() {
 		maps.Copy(fields, d.verdict.Fields())
 	}
