evacuation, wire, platform: a paused instance reads the set before it sends

An instance that was paused does not know of domains that were evacuated meanwhile, and what it receives first was sent before the pause. It would have sent requests to such a domain until its mirror learned of it.

The check runs for all requests to upstreams, also orders to engines.

--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -245,7 +245,11 @@
 	case t.moving:
 		u.RecordPaceSince(pace, start, now)
 		u.Cancelled()
-	case errors.Is(err, context.Canceled), errors.Is(err, engine.ErrWithdrawn):
+	case errors.Is(err, engine.ErrWithdrawn):
+		// The item must not be sent again in a loop while its engine may still be chosen.
+		u.RecordRefusal(now)
+		u.Cancelled()
+	case errors.Is(err, context.Canceled):
 		u.Cancelled()
 	case errors.Is(err, engine.ErrNotSent):
 		u.Unreachable(now)
--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -23,6 +23,9 @@
 	// TLS configures https connections; with nil the system's root certificates
 	// are used.
 	TLS *tls.Config
+	// BeforeWrite is called like the function of WithBeforeWrite, before it and for every
+	// request. It may be nil.
+	BeforeWrite func() error
 
 	once   sync.Once
 	pooled http.Transport
@@ -96,7 +99,7 @@
 func (c *Client) Do(req *http.Request, reuse Reuse) (res *http.Response, sent bool, err error) {
 	c.once.Do(c.configureTransports)
 	tracker := connTracker{
-		beforeWrite: beforeWriteOf(req.Context()),
+		beforeWrite: c.beforeWrite(req.Context()),
 	}
 	trace := &httptrace.ClientTrace{
 		GotConn: tracker.gotConn,
@@ -137,6 +140,20 @@
 	return check
 }
 
+// beforeWrite returns the function to call before the first byte of a request, or nil.
+func (c *Client) beforeWrite(ctx context.Context) func() error {
+	own, all := beforeWriteOf(ctx), c.BeforeWrite
+	if all == nil {
+		return own
+	}
+	return func() error {
+		if err := all(); err != nil || own == nil {
+			return err
+		}
+		return own()
+	}
+}
+
 // CloseIdle closes the connections that are not in use.
 func (c *Client) CloseIdle() {
 	c.pooled.CloseIdleConnections()
