--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/slowstart"
+	"github.com/egretbend/egretbend/internal/route/wire"
 )
 
 // dispatchLoop starts the items of a batch as engines have free slots, until all
@@ -78,7 +79,7 @@
 
 // startAttempt starts one attempt at an item, for which permit was taken. The caller holds b.mu.
 func (r *Runner) startAttempt(b *Batch, t *task, u *catalog.Upstream, permit slowstart.Permit, need schedule.Need, now timer.Instant) {
-	ctx, cancel := context.WithCancel(r.withClaimCheck(b))
+	ctx, cancel := context.WithCancel(wire.WithBeforeWrite(r.withClaimCheck(b), u.CheckSend))
 	ctx = permit.Guard(ctx)
 	t.phase = running
 	t.upstream = u
@@ -251,7 +252,11 @@
 	case t.moving:
 		u.RecordPaceSince(pace, start, now)
 		u.Cancelled()
-	case errors.Is(err, context.Canceled), errors.Is(err, engine.ErrWithdrawn):
+	case errors.Is(err, engine.ErrWithdrawn):
+		// The item must not be sent again in a loop while its engine may still be chosen.
+		u.RecordRefusal(now)
+		u.Cancelled()
+	case errors.Is(err, context.Canceled):
 		u.Cancelled()
 	case errors.Is(err, engine.ErrNotSent):
 		u.Unreachable(now)
--- a/internal/route/forward/dispatch.go
+++ b/internal/route/forward/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -211,8 +212,8 @@
 // mayHaveRun reports whether an attempt that failed with err may have run.
 func mayHaveRun(err error) bool {
 	var refused *engine.RefusedError
-	return !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrMisdirected) &&
-		!errors.Is(err, engine.ErrWithdrawn) && !errors.As(err, &refused)
+	return !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrWithdrawn) && !errors.Is(err, engine.ErrMisdirected) &&
+		!errors.As(err, &refused)
 }
 
 // timeoutError returns the error for the caller when the request has timed out. An
@@ -234,6 +235,9 @@
 	if d.possiblyRun {
 		return problem.UpstreamFailed.Withf("after %d attempts: %w", d.sent, d.lastErr)
 	}
+	if errors.Is(d.lastErr, engine.ErrWithdrawn) && problem.Is(startErr, problem.NoUpstream) {
+		return startErr
+	}
 	if d.lastErr != nil {
 		return problem.UpstreamRefused.Withf("after %d attempts: %w", d.sent, d.lastErr).WithRetryAfter(retryAfter(startErr))
 	}
@@ -259,6 +263,9 @@
 	if d.sent > 1 || err != nil {
 		fields["tried"] = d.attemptHistory()
 	}
+	if len(d.group.EvacuatedDomains) > 0 && (d.sent > 1 || err != nil) {
+		fields["evacuated"] = strings.Join(d.group.EvacuatedDomains, ", ")
+	}
 	if d.verdict.Suspected() {
 		maps.Copy(fields, d.verdict.Fields())
 	}
--- a/internal/route/policy/policy.go
+++ b/internal/route/policy/policy.go
@@ -84,11 +84,11 @@
 	return !u.Ejected(q.Now) && q.matches(u)
 }
 
-// matches reports whether u is not leaving, may be sent to, has not been tried and has
-// recent enough weights, whether or not it is ejected. An upstream whose weight version
-// is unknown counts as recent enough.
+// matches reports whether u is not leaving or evacuated, may be sent to, has not been tried
+// and has recent enough weights, whether or not it is ejected. An upstream whose weight
+// version is unknown counts as recent enough.
 func (q *Query) matches(u *upstream.Upstream) bool {
-	if u.Leaving() {
+	if u.Leaving() || u.Evacuated() {
 		return false
 	}
 	if u.Held(q.Now) {
--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -29,11 +29,16 @@
 	// TLS configures https connections; with nil the system's root certificates
 	// are used.
 	TLS *tls.Config
+	// BeforeWrite is called like the function of WithBeforeWrite, before it and for every
+	// request. It may be nil.
+	BeforeWrite func() error
 
 	once   sync.Once
 	dialer dial.Dialer
 	pooled http.Transport
 	fresh  http.Transport
+	// open holds the address of each open connection.
+	open sync.Map
 }
 
 // Reuse says whether a request may use a connection that carried other requests.
@@ -74,10 +79,28 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{
+	opened := &conn{
 		Conn:            nc,
 		deliveryTimeout: deliveryTimeout,
-	}, nil
+	}
+	opened.onClose = func() { c.open.Delete(opened) }
+	c.open.Store(opened, address)
+	return opened, nil
+}
+
+// ResetUnsent resets the connections to the given addresses on which written bytes still wait,
+// for example for the end of a network partition, and returns their number. What was not
+// delivered by then is never delivered; a request on such a connection may have run.
+func (c *Client) ResetUnsent(addresses map[string]bool) int {
+	reset := 0
+	c.open.Range(func(key, address any) bool {
+		if cn := key.(*conn); addresses[address.(string)] && cn.hasUnsent() {
+			cn.seal()
+			reset++
+		}
+		return true
+	})
+	return reset
 }
 
 // Do sends req and reports whether any byte of it may have been sent. A response is
@@ -85,7 +108,7 @@
 func (c *Client) Do(req *http.Request, reuse Reuse) (res *http.Response, sent bool, err error) {
 	c.once.Do(c.configureTransports)
 	tracker := connTracker{
-		beforeWrite:     beforeWriteOf(req.Context()),
+		beforeWrite:     c.beforeWrite(req.Context()),
 		deliveryTimeout: deliveryTimeoutOf(req.Context()),
 	}
 	trace := &httptrace.ClientTrace{
@@ -164,6 +187,20 @@
 	return context.WithValue(ctx, freshKey{}, true)
 }
 
+// beforeWrite returns the function to call before the first byte of a request, or nil.
+func (c *Client) beforeWrite(ctx context.Context) func() error {
+	own, all := beforeWriteOf(ctx), c.BeforeWrite
+	if all == nil {
+		return own
+	}
+	return func() error {
+		if err := all(); err != nil || own == nil {
+			return err
+		}
+		return own()
+	}
+}
+
 // CloseIdle closes the connections that are not in use.
 func (c *Client) CloseIdle() {
 	c.pooled.CloseIdleConnections()
--- a/internal/route/wire/conn.go
+++ b/internal/route/wire/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/egretbend/egretbend/internal/kernel/dial"
 )
 
@@ -21,6 +23,8 @@
 	// deliveryTimeout is the TCP_USER_TIMEOUT of the connection, which only the request
 	// that the connection was given to changes.
 	deliveryTimeout time.Duration
+	// onClose is called when the connection is closed; it may be nil.
+	onClose func()
 
 	mu      sync.Mutex
 	written uint64
@@ -49,6 +53,14 @@
 	}
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if c.onClose != nil {
+		c.onClose()
+	}
+	return c.Conn.Close()
+}
+
 // bytesWritten returns how many bytes were passed to Write so far.
 func (c *conn) bytesWritten() uint64 {
 	c.mu.Lock()
@@ -56,6 +68,26 @@
 	return c.written
 }
 
+// hasUnsent reports whether bytes that were passed to Write have not reached the other end, as
+// far as the kernel can tell.
+func (c *conn) hasUnsent() bool {
+	if !c.mu.TryLock() {
+		return true // a write is waiting
+	}
+	c.mu.Unlock()
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unacknowledged := 0
+	err = raw.Control(func(fd uintptr) { unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && unacknowledged > 0
+}
+
 // seal closes the connection, makes further writes fail and returns how many bytes
 // were written. A write in progress holds the lock, so the connection is closed first
 // to end that write.
