forward, admission, catalog: requests stay in the allowed regions

Cause: routes and organisations can allow some regions only, but upstreams were chosen from all of them. Change: forward looks up the regions of a request by the configuration in force before each attempt and chooses among catalog.Group.In of them, which is cached with its group. An admission gate, the pace, the number in errors and the sparing of upstreams work with that part. A request that waits at a gate is withdrawn and chooses again if a new configuration changes its regions; all others keep their place. Reward calls are bound by their own route and by the organisation of their batch. An empty intersection is refused with regions_empty, and a service without an upstream in an allowed region with region_unavailable, both 503 before anything was sent. Tests: the signature of the fake scorer and one call of RewardScorer.Score got the organisation; their checks are unchanged.

--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -272,7 +272,7 @@
 	score := ""
 	if t.item.Reward != nil {
 		var err error
-		score, err = r.Scorer.Score(b.ctx, t.item.Reward, b.dueAt())
+		score, err = r.Scorer.Score(b.ctx, t.item.Reward, b.sub.Organisation, b.dueAt())
 		if err != nil {
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- a/internal/batch/runner/reward.go
+++ b/internal/batch/runner/reward.go
@@ -23,6 +23,9 @@
 	// request, which upstreams crash on. The quarantine may end sooner than the refusal
 	// says.
 	quarantineRetryPause = time.Second
+	// regionRetryPause follows a call that no upstream in an allowed region can serve, which
+	// lasts until upstreams come back or the configuration changes.
+	regionRetryPause = time.Second
 )
 
 // RewardScorer scores texts by reward calls that it sends along the routes.
@@ -35,7 +38,7 @@
 // Score implements Scorer. It repeats the call until it succeeds, or until upstreams
 // have failed it as often as its route allows. A call that upstreams refuse waits at the
 // gate of its service, which sends it again when there is room.
-func (s *RewardScorer) Score(ctx context.Context, reward *submission.Reward, due timer.Instant) (string, error) {
+func (s *RewardScorer) Score(ctx context.Context, reward *submission.Reward, organisation string, due timer.Instant) (string, error) {
 	failures := 0
 	for {
 		attempts, pause := 1, rewardRetryPause
@@ -50,6 +53,9 @@
 				Route:  route,
 				Class:  admission.Reward,
 				Due:    due,
+				// The call is not made on behalf of the organisation, but its regions apply.
+				Regions:            route.Regions.Intersect(s.Config.Current().Organisations.Regions(organisation)),
+				RegionOrganisation: organisation,
 			})
 			if err == nil && answer.Stream != nil {
 				_ = answer.Stream.Close()
@@ -67,6 +73,9 @@
 			if problem.Is(err, problem.Quarantined) {
 				pause = quarantineRetryPause
 			}
+			if problem.Is(err, problem.RegionsEmpty) || problem.Is(err, problem.RegionUnavailable) {
+				pause = regionRetryPause
+			}
 		}
 		if failures >= attempts {
 			return "", fmt.Errorf("%w: %d times", engine.ErrAttemptFailed, failures)
--- a/internal/batch/runner/reward_test.go
+++ b/internal/batch/runner/reward_test.go
@@ -63,7 +63,7 @@
 		Timer: clock,
 	}
 	defer clock.Run(10*time.Millisecond, 100*time.Microsecond)()
-	signature, err := scorer.Score(context.Background(), &submission.Reward{ID: "r", Host: "h", Path: "/score"}, 0)
+	signature, err := scorer.Score(context.Background(), &submission.Reward{ID: "r", Host: "h", Path: "/score"}, "", 0)
 	is.NoErr(err)
 	is.Equal(signature, "proof")
 	is.Equal(sender.sent.Load(), int32(21))
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -47,10 +47,11 @@
 }
 
 // Scorer scores a finished text and returns the signature of its score, or
-// engine.ErrAttemptFailed if the call has failed for good. due is when the step of the text
-// is due; calls of earlier steps are made first.
+// engine.ErrAttemptFailed if the call has failed for good. organisation is that of the batch,
+// whose regions apply to the call. due is when the step of the text is due; calls of earlier
+// steps are made first.
 type Scorer interface {
-	Score(ctx context.Context, reward *submission.Reward, due timer.Instant) (string, error)
+	Score(ctx context.Context, reward *submission.Reward, organisation string, due timer.Instant) (string, error)
 }
 
 // Runner runs the batches that this process owns.
--- a/internal/batch/runner/runner_test.go
+++ b/internal/batch/runner/runner_test.go
@@ -53,7 +53,7 @@
 type fixedScorer struct{ err error }
 
 // Score implements Scorer.
-func (s fixedScorer) Score(context.Context, *submission.Reward, timer.Instant) (string, error) {
+func (s fixedScorer) Score(context.Context, *submission.Reward, string, timer.Instant) (string, error) {
 	return "proof", s.err
 }
 
--- a/internal/kernel/problem/kind.go
+++ b/internal/kernel/problem/kind.go
@@ -57,6 +57,10 @@
 		"ask another instance, or this one after the time in Retry-After; operators look at slow readers")
 	NoUpstream = newKind("no_upstream", http.StatusServiceUnavailable, NotRun,
 		"ask again after the time in Retry-After; operators look at the instance list")
+	RegionsEmpty = newKind("regions_empty", http.StatusServiceUnavailable, NotRun,
+		"ask again after the configuration has changed; operators look at allowed_regions of the route and of the organisation")
+	RegionUnavailable = newKind("region_unavailable", http.StatusServiceUnavailable, NotRun,
+		"ask again after the time in Retry-After; operators look at what runs in the allowed regions")
 	Leaving = newKind("leaving", http.StatusServiceUnavailable, NotRun,
 		"ask any other instance for addresses")
 	NotReady = newKind("not_ready", http.StatusServiceUnavailable, NotRun,
--- a/internal/route/admission/request.go
+++ b/internal/route/admission/request.go
@@ -40,6 +40,25 @@
 	Deadline timer.Instant
 	// Due orders requests without a Deadline.
 	Due timer.Instant
+	// Revalidator is asked while the request waits whether it still belongs to this gate; it
+	// may be nil.
+	Revalidator Revalidator
+}
+
+// Revalidator tells whether a waiting request still belongs to its gate.
+type Revalidator interface {
+	// Changed returns a channel that is closed when Revalidate is to be called.
+	Changed() <-chan struct{}
+	// Revalidate reports whether the request keeps its place. If not, it is withdrawn.
+	Revalidate() bool
+}
+
+// changed returns the channel of the Revalidator, or nil if there is none.
+func (r *Request) changed() <-chan struct{} {
+	if r.Revalidator == nil {
+		return nil
+	}
+	return r.Revalidator.Changed()
 }
 
 func (r *Request) rank() rank {
--- a/internal/route/admission/service.go
+++ b/internal/route/admission/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -32,6 +33,10 @@
 	return fmt.Sprintf("admission: %s, %d waiting, window %.1f, expected wait %s", e.Reason, e.Waiting, e.Refusal.Window, e.ExpectedWait)
 }
 
+// ErrWithdrawn is returned for a waiting request that its Revalidator withdrew. The request was
+// not sent.
+var ErrWithdrawn = errors.New("admission: the request was withdrawn")
+
 // Gates holds the Service of each service. Timer must be set; Metrics may be nil.
 type Gates struct {
 	Timer   timer.Service
@@ -117,7 +122,8 @@
 }
 
 // Acquire waits until the request may be sent, and counts it as in flight until Release. It
-// returns a *RefusalError if the request can't be served in time, or the error of ctx.
+// returns a *RefusalError if the request can't be served in time, ErrWithdrawn, or the error of
+// ctx.
 func (s *Service) Acquire(ctx context.Context, r Request) error {
 	now := s.timer.Now()
 	s.mu.Lock()
@@ -157,10 +163,17 @@
 		defer sub.Close()
 		expired = sub.C
 	}
-	select {
-	case <-w.decided:
-	case <-expired:
-	case <-ctx.Done():
+	withdrawn := false
+	for waiting := true; waiting; {
+		waiting = false
+		select {
+		case <-w.decided:
+		case <-expired:
+		case <-ctx.Done():
+		case <-w.Request.changed():
+			waiting = w.Request.Revalidator.Revalidate()
+			withdrawn = !waiting
+		}
 	}
 	now := s.timer.Now()
 	s.mu.Lock()
@@ -183,6 +196,10 @@
 		s.gate.Withdraw(w)
 		return err
 	}
+	if withdrawn {
+		s.gate.Withdraw(w)
+		return ErrWithdrawn
+	}
 	s.gate.Expire(w, now)
 	return s.refusal(w)
 }
@@ -265,3 +282,10 @@
 	s.boundAt = now
 	s.gate.SetBound(s.set.Load().SlotsLeft(now, maxReportAge))
 }
+
+// Waiting returns the number of waiting requests of a class.
+func (s *Service) Waiting(class Class) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Waiting(class)
+}
--- a/internal/route/catalog/configuration.go
+++ b/internal/route/catalog/configuration.go
@@ -133,6 +133,9 @@
 
 	// routesByHost holds the routes of each host, those with the longest prefix first.
 	routesByHost map[string][]Route
+	residency    regionIndex
+	// superseded is closed when a holder replaces the configuration.
+	superseded *closeOnce
 }
 
 // WithIndex returns a copy of the configuration with the index that Find uses.
@@ -144,6 +147,10 @@
 	for _, routes := range c.routesByHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
+	c.residency = newRegionIndex(&c)
+	c.superseded = &closeOnce{
+		ch: make(chan struct{}),
+	}
 	return &c
 }
 
@@ -174,6 +181,7 @@
 			return false
 		}
 		if h.current.CompareAndSwap(old, c) {
+			old.supersede()
 			return true
 		}
 	}
--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -58,6 +58,8 @@
 	Upstreams []*Upstream
 	// Set holds the same upstreams for the routing policies.
 	Set *upstream.Set
+	// parts holds the results of In by the key of the regions.
+	parts sync.Map
 }
 
 // Upstreams holds all upstreams by ID. Its zero value is empty; Timer must be set before Update.
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -13,6 +13,9 @@
 // startAttempt chooses an upstream and sends the request to it in a goroutine, which
 // puts the result into d.results.
 func (d *dispatch) startAttempt(ctx context.Context) error {
+	if err := d.checkRegions(); err != nil {
+		return err
+	}
 	chosen := d.chooseUpstream()
 	if chosen == nil {
 		return problem.NoUpstream.Withf("none of the %d upstreams is usable", len(d.group.Upstreams)).
--- a/internal/route/forward/dispatch.go
+++ b/internal/route/forward/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/poison"
 	"github.com/egretbend/egretbend/internal/route/policy"
+	"github.com/egretbend/egretbend/internal/route/residency"
 	"github.com/egretbend/egretbend/internal/route/upstream"
 )
 
@@ -34,7 +35,13 @@
 	f       *Forwarder
 	req     Request
 	service string
-	group   *catalog.Group
+	// group is the part of the upstreams of the service in the allowed regions.
+	group *catalog.Group
+	// cfg is the configuration by which regions, the allowed regions, was looked up.
+	// regionsChanged is set while group does not match regions yet.
+	cfg            *catalog.Configuration
+	regions        residency.Regions
+	regionsChanged bool
 	// gate is the admission control of the service; nil if there is none.
 	gate     *admission.Service
 	started  timer.Instant
@@ -255,6 +262,10 @@
 		outcome = problem.From(err).Kind.Code
 		fields["error"] = err.Error()
 	}
+	if d.regions.Restricted() {
+		fields["regions"] = d.regions.String()
+		d.logRegionRefusal(err)
+	}
 	if d.sent > 1 || err != nil {
 		fields["tried"] = d.attemptHistory()
 	}
--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/route/fingerprint"
 	"github.com/egretbend/egretbend/internal/route/poison"
 	"github.com/egretbend/egretbend/internal/route/policy"
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 // Request is a caller's request.
@@ -39,6 +40,12 @@
 	Class admission.Class
 	// Due orders reward calls: it is when their step is due.
 	Due timer.Instant
+	// Regions are the regions in which the request may be served. The forwarder looks them up
+	// itself, before each attempt, if it has a configuration.
+	Regions residency.Regions
+	// RegionOrganisation is the organisation whose regions apply to a request that is not made
+	// on its behalf; empty means Organisation.
+	RegionOrganisation string
 }
 
 // digest returns the digest that identifies the request when it is sent again.
@@ -102,6 +109,9 @@
 	CrashClaims CrashClaims
 	// Admission holds the gates of the services; nil admits every request at once.
 	Admission *admission.Gates
+	// Config is the configuration in force, by which the regions of a request are looked up;
+	// nil means that Request.Regions is up to date.
+	Config *catalog.Holder
 }
 
 // CrashReporter is told about attempts whose connection was lost before the answer was
@@ -138,20 +148,24 @@
 // Do sends a request to an upstream of its route, hedges and retries it as allowed, and
 // returns the answer or the final error.
 func (f *Forwarder) Do(ctx context.Context, req Request) (*Answer, error) {
-	service := req.Route.ChooseService(rand.Float64())
 	now := f.Timer.Now()
 	d := &dispatch{
 		f:        f,
 		req:      req,
-		service:  service,
-		group:    f.Upstreams.Group(service),
 		started:  now,
 		deadline: now.Add(timeoutFor(req, time.Now())),
 		results:  make(chan attemptResult, policy.MaxTried),
+		regions:  req.Regions,
 	}
+	d.applyConfiguration()
+	d.service = f.Upstreams.ChooseService(req.Route, d.regions, rand.Float64())
+	d.selectGroup()
 	d.gate = f.gateOf(d)
-	answer, err := d.runUnlessQuarantined(ctx)
-	d.logOutcome(service, answer, err)
+	answer, err := (*Answer)(nil), d.checkRegions()
+	if err == nil {
+		answer, err = d.runUnlessQuarantined(ctx)
+	}
+	d.logOutcome(d.service, answer, err)
 	return answer, err
 }
 
--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -59,6 +59,10 @@
 		return d.startClaimedAttempt(ctx)
 	}
 	if !isRefusal(err) {
+		d.updateGate()
+		if d.gate == nil {
+			return d.startClaimedAttempt(ctx)
+		}
 		d.gate.Enter(d.req.Class)
 		return d.startAdmitted(ctx)
 	}
@@ -104,17 +108,33 @@
 		OrganisationPriority: d.req.OrganisationPriority,
 		RoutePriority:        d.req.Route.Priority,
 		Deadline:             d.deadline,
+		Revalidator:          d,
 	}
 	if r.Class == admission.Reward {
 		// The wait of a reward call does not count towards the time limit of its route.
 		r.Deadline, r.Due = 0, d.req.Due
 		defer func() { d.deadline = d.f.Timer.Now().Add(d.deadline.Sub(d.started)) }()
 	}
-	if err := d.gate.Acquire(ctx, r); err != nil {
-		return d.notAdmitted(err)
+	for d.gate != nil {
+		err := d.gate.Acquire(ctx, r)
+		if err != nil && !errors.Is(err, admission.ErrWithdrawn) {
+			return d.notAdmitted(err)
+		}
+		d.applyConfiguration()
+		if err == nil && !d.regionsChanged {
+			break
+		}
+		// The upstreams that may serve the request have changed while it waited.
+		if err == nil {
+			d.gate.Release(r.Class, admission.Ended, admission.Timing{}, nil)
+		}
+		d.updateGate()
+		if err := d.checkRegions(); err != nil {
+			return err
+		}
 	}
 	// The list of upstreams may have changed while the request waited.
-	if group := d.f.Upstreams.Group(d.service); len(group.Upstreams) > 0 {
+	if group := d.f.Upstreams.Group(d.service).In(d.regions); len(group.Upstreams) > 0 {
 		d.group = group
 	}
 	return nil
@@ -213,13 +233,17 @@
 	return s.ReadCloser.Close()
 }
 
-// gateOf returns the gate of a service, or nil if there is none or the service has no
+// gateOf returns the gate of the part of a service that may serve the request, or nil if there is none or the service has no
 // upstreams, in which case there is nothing to wait for.
 func (f *Forwarder) gateOf(d *dispatch) *admission.Service {
 	if f.Admission == nil || len(d.group.Upstreams) == 0 {
 		return nil
 	}
-	return f.Admission.Service(d.service, d.group.Set)
+	name := d.service
+	if d.regions.Restricted() {
+		name += " in " + d.regions.String()
+	}
+	return f.Admission.Service(name, d.group.Set)
 }
 
 // retryAfter returns when a caller whose request upstreams refused may retry. err is why no
--- a/internal/route/forward/limits.go
+++ b/internal/route/forward/limits.go
@@ -32,6 +32,9 @@
 	// within some tenths of a second.
 	retryAfterNoUpstream = 500 * time.Millisecond
 	retryAfterRefused    = 100 * time.Millisecond
+	// retryAfterRegionsEmpty is for requests that no region may serve until an operator has
+	// changed the configuration.
+	retryAfterRegionsEmpty = 5 * time.Second
 )
 
 // hedgeDelay returns how long to wait for the attempts in flight before a second one is
--- a/internal/route/organisation/organisation.go
+++ b/internal/route/organisation/organisation.go
@@ -43,7 +43,9 @@
 // Directory finds organisations by their keys. Its zero value is empty.
 type Directory struct {
 	byDigest map[Digest]entry
-	count    int
+	// regions holds the regions of the organisations that are restricted, by name.
+	regions map[string]residency.Regions
+	count   int
 }
 
 // entry holds the digest again beside the organisation, for a comparison in
@@ -57,9 +59,13 @@
 func NewDirectory(organisations []Organisation) Directory {
 	d := Directory{
 		byDigest: make(map[Digest]entry),
+		regions:  make(map[string]residency.Regions),
 		count:    len(organisations),
 	}
 	for _, o := range organisations {
+		if o.Regions.Restricted() {
+			d.regions[o.Name] = d.regions[o.Name].Intersect(o.Regions)
+		}
 		for _, digest := range o.Digests {
 			d.byDigest[digest] = entry{
 				digest:       digest,
@@ -73,6 +79,14 @@
 // Empty reports whether there is no organisation, in which case requests need no key.
 func (d Directory) Empty() bool { return d.count == 0 }
 
+// Regions returns the regions in which requests of an organisation may be served. An
+// organisation that is not listed is not restricted.
+func (d Directory) Regions(name string) residency.Regions { return d.regions[name] }
+
+// RestrictedRegions returns the regions of each organisation that is restricted, by its name.
+// The map must not be changed.
+func (d Directory) RestrictedRegions() map[string]residency.Regions { return d.regions }
+
 // Find returns the organisation that owns a key.
 func (d Directory) Find(key string) (Organisation, bool) {
 	digest := DigestOf(key)
--- a/internal/route/residency/regions.go
+++ b/internal/route/residency/regions.go
@@ -10,6 +10,8 @@
 type Regions struct {
 	restricted bool
 	names      []string
+	// key is the result of Key.
+	key string
 }
 
 // FromList returns the set of the named regions, or the set of all regions if names is nil. An
@@ -20,9 +22,15 @@
 	}
 	names = slices.Clone(names)
 	slices.Sort(names)
+	return restrictedTo(slices.Compact(names))
+}
+
+// restrictedTo returns the set of the given names, which are sorted.
+func restrictedTo(names []string) Regions {
 	return Regions{
 		restricted: true,
-		names:      slices.Compact(names),
+		names:      names,
+		key:        strings.Join(names, "\x00"),
 	}
 }
 
@@ -55,16 +63,24 @@
 			both = append(both, name)
 		}
 	}
-	return Regions{
-		restricted: true,
-		names:      both,
-	}
+	return restrictedTo(both)
 }
 
+// Equal reports whether both sets allow the same regions.
+func (r Regions) Equal(other Regions) bool {
+	return r.restricted == other.restricted && r.key == other.key
+}
+
+// Key returns a text that is the same for equal sets that are restricted. It does not allocate.
+func (r Regions) Key() string { return r.key }
+
 // String returns the allowed regions for logs.
 func (r Regions) String() string {
 	if !r.restricted {
 		return "all"
 	}
+	if len(r.names) == 0 {
+		return "none"
+	}
 	return strings.Join(r.names, ",")
 }
