registry: clients get addresses in the regions that their host allows

Cause: the directory listed near failure domains first, whatever the regions. Change: where a route of the host or any organisation is restricted, a client gets the instances of its own region as long as one serves there, otherwise those that all routes of the host allow, then those that some allow, and others only if there are none.

--- a/internal/fleet/registry/member.go
+++ b/internal/fleet/registry/member.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 // Member is the entry of one instance.
@@ -63,6 +64,14 @@
 	return eligible[:min(n, len(eligible))]
 }
 
+// InRegions returns the members in the allowed regions.
+func InRegions(members []Member, regions residency.Regions) []Member {
+	if !regions.Restricted() {
+		return members
+	}
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !regions.Allows(m.Region) })
+}
+
 // Without returns the members except the one called name.
 func Without(members []Member, name string) []Member {
 	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Name == name })
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -18,6 +18,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 // Prefix is the common prefix of all keys of the registry, so that one watch
@@ -84,6 +85,9 @@
 	// one: other instances may have considered it dead meanwhile. nil is not
 	// called.
 	OnLeaseRegained func()
+	// Restricted reports whether batches may be restricted to regions; nil means that they
+	// are not.
+	Restricted func() bool
 
 	self atomic.Pointer[Member]
 	// leaseID is the lease of this instance's entry, or zero if none is held.
@@ -147,10 +151,18 @@
 	return ""
 }
 
-// Eligible reports whether this instance is eligible for batches, by the present view.
+// Eligible reports whether this instance is eligible for batches, by the present view. While
+// batches are restricted to regions, those of its region may leave it as the largest instance.
 func (r *Registry) Eligible() bool {
-	name := r.Self().Name
-	return slices.ContainsFunc(Eligible(r.Members()), func(m Member) bool { return m.Name == name })
+	self := r.Self()
+	isSelf := func(m Member) bool { return m.Name == self.Name }
+	if slices.ContainsFunc(Eligible(r.Members()), isSelf) {
+		return true
+	}
+	if r.Restricted == nil || !r.Restricted() {
+		return false
+	}
+	return slices.ContainsFunc(Eligible(InRegions(r.Members(), residency.FromList([]string{self.Region}))), isSelf)
 }
 
 // DutyValue returns the last value read from the key of a duty, or an empty string.
@@ -328,14 +340,47 @@
 	r.view.Store(&list)
 }
 
-// EntryAddresses returns at most n addresses that callers connect to, those in
-// the failure domain first. Leaving instances are excluded.
-func (r *Registry) EntryAddresses(domain string, n int) []string {
+// Client describes where a caller of instances is.
+type Client struct {
+	FailureDomain string
+	// Region is the caller's own region.
+	Region string
+	// Rank ranks the other regions by whether requests of the caller may be seen there, 0 being
+	// the best; nil means that the region of an instance does not matter.
+	Rank func(region string) int
+}
+
+// inBestRegions returns the members in the caller's own region, if there are any, and else
+// those in the regions that rank best.
+func (c Client) inBestRegions(members []Member) []Member {
+	if c.Rank == nil {
+		return members
+	}
+	var best []Member
+	bestRank := 0
+	for _, m := range members {
+		rank := -1
+		if m.Region != c.Region || c.Region == "" {
+			rank = max(0, c.Rank(m.Region))
+		}
+		if len(best) == 0 || rank < bestRank {
+			best, bestRank = nil, rank
+		}
+		if rank == bestRank {
+			best = append(best, m)
+		}
+	}
+	return best
+}
+
+// EntryAddresses returns at most n addresses that a caller may connect to, those in
+// its failure domain first. Leaving instances are excluded.
+func (r *Registry) EntryAddresses(c Client, n int) []string {
+	serving := slices.DeleteFunc(slices.Clone(r.Members()), func(m Member) bool { return m.Leaving || m.EntryAddress == "" })
 	var sameDomain, otherDomains []string
-	for _, m := range r.Members() {
+	for _, m := range c.inBestRegions(serving) {
 		switch {
-		case m.Leaving || m.EntryAddress == "":
-		case m.FailureDomain == domain:
+		case m.FailureDomain == c.FailureDomain:
 			sameDomain = append(sameDomain, m.EntryAddress)
 		default:
 			otherDomains = append(otherDomains, m.EntryAddress)
