coordinator, runner, standby, ledger: batches stay in the allowed regions

Cause: homes, successors, copies, ledger readers and engines were chosen from all regions. Change: a batch keeps the regions that applied when it was accepted, and its claim in the ledger says what determines them, so that an instance knows whether it may read a batch before it does. Both these regions and those of the configuration in force apply; if they have nothing in common, as the route was moved, the newer ones apply. Homes, successors, take-overs, hand-overs and ledger readers are members in these regions, heartbeats carry only the batches that the receiver may store, and the runner uses only engines there. A batch without an eligible instance or an engine there is refused before it is stored, unless it was accepted before. With a new configuration streams move, homes hand over, and copies and cached batches are dropped; a batch that no instance may run is stored and waits in the ledger. Ruled out: one more successor for all batches, as the copies of a batch must not leave its regions; the successors are computed for each set of regions. Tests: the fakes of Work, and calls of Runner.Changes, got the new argument.

--- a/internal/batch/coordinator/cache.go
+++ b/internal/batch/coordinator/cache.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/egretbend/egretbend/internal/batch/ledger"
+	"github.com/egretbend/egretbend/internal/batch/submission"
 )
 
 // recordCacheSize is how many batches are cached, of about a megabyte each.
@@ -30,6 +31,17 @@
 	return nil
 }
 
+// keep removes the batches that may not be stored here.
+func (c *recordCache) keep(allowed func(submission.Binding) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, rec := range c.recs {
+		if rec != nil && !allowed(rec.Submission.Binding()) {
+			c.ids[i], c.recs[i] = "", nil
+		}
+	}
+}
+
 // add caches a batch that is ended or all of whose results are listed, in place of the
 // oldest one.
 func (c *recordCache) add(id string, rec *ledger.Record) {
--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -95,6 +95,8 @@
 	claimsUncertain atomic.Bool
 	mu              sync.Mutex
 	owners          map[string]ledger.Owner
+	// bindings holds what determines the regions of each batch, as far as it is known.
+	bindings map[string]submission.Binding
 	// pendingStores holds, by batch, the channel for the result of each store operation
 	// that is under way at this instance.
 	pendingStores map[string]chan error
@@ -110,8 +112,12 @@
 // All batches of a model run at its home as long as that answers, so that each step
 // reuses the home's connections to the engines.
 func (d *Coordinator) Submit(ctx context.Context, sub *submission.Submission, route catalog.Route) error {
+	sub.Bind(d.Config.Current())
+	if refusal := d.checkRegions(sub, route); refusal != nil {
+		return d.refuse(ctx, sub, refusal)
+	}
 	triedHome := false
-	for _, home := range Homes(d.Registry.Members(), homeKey(sub)) {
+	for _, home := range Homes(d.membersFor(sub.Binding()), homeKey(sub)) {
 		if home.Name == d.Ledger.Self.Instance {
 			break
 		}
@@ -199,6 +205,10 @@
 	if d.Leaving() {
 		return problem.Leaving.Withf("batch %s", sub.ID).WithRetryAfter(100 * time.Millisecond)
 	}
+	sub.Bind(d.Config.Current())
+	if err := d.checkHere(sub); err != nil {
+		return d.refuse(ctx, sub, problem.From(err))
+	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	prepared, err := d.accept(ctx, sub, route)
@@ -230,6 +240,8 @@
 			Model: sub.Model,
 			Items: len(sub.Items),
 			Work:  sub.EstimatedTokens(),
+
+			Binding: sub.Binding(),
 		})
 	case errors.Is(err, ledger.ErrExists):
 		d.Journal.Decision("accepted_before", log.Fields{
@@ -247,6 +259,8 @@
 		return problem.TooLarge.With(err)
 	case errors.Is(err, ledger.ErrOutcomeUnknown):
 		return problem.ChangeUnknown.With(err).WithOutcome(problem.Unknown)
+	case problem.Is(err, problem.RegionsEmpty), problem.Is(err, problem.RegionUnavailable):
+		return problem.From(err)
 	}
 	return problem.PlatformDown.With(err).WithRetryAfter(unavailableRetryAfter)
 }
@@ -259,11 +273,17 @@
 	Model string
 	Items int
 	Work  int64
+	// Binding determines the regions of the batch; it is left out while no route or
+	// organisation is restricted to regions.
+	Binding submission.Binding
 }
 
 // announceOwner tells all instances the owner of a batch, so that a read at any of
 // them needs no call to the key-value service.
 func (d *Coordinator) announceOwner(hint OwnerHint) {
+	if !d.Config.Current().Restricted() {
+		hint.Binding = submission.Binding{}
+	}
 	d.RecordOwner(hint)
 	for _, m := range d.Registry.Members() {
 		if m.Name == d.Registry.Self().Name {
@@ -285,6 +305,7 @@
 
 // RecordOwner records the owner of a batch.
 func (d *Coordinator) RecordOwner(hint OwnerHint) {
+	d.recordBinding(hint.Batch, hint.Binding)
 	if hint.Model != "" && d.OnAccepted != nil {
 		d.OnAccepted(hint.Model, hint.Items, hint.Work)
 	}
@@ -324,8 +345,9 @@
 		return ledger.Owner{}, err
 	}
 	d.RecordOwner(OwnerHint{
-		Batch: id,
-		Owner: claim.Owner,
+		Batch:   id,
+		Owner:   claim.Owner,
+		Binding: claim.Binding,
 	})
 	return claim.Owner, nil
 }
--- a/internal/batch/coordinator/peers.go
+++ b/internal/batch/coordinator/peers.go
@@ -66,6 +66,9 @@
 func (s *Server) Stored(c *Call, r *Reply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), ledgerReaderTimeout)
 	defer cancel()
+	if !s.coordinator.mayReadFor(ctx, c.Batch) {
+		return errNotAllowedHere
+	}
 	var err error
 	if c.Item == "" {
 		if r.Page, err = s.coordinator.readLocal(ctx, c.Batch, c.After, 0); errors.Is(err, runner.ErrNotRunHere) {
--- a/internal/batch/coordinator/prepare.go
+++ b/internal/batch/coordinator/prepare.go
@@ -66,7 +66,7 @@
 // isHome reports whether this instance is the home of a batch, which begins it even
 // before it is stored.
 func (d *Coordinator) isHome(sub *submission.Submission) bool {
-	homes := Homes(d.Registry.Members(), homeKey(sub))
+	homes := Homes(d.membersFor(sub.Binding()), homeKey(sub))
 	return len(homes) > 0 && homes[0].Name == d.Ledger.Self.Instance
 }
 
@@ -99,6 +99,9 @@
 func (d *Coordinator) storeWithRetry(sub *submission.Submission, route catalog.Route) error {
 	started := d.Timer.Now()
 	for {
+		if err := d.checkHere(sub); err != nil {
+			return err
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 		err := d.Runner.Submit(ctx, sub, route)
 		cancel()
--- a/internal/batch/coordinator/read.go
+++ b/internal/batch/coordinator/read.go
@@ -72,7 +72,7 @@
 		}
 		d.forgetOwner(id, owner)
 	}
-	if reader, ok := d.ledgerReader(id); ok {
+	if reader, ok := d.ledgerReader(ctx, id); ok {
 		call, cancel := context.WithTimeout(ctx, ledgerReaderTimeout)
 		page, _, _, err := d.Peers.Stored(call, reader.PeerAddress, id, "", after)
 		cancel()
@@ -111,10 +111,18 @@
 }
 
 // ledgerReader returns the instance that reads a batch from the ledger on behalf of
-// all, if it is another one. The pages of a batch are read at different instances,
+// all, if it is another one in an allowed region. The pages of a batch are read at different instances,
 // and without it each of them would list the whole batch.
-func (d *Coordinator) ledgerReader(id string) (registry.Member, bool) {
-	m := FirstRanked(d.Registry.Members(), id)
+func (d *Coordinator) ledgerReader(ctx context.Context, id string) (registry.Member, bool) {
+	members := d.Registry.Members()
+	if d.Config.Current().Restricted() {
+		binding, ok := d.bindingOf(ctx, id)
+		if !ok {
+			return registry.Member{}, false
+		}
+		members = d.membersFor(binding)
+	}
+	m := FirstRanked(members, id)
 	return m, m.Name != "" && m.Name != d.Ledger.Self.Instance
 }
 
@@ -149,7 +157,7 @@
 	if err != nil {
 		return nil, problem.PlatformDown.Withf("batch %s: %w", id, err).WithRetryAfter(readRetryAfter)
 	}
-	if rec.Ended || len(rec.Results) >= len(rec.Submission.Items) {
+	if d.AllowedHere(rec.Submission.Binding()) && (rec.Ended || len(rec.Results) >= len(rec.Submission.Items)) {
 		d.finished.add(id, rec)
 	}
 	return rec, nil
@@ -179,7 +187,7 @@
 			return body, ok, nil
 		}
 	}
-	if reader, ok := d.ledgerReader(id); ok {
+	if reader, ok := d.ledgerReader(ctx, id); ok {
 		call, cancel := context.WithTimeout(ctx, ledgerReaderTimeout)
 		_, body, ok, err := d.Peers.Stored(call, reader.PeerAddress, id, item, 0)
 		cancel()
--- a/internal/batch/coordinator/takeover.go
+++ b/internal/batch/coordinator/takeover.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -13,6 +14,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/registry"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 // Intervals and timeouts of take-overs.
@@ -47,6 +49,7 @@
 // restarted instance resumes the batches of its previous incarnation.
 func (d *Coordinator) Run(t *tomb.Tomb, gone <-chan struct{}) error {
 	ctx := t.Context(context.Background())
+	t.Go(func() error { return d.followConfiguration(t) })
 	// A random first delay spreads the sweeps of instances that start together.
 	next := d.Timer.Once(time.Duration(rand.Int64N(int64(sweepInterval))))
 	defer func() { next.Close() }()
@@ -89,6 +92,8 @@
 	if d.Config.Current() == nil {
 		return errNotReady
 	}
+	// A batch may have been accepted while the configuration changed.
+	go d.leaveRegion(ctx)
 	uncertain := d.claimsUncertain.Load()
 	if uncertain {
 		consistency = keyvalue.Fresh
@@ -106,8 +111,11 @@
 		d.dropStaleClaims(claims)
 	}
 	for _, c := range claims {
-		if d.shouldTakeOver(c) {
+		switch {
+		case d.shouldTakeOver(c):
 			go d.takeOver(c)
+		case c.Owner == d.Ledger.Self && !d.Runner.Has(c.Batch):
+			go d.giveAway(c)
 		}
 	}
 	return nil
@@ -135,6 +143,9 @@
 // shouldTakeOver reports whether this instance should take over a batch: it owns the
 // batch and does not run it, or the owner is gone and this instance is its successor.
 func (d *Coordinator) shouldTakeOver(c ledger.Claim) bool {
+	if !d.AllowedHere(c.Binding) {
+		return false
+	}
 	if c.Owner == d.Ledger.Self {
 		return !d.Runner.Has(c.Batch)
 	}
@@ -142,14 +153,23 @@
 		// A restarted instance resumes the batches of its previous incarnation itself.
 		return m.Incarnation != c.Owner.Incarnation && m.Incarnation == d.Ledger.Self.Incarnation
 	}
-	return d.IsSuccessorOf(c.Owner.Instance)
+	return d.succeeds(c.Owner.Instance, d.Allowed(c.Binding))
 }
 
 // IsSuccessorOf reports whether this instance is the named instance or its successor.
 // The successor alone lists the ledger after a death; if all instances did, the number
 // of listings would grow with the square of the fleet.
+// It may also be the successor for only those batches that are restricted to regions.
 func (d *Coordinator) IsSuccessorOf(name string) bool {
-	successor := FirstRanked(registry.Without(d.Registry.Members(), name), name)
+	return d.succeeds(name, residency.Regions{}) ||
+		slices.ContainsFunc(d.Config.Current().RegionSets(), func(r residency.Regions) bool { return d.succeeds(name, r) })
+}
+
+// succeeds reports whether this instance is the named instance or its successor for batches
+// that are allowed in some regions.
+func (d *Coordinator) succeeds(name string, regions residency.Regions) bool {
+	members := registry.InRegions(d.Registry.Members(), regions)
+	successor := FirstRanked(registry.Without(members, name), name)
 	return name == d.Ledger.Self.Instance || successor.Name == d.Ledger.Self.Instance
 }
 
@@ -237,6 +257,9 @@
 func (d *Coordinator) acquire(seen ledger.Claim) {
 	ctx, cancel := context.WithTimeout(context.Background(), sweepTimeout)
 	defer cancel()
+	if !d.AllowedHere(seen.Binding) {
+		return
+	}
 	claim := seen
 	var err error
 	if seen.Owner != d.Ledger.Self {
@@ -263,8 +286,9 @@
 		return
 	}
 	d.announceOwner(OwnerHint{
-		Batch: claim.Batch,
-		Owner: claim.Owner,
+		Batch:   claim.Batch,
+		Owner:   claim.Owner,
+		Binding: claim.Binding,
 	})
 }
 
@@ -272,28 +296,7 @@
 // with the results and texts that it has of them so far.
 func (d *Coordinator) HandOver(ctx context.Context) {
 	for _, c := range d.Runner.Claims() {
-		to := FirstRanked(d.Registry.Members(), c.Batch)
-		if to.Name == "" {
-			continue
-		}
-		owner := ledger.Owner{
-			Instance:    to.Name,
-			Incarnation: to.Incarnation,
-			Address:     to.PeerAddress,
-		}
-		err := d.Runner.HandOver(ctx, c.Batch, owner)
-		if err == nil {
-			err = d.Peers.Adopt(ctx, owner.Address, c.Batch)
-		}
-		fields := log.Fields{
-			"request_id": c.Batch,
-			"to":         to.Name,
-		}
-		if err != nil {
-			d.Journal.Warn("hand-over not finished", err, fields)
-			continue
-		}
-		d.Journal.Decision("hand_over", fields)
+		d.handOver(ctx, c, "leaving")
 	}
 }
 
--- a/internal/batch/ledger/append.go
+++ b/internal/batch/ledger/append.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	owner, err := json.Marshal(to)
+	owner, err := encodeClaim(to, c.Binding)
 	if err != nil {
 		return err
 	}
--- a/internal/batch/ledger/ledger.go
+++ b/internal/batch/ledger/ledger.go
@@ -64,6 +64,8 @@
 	Batch    string
 	Owner    Owner
 	Revision uint64
+	// Binding determines the regions of the batch.
+	Binding submission.Binding
 	// Chunks is the number of chunks of results that the holder of the claim has written
 	// or read.
 	Chunks int
@@ -72,6 +74,20 @@
 	AlreadyAccepted bool
 }
 
+// storedClaim is the stored form of a claim.
+type storedClaim struct {
+	Owner
+	Binding submission.Binding `json:"binding"`
+}
+
+// encodeClaim returns the stored form of the claim of an owner.
+func encodeClaim(owner Owner, binding submission.Binding) ([]byte, error) {
+	return json.Marshal(storedClaim{
+		Owner:   owner,
+		Binding: binding,
+	})
+}
+
 // Record is everything that is stored of a batch.
 type Record struct {
 	Submission *submission.Submission
@@ -101,7 +117,7 @@
 	if err != nil {
 		return Claim{}, err
 	}
-	owner, err := json.Marshal(l.Self)
+	owner, err := encodeClaim(l.Self, sub.Binding())
 	if err != nil {
 		return Claim{}, err
 	}
@@ -133,6 +149,7 @@
 			Batch:    sub.ID,
 			Owner:    l.Self,
 			Revision: rev,
+			Binding:  sub.Binding(),
 		}, nil
 	case errors.As(err, &conflict):
 		return l.claimIfOurs(conflict.Item(openPrefix+sub.ID), sub.ID)
@@ -145,14 +162,15 @@
 // claimIfOurs returns the claim on a stored batch if its owner is this process, and
 // ErrExists otherwise. item is the stored owner.
 func (l *Ledger) claimIfOurs(item keyvalue.Item, id string) (Claim, error) {
-	var owner Owner
-	if item.Revision == 0 || json.Unmarshal(item.Value, &owner) != nil || owner != l.Self {
+	var stored storedClaim
+	if item.Revision == 0 || json.Unmarshal(item.Value, &stored) != nil || stored.Owner != l.Self {
 		return Claim{}, ErrExists
 	}
 	return Claim{
 		Batch:           id,
-		Owner:           owner,
+		Owner:           stored.Owner,
 		Revision:        item.Revision,
+		Binding:         stored.Binding,
 		AlreadyAccepted: true,
 	}, nil
 }
@@ -248,14 +266,30 @@
 	return decodeClaim(item)
 }
 
+// Accepted reports whether a batch was accepted, also if it has ended since.
+func (l *Ledger) Accepted(ctx context.Context, id string) (bool, error) {
+	for _, key := range []string{openPrefix + id, partKey(id, 0)} {
+		_, err := l.Store.Get(ctx, key)
+		if !errors.Is(err, keyvalue.ErrNotFound) {
+			return err == nil, err
+		}
+	}
+	return false, nil
+}
+
 func decodeClaim(item keyvalue.Item) (Claim, error) {
 	c := Claim{
 		Batch:    strings.TrimPrefix(item.Key, openPrefix),
 		Revision: item.Revision,
 	}
-	if err := json.Unmarshal(item.Value, &c.Owner); err != nil {
+	var stored storedClaim
+	if err := json.Unmarshal(item.Value, &stored); err != nil {
 		return c, fmt.Errorf("claim on batch %s: %w; it was written by another release", c.Batch, err)
 	}
+	c.Owner, c.Binding = stored.Owner, stored.Binding
+	if c.Binding.Host == "" {
+		c.Binding = submission.IDBinding(c.Batch)
+	}
 	return c, nil
 }
 
@@ -283,7 +317,7 @@
 // owner for dead, and that owner would go on answering reads without the results of the
 // new one.
 func (l *Ledger) TakeOver(ctx context.Context, seen Claim, livenessKey string) (Claim, error) {
-	owner, err := json.Marshal(l.Self)
+	owner, err := encodeClaim(l.Self, seen.Binding)
 	if err != nil {
 		return Claim{}, err
 	}
@@ -308,6 +342,7 @@
 		Batch:    seen.Batch,
 		Owner:    l.Self,
 		Revision: rev,
+		Binding:  seen.Binding,
 	}, err
 }
 
--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -12,6 +12,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/kernel/wake"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 // Batch is the state of a batch that this process owns.
@@ -19,6 +20,9 @@
 	sub     *submission.Submission
 	route   catalog.Route
 	service string
+	// cfg is the configuration by which regions, the allowed regions, was looked up.
+	cfg     *catalog.Configuration
+	regions residency.Regions
 	ctx     context.Context
 	cancel  context.CancelFunc
 	// startedAt is when this process started to work on the batch.
--- a/internal/batch/runner/changes.go
+++ b/internal/batch/runner/changes.go
@@ -40,12 +40,12 @@
 }
 
 // Changes implements standby.Work.
-func (r *Runner) Changes(since standby.Marks) (open []string, deltas []standby.BatchDelta, updated standby.Marks) {
+func (r *Runner) Changes(since standby.Marks, skip func(string) bool) (open []string, deltas []standby.BatchDelta, updated standby.Marks) {
 	batches := r.allBatches()
 	updated = make(standby.Marks, len(batches))
 	for _, b := range batches {
 		b.mu.Lock()
-		if b.replicated() {
+		if b.replicated() && (skip == nil || !skip(b.sub.ID)) {
 			open = append(open, b.sub.ID)
 			delta, marks := b.changesSince(since[b.sub.ID])
 			updated[b.sub.ID] = marks
@@ -65,6 +65,9 @@
 		Batch: b.sub.ID,
 		Whole: since == nil,
 	}
+	if d.Whole {
+		d.Binding = b.sub.Binding()
+	}
 	marks := make(map[string]int, len(b.tasks))
 	for id, t := range b.tasks {
 		mark, known := since[id]
--- a/internal/batch/runner/changes_test.go
+++ b/internal/batch/runner/changes_test.go
@@ -103,13 +103,13 @@
 	})
 	is.NoErr(b.submit("x"))
 	is.True(eventually(func() bool {
-		_, deltas, _ := b.runner.Changes(nil)
+		_, deltas, _ := b.runner.Changes(nil, nil)
 		return len(deltas) == 1 && len(deltas[0].Pieces) == 1 && len(deltas[0].Pieces[0].Events) == 3
 	}))
 	b.store.Fault = func(memorystore.Operation) memorystore.Fault { return memorystore.Down }
 	err := b.runner.HandOver(context.Background(), "b", ledger.Owner{Instance: "next"})
 	is.True(errors.Is(err, keyvalue.ErrUnavailable))
-	open, deltas, _ := b.runner.Changes(nil)
+	open, deltas, _ := b.runner.Changes(nil, nil)
 	is.Equal(open, []string{"b"})
 	is.Equal(len(deltas[0].Pieces[0].Events), 3)
 }
@@ -128,15 +128,15 @@
 	})
 	is.NoErr(b.submit("x", "y"))
 	is.Equal(len(b.waitForResults(1)), 1)
-	_, deltas, marks := b.runner.Changes(nil)
+	_, deltas, marks := b.runner.Changes(nil, nil)
 	is.Equal(len(deltas[0].Pieces), 1) // x is listed already
 	is.Equal(deltas[0].Pieces[0].Item, "y")
-	_, deltas, _ = b.runner.Changes(marks)
+	_, deltas, _ = b.runner.Changes(marks, nil)
 	is.Equal(len(deltas), 0)
 	close(proceed)
 	is.Equal(len(b.waitForResults(2)), 2)
 	is.True(eventually(func() bool {
-		open, _, _ := b.runner.Changes(marks)
+		open, _, _ := b.runner.Changes(marks, nil)
 		return len(open) == 0
 	}))
 }
@@ -162,7 +162,7 @@
 	is.True(eventually(func() bool { return runs.Load() == 1 }))
 	var copies standby.Copies
 	is.True(eventually(func() bool {
-		open, deltas, _ := first.runner.Changes(nil)
+		open, deltas, _ := first.runner.Changes(nil, nil)
 		is.NoErr(copies.Apply(standby.Heartbeat{Open: open, Deltas: deltas}, 1))
 		found, _ := copies.Find("b")
 		return len(found.Progress) == 1
--- a/internal/batch/runner/engines.go
+++ b/internal/batch/runner/engines.go
@@ -107,7 +107,7 @@
 	var candidates []candidate
 	memory := r.engineMemory(b.service)
 	models := r.engineModels(b, now)
-	group := r.Upstreams.Group(b.service)
+	group := r.engineGroup(b)
 	medianPace := group.Set.MedianPace()
 	for _, u := range group.Upstreams {
 		if !u.Usable(now) {
@@ -158,11 +158,11 @@
 
 // medianPace returns the median time between two events at the batch's engines.
 func (r *Runner) medianPace(b *Batch) time.Duration {
-	return time.Duration(r.Upstreams.Group(b.service).Set.MedianPace() * float64(time.Second))
+	return time.Duration(r.engineGroup(b).Set.MedianPace() * float64(time.Second))
 }
 
 // paceNoise returns by how much the measured paces of equal engines of the batch differ.
-func (r *Runner) paceNoise(b *Batch) float64 { return r.Upstreams.Group(b.service).Set.PaceNoise() }
+func (r *Runner) paceNoise(b *Batch) float64 { return r.engineGroup(b).Set.PaceNoise() }
 
 // pickAvoiding picks an engine for an item. It picks avoid, the engine that the
 // item has just left, only if no other one can take the item.
--- a/internal/batch/runner/metrics.go
+++ b/internal/batch/runner/metrics.go
@@ -16,6 +16,7 @@
 	tooLarge prometheus.Gauge
 	waiting  prometheus.Gauge
 	placed   *prometheus.CounterVec
+	refused  *prometheus.CounterVec
 }
 
 // NewMetrics creates and registers the runner's metrics.
@@ -31,7 +32,7 @@
 		}, []string{"outcome"}),
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretbend_item_moves_total",
-			Help: "Streams moved to another engine by reason: stalled, slow or faster.",
+			Help: "Streams moved to another engine by reason: stalled, slow, faster or region.",
 		}, []string{"reason"}),
 	}
 	m.lent = prometheus.NewGauge(prometheus.GaugeOpts{
@@ -55,7 +56,11 @@
 		Name: "egretbend_items_waiting_for_memory",
 		Help: "Items that wait because no engine has memory for them.",
 	})
-	reg.MustRegister(m.batches, m.attempts, m.moves, m.items, m.tooLarge, m.waiting, m.placed, m.lent)
+	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "egretbend_batches_refused_total",
+		Help: "Batches refused because of the regions in which they may run, by reason.",
+	}, []string{"reason"})
+	reg.MustRegister(m.refused, m.batches, m.attempts, m.moves, m.items, m.tooLarge, m.waiting, m.placed, m.lent)
 	return m
 }
 
@@ -65,6 +70,12 @@
 	}
 }
 
+func (m *Metrics) batchRefused(reason string) {
+	if m != nil {
+		m.refused.WithLabelValues(reason).Inc()
+	}
+}
+
 func (m *Metrics) setLent(engines int) {
 	if m != nil {
 		m.lent.Set(float64(engines))
--- a/internal/batch/runner/rank.go
+++ b/internal/batch/runner/rank.go
@@ -103,7 +103,7 @@
 	models := r.engineModels(b, now)
 	var engines []schedule.StepEngine
 	items := b.itemsByEngine()
-	for _, u := range r.Upstreams.Group(b.service).Upstreams {
+	for _, u := range r.engineGroup(b).Upstreams {
 		if u.Usable(now) && u.ModelVersion(b.sub.Model)+1 >= b.sub.OldestVersion {
 			slots := max(1, u.Slots)
 			otherModel := b.isOtherModel(models[u.ID])
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -205,7 +205,9 @@
 // startBatch adds a batch to those of this process and starts to work on it.
 func (r *Runner) startBatch(b *Batch, route catalog.Route, decision string) {
 	b.route = route
-	b.service = route.ChooseService(rand.Float64())
+	b.mu.Lock()
+	b.service = r.Upstreams.ChooseService(route, r.allowedRegions(b), rand.Float64())
+	b.mu.Unlock()
 	after := route.GiveUpAfter
 	if after == 0 {
 		after = defaultGiveUpAfter
--- a/internal/batch/runner/watch.go
+++ b/internal/batch/runner/watch.go
@@ -96,6 +96,7 @@
 	r.estimateEnd(b, now)
 	b.releaseReads(now)
 	r.measurePaces(b, now)
+	r.moveOutOfRegions(b, now)
 	r.moveFailing(b, now)
 	r.moveToFaster(b, now)
 	b.mu.Unlock()
--- a/internal/batch/standby/copies.go
+++ b/internal/batch/standby/copies.go
@@ -32,6 +32,9 @@
 // Copies holds copies of the batches of other instances, and the last heartbeat of each
 // owner. Its zero value is empty.
 type Copies struct {
+	// Allowed reports whether a batch may be stored at this instance; nil means that all may.
+	Allowed func(submission.Binding) bool
+
 	mu      sync.Mutex
 	batches map[string]*batchCopy
 	owners  map[string]LastHeartbeat
@@ -47,8 +50,11 @@
 type batchCopy struct {
 	owner     ledger.Owner
 	renewedAt timer.Instant
-	results   map[string]submission.Result
-	progress  map[string]submission.Progress
+	binding   submission.Binding
+	// refused says that the batch must not be stored here, so that nothing of it is kept.
+	refused  bool
+	results  map[string]submission.Result
+	progress map[string]submission.Progress
 }
 
 // Apply applies a heartbeat. It returns ErrGap if events before it are missing.
@@ -71,6 +77,8 @@
 		if d.Whole {
 			held = &batchCopy{
 				owner:    h.Owner,
+				binding:  d.Binding,
+				refused:  !c.allows(d.Binding),
 				results:  make(map[string]submission.Result),
 				progress: make(map[string]submission.Progress),
 			}
@@ -80,6 +88,9 @@
 			return ErrGap
 		}
 		held.renewedAt = now
+		if held.refused {
+			continue
+		}
 		for _, p := range d.Pieces {
 			if !held.apply(p) {
 				delete(c.batches, d.Batch)
@@ -89,13 +100,33 @@
 	}
 	c.evictOldest()
 	for _, id := range h.Open {
-		if held := c.batches[id]; held == nil || held.owner != h.Owner {
+		held := c.batches[id]
+		if held == nil || held.owner != h.Owner {
+			return ErrGap
+		}
+		if held.refused && c.allows(held.binding) {
+			delete(c.batches, id)
 			return ErrGap
 		}
 	}
 	return nil
 }
 
+// allows reports whether a batch may be stored here.
+func (c *Copies) allows(b submission.Binding) bool { return c.Allowed == nil || c.Allowed(b) }
+
+// DropDisallowed drops the copies of batches that may no longer be stored here.
+func (c *Copies) DropDisallowed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, held := range c.batches {
+		if !c.allows(held.binding) {
+			held.refused = true
+			held.results, held.progress = nil, nil
+		}
+	}
+}
+
 // dropStale drops the batches that the sender no longer runs, and copies older than copyTTL.
 // Copies of an instance's previous incarnation stay, since the new incarnation fetches
 // them. c.mu is held.
@@ -154,7 +185,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held := c.batches[batch]
-	if held == nil {
+	if held == nil || held.refused {
 		return Copy{}, false
 	}
 	var found Copy
--- a/internal/batch/standby/copies_test.go
+++ b/internal/batch/standby/copies_test.go
@@ -14,6 +14,7 @@
 	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/batch/submission"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/route/residency"
 	"github.com/egretbend/egretbend/internal/standin/property"
 )
 
@@ -34,8 +35,8 @@
 func (b *fakeWork) Busy() bool { return !b.idle }
 
 // Changes implements Work.
-func (b *fakeWork) Changes(since Marks) ([]string, []BatchDelta, Marks) {
-	if b.idle {
+func (b *fakeWork) Changes(since Marks, skip func(string) bool) ([]string, []BatchDelta, Marks) {
+	if b.idle || skip("b") {
 		return nil, nil, Marks{}
 	}
 	d := BatchDelta{
@@ -310,3 +311,56 @@
 	is.Equal(<-peers.got, "first 500ms")
 	is.Equal(len(peers.got), 0)
 }
+
+// Guards against copies of a batch at a successor in a region that is not allowed, and against
+// one that stays there when the region is no longer allowed.
+func TestCopiesStayInAllowedRegions(t *testing.T) {
+	is := is.New(t)
+	north := residency.FromList([]string{"north"})
+	restrictions := map[string]residency.Regions{"b": north}
+	copies := map[string]*Copies{"south1": {}, "north1": {}}
+	s := &Sender{
+		Self:             ownerA,
+		Lease:            func() uint64 { return 1 },
+		Work:             &fakeWork{texts: map[string][]string{"x": {"e1"}}},
+		HasUrgentWork:    func() bool { return false },
+		Successors:       func() []string { return []string{"south1"} },
+		Restrictions:     func() map[string]residency.Regions { return restrictions },
+		RegionSuccessors: func(residency.Regions) []string { return []string{"north1"} },
+		Peers:            copyReceivers{copies: copies},
+		Timer:            &timer.Manual{},
+	}
+	has := func(address string) bool {
+		_, ok := copies[address].Find("b")
+		return ok
+	}
+	s.sendHeartbeats(context.Background(), true)
+	is.True(has("north1") && !has("south1"))
+	is.Equal(copies["north1"].lastHeartbeats()[0].Heartbeat.SuccessorRank, 1)
+	restrictions = nil // the batch may be stored anywhere
+	s.sendHeartbeats(context.Background(), true)
+	is.True(has("south1"))
+	restrictions = map[string]residency.Regions{"b": north}
+	s.sendHeartbeats(context.Background(), true)
+	is.True(has("north1") && !has("south1"))
+	copies["north1"].Allowed = func(submission.Binding) bool { return false }
+	copies["north1"].DropDisallowed()
+	is.True(!has("north1"))
+	s.sendHeartbeats(context.Background(), true)
+	is.True(!has("north1"))
+	copies["north1"].Allowed = nil
+	s.sendHeartbeats(context.Background(), true) // reports that the copy is missing
+	s.sendHeartbeats(context.Background(), true)
+	is.True(has("north1"))
+}
+
+// copyReceivers are successors by address.
+type copyReceivers struct {
+	copyHolders
+	copies map[string]*Copies
+}
+
+// Send implements Peers.
+func (r copyReceivers) Send(_ context.Context, address string, h Heartbeat) error {
+	return r.copies[address].Apply(h, 0)
+}
--- a/internal/batch/standby/heartbeat.go
+++ b/internal/batch/standby/heartbeat.go
@@ -28,6 +28,8 @@
 	// Whole means that the pieces hold the whole batch, not only changes.
 	Whole  bool
 	Pieces []ItemDelta
+	// Binding determines the regions of the batch. It is set if Whole is.
+	Binding submission.Binding
 }
 
 // Heartbeat tells a successor that its sender is alive, and the changes of its batches.
@@ -45,6 +47,9 @@
 	Deltas []BatchDelta
 	// UnixMicro is the sender's time of day, in microseconds since the start of 1970.
 	UnixMicro int64
+	// SuccessorRank is the position of the receiver, from 1, if it is a successor only for
+	// batches that are restricted to regions; 0 otherwise.
+	SuccessorRank int
 }
 
 // ResultReceived is the mark of an item whose result the receiver has.
--- a/internal/batch/standby/sender.go
+++ b/internal/batch/standby/sender.go
@@ -13,6 +13,7 @@
 	"github.com/egretbend/egretbend/internal/batch/ledger"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 // Intervals of heartbeats.
@@ -30,8 +31,9 @@
 	// Busy reports whether any batch is open.
 	Busy() bool
 	// Changes returns the open batches, their changes since the marks of a receiver, and
-	// the marks of the receiver once it has these changes.
-	Changes(since Marks) (open []string, deltas []BatchDelta, after Marks)
+	// the marks of the receiver once it has these changes. It leaves out the batches for which
+	// skip returns true; a nil skip leaves out none.
+	Changes(since Marks, skip func(batch string) bool) (open []string, deltas []BatchDelta, after Marks)
 }
 
 // Sender sends heartbeats to the successors of this instance.
@@ -45,9 +47,15 @@
 	HasUrgentWork func() bool
 	// Successors returns the peer addresses of the instances that would take over.
 	Successors func() []string
-	Peers      Peers
-	Timer      timer.Service
-	Journal    *journal.Journal
+	// Restrictions returns the regions in which open batches may be stored, by batch, without
+	// those that may be stored anywhere. Nil means that there are none.
+	Restrictions func() map[string]residency.Regions
+	// RegionSuccessors returns the peer addresses of the instances that would take over batches
+	// which may be stored only in some regions.
+	RegionSuccessors func(residency.Regions) []string
+	Peers            Peers
+	Timer            timer.Service
+	Journal          *journal.Journal
 
 	mu sync.Mutex
 	// marks are the marks of each successor by address; nil or missing means that it has
@@ -70,8 +78,9 @@
 func (s *Sender) SendFinal(ctx context.Context) {
 	leaves := s.Work.Busy() || s.HasUrgentWork()
 	var wg sync.WaitGroup
-	for _, address := range s.Successors() {
-		wg.Go(func() { s.send(ctx, address, 0, leaves) })
+	p := s.newPlan(s.Successors())
+	for _, address := range p.addresses() {
+		wg.Go(func() { s.send(ctx, p, address, 0, leaves) })
 	}
 	wg.Wait()
 }
@@ -88,13 +97,14 @@
 		successors = successors[:min(1, len(successors))]
 	}
 	var wg sync.WaitGroup
-	due, former := s.startSends(successors)
+	p := s.newPlan(successors)
+	due, former := s.startSends(p.addresses())
 	for _, address := range former {
-		wg.Go(func() { s.send(ctx, address, 0, false) })
+		wg.Go(func() { s.send(ctx, p, address, 0, false) })
 	}
 	for _, address := range due {
 		wg.Go(func() {
-			s.send(ctx, address, interval, false)
+			s.send(ctx, p, address, interval, false)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			delete(s.sending, address)
@@ -131,11 +141,11 @@
 }
 
 // send sends one heartbeat and updates the marks of the successor.
-func (s *Sender) send(ctx context.Context, address string, interval time.Duration, leaves bool) {
+func (s *Sender) send(ctx context.Context, p plan, address string, interval time.Duration, leaves bool) {
 	s.mu.Lock()
 	since := s.marks[address]
 	s.mu.Unlock()
-	open, deltas, after := s.Work.Changes(since)
+	open, deltas, after := s.Work.Changes(since, func(batch string) bool { return !p.receives(address, batch) })
 	err := s.Peers.Send(ctx, address, Heartbeat{
 		Owner:     s.Self,
 		Lease:     s.Lease(),
@@ -144,6 +154,8 @@
 		Leaves:    leaves,
 		Deltas:    deltas,
 		UnixMicro: time.Now().UnixMicro(),
+
+		SuccessorRank: p.rank(address),
 	})
 	switch {
 	case err == nil:
--- a/internal/batch/standby/watcher.go
+++ b/internal/batch/standby/watcher.go
@@ -83,6 +83,9 @@
 			continue
 		}
 		rank := w.Rank(h.Heartbeat.Owner.Instance)
+		if rank < 0 && h.Heartbeat.SuccessorRank > 0 {
+			rank = h.Heartbeat.SuccessorRank - 1
+		}
 		if rank < 0 {
 			// Other instances are its successors now and get its heartbeats.
 			w.Copies.forgetOwner(h.Heartbeat.Owner)
--- a/internal/batch/submission/submission.go
+++ b/internal/batch/submission/submission.go
@@ -60,8 +60,11 @@
 	// WantedGroups is the number of whole groups that the trainer waits for.
 	WantedGroups int `json:"wanted_groups,omitempty"`
 	// SubmittedMS is the time of the first submission in Unix milliseconds.
-	SubmittedMS int64  `json:"submitted_ms"`
-	Items       []Item `json:"items"`
+	SubmittedMS int64 `json:"submitted_ms"`
+	// Regions and ConfigVersion are as in Binding.
+	Regions       []string `json:"regions,omitempty"`
+	ConfigVersion uint64   `json:"config_version,omitempty"`
+	Items         []Item   `json:"items"`
 }
 
 // ScopedID returns the name of a batch among all instances. An organisation can't reach the
