weights: each model gets engines in the regions that its route allows

Cause: engines were divided among models whatever their regions, so a model could be given engines that its batches must not use. Change: the accepted steps tell the route of each model; before the first one, all routes to the service count. Engines that may serve the same models form a class, and the shares of the models in each class are balanced so that each gets as close to its share of all engines as its regions allow. Without a restricted route the division is computed as before.

--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -87,7 +87,7 @@
 	// OnAccepted is called for each batch that is accepted at any instance, with its
 	// number of items and the tokens that they are expected to generate. It may be
 	// nil.
-	OnAccepted func(model string, items int, tokens int64)
+	OnAccepted func(hint OwnerHint)
 	// Config finds the route of a batch that another instance forwards.
 	Config *catalog.Holder
 
@@ -307,7 +307,7 @@
 func (d *Coordinator) RecordOwner(hint OwnerHint) {
 	d.recordBinding(hint.Batch, hint.Binding)
 	if hint.Model != "" && d.OnAccepted != nil {
-		d.OnAccepted(hint.Model, hint.Items, hint.Work)
+		d.OnAccepted(hint)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/fleet/weights/assign.go
+++ b/internal/fleet/weights/assign.go
@@ -86,7 +86,12 @@
 // that are filled least relative to their shares. A set that is below its share, as after
 // the loss of its engines, gets engines from the set that is filled most.
 func Assign(engines []Engine, models []string, latest map[string]uint64, demand Demand) map[string]string {
-	a := newAssigner(engines, models, demand.shares(models))
+	return assignByShares(engines, models, latest, demand.shares(models))
+}
+
+// assignByShares divides engines as Assign does, by given shares.
+func assignByShares(engines []Engine, models []string, latest map[string]uint64, shares map[string]float64) map[string]string {
+	a := newAssigner(engines, models, shares)
 	if len(models) == 0 {
 		return a.modelOf
 	}
--- a/internal/fleet/weights/assignment.go
+++ b/internal/fleet/weights/assignment.go
@@ -195,6 +195,7 @@
 		}
 		engines = append(engines, Engine{
 			ID:       u.ID,
+			Region:   u.Listed().Region,
 			Versions: versions,
 		})
 	}
@@ -209,8 +210,19 @@
 	if d != nil {
 		o.reportDivision(service, d, now)
 	}
-	if shares == nil || o.missesStep(d, now) {
-		return Assign(engines, models, latest, o.demand)
+	byNeed := shares != nil && !o.missesStep(d, now)
+	if !byNeed {
+		shares = o.demand.shares(models)
 	}
-	return AssignByNeed(engines, models, latest, shares, d.stepping(now))
+	assign := func(engines []Engine, models []string, shares map[string]float64) map[string]string {
+		if byNeed {
+			return AssignByNeed(engines, models, latest, shares, d.stepping(now))
+		}
+		return assignByShares(engines, models, latest, shares)
+	}
+	regions := o.modelRegions(service, models)
+	if regions == nil {
+		return assign(engines, models, shares)
+	}
+	return assignInRegions(engines, models, shares, regions, assign)
 }
--- a/internal/fleet/weights/orderer.go
+++ b/internal/fleet/weights/orderer.go
@@ -116,6 +116,8 @@
 	// latest holds the latest published version of each model.
 	latest map[string]uint64
 	demand Demand
+	// origins holds where the last step of each model was submitted.
+	origins map[string]origin
 	// stepRequestedAt holds the time of the last step request of each model.
 	stepRequestedAt map[string]timer.Instant
 	// divisions holds the division by need of each service.
--- a/internal/fleet/weights/plan.go
+++ b/internal/fleet/weights/plan.go
@@ -7,6 +7,8 @@
 // Engine is the state of an engine as Plan and Assign see it.
 type Engine struct {
 	ID string
+	// Region is the region of the engine, or empty if it is unknown.
+	Region string
 	// Versions holds the version of each model's weights on the engine.
 	Versions map[string]uint64
 	// Loading is the model whose weights the engine is loading, if any.
--- a/internal/fleet/weights/view.go
+++ b/internal/fleet/weights/view.go
@@ -18,6 +18,7 @@
 	}
 	e := Engine{
 		ID:          u.ID,
+		Region:      l.Region,
 		Versions:    versions,
 		Utilization: u.Load(now),
 	}
