configuration, questionnaire: allowed_regions of deployments and organisations

Cause: our own interface had no setting for the regions in which requests may be served. Change: allowed_regions in deployments and organisations, in the answers about services, models and organisations, in the generated configuration with its reason, and in the schemas. An empty list, an empty name and a duplicate are refused by name of the field. The interview asks for the entries of lists of texts one by one; it failed on them before, for key_digests too. Tests: the scripted interview has the new question.

--- a/internal/fleet/configuration/configuration.go
+++ b/internal/fleet/configuration/configuration.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/egretbend/egretbend/internal/kernel/setting"
 	"github.com/egretbend/egretbend/internal/route/organisation"
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 // Format is the version of the configuration format.
@@ -29,6 +31,8 @@
 	Name       string   `json:"name" need:"true" doc:"name of the organisation"`
 	KeyDigests []string `json:"key_digests" doc:"SHA-256 digests of its keys in hexadecimal, as printed by egretbend digest"`
 	Priority   string   `json:"priority" default:"interactive" oneof:"interactive,training,background" doc:"highest priority of its requests; goes before that of a caller"`
+	// AllowedRegions are the regions in which its requests may be served; nil allows all.
+	AllowedRegions []string `json:"allowed_regions,omitempty" doc:"regions in which its requests may be served; without the list, all regions of the deployment"`
 }
 
 // Kind is the type of a deployment's upstreams.
@@ -69,8 +73,13 @@
 	MaxConcurrentFetches int       `json:"fetches_at_once" default:"4" min:"1" max:"10000" doc:"engines that fetch weights at the same time, over all shards"`
 	Staleness            Staleness `json:"staleness" doc:"how old a sample may be (models)"`
 	Rounds               Rounds    `json:"rounds" doc:"how steps are worked off (models)"`
+	// AllowedRegions are the regions in which its requests may be served; nil allows all.
+	AllowedRegions []string `json:"allowed_regions,omitempty" doc:"regions in which its requests may be served and its samples copied; without the list, all regions"`
 }
 
+// Regions returns the regions in which requests of the deployment may be served.
+func (d Deployment) Regions() residency.Regions { return residency.FromList(d.AllowedRegions) }
+
 // Staleness bounds the age of samples.
 type Staleness struct {
 	MaxVersions uint64 `json:"max_versions" default:"4" max:"1000000" doc:"most versions between a sample's oldest version and the newest published one"`
@@ -119,10 +128,43 @@
 			})
 		}
 		seen[d.Name] = true
+		faults = append(faults, CheckRegions(fmt.Sprintf("deployments[%d].allowed_regions", i), d.AllowedRegions)...)
 	}
 	return append(faults, c.checkOrganisations()...)
 }
 
+// CheckRegions returns the mistakes in a list of allowed regions at a path: a list that allows
+// nothing, and names that are empty or listed twice. Which regions there are is not known before
+// instances run.
+func CheckRegions(path string, regions []string) []setting.FieldError {
+	var faults []setting.FieldError
+	if regions != nil && len(regions) == 0 {
+		faults = append(faults, setting.FieldError{
+			Path:     path,
+			Expected: "at least one region",
+			Got:      "[]",
+			Remedy:   "name a region, or remove the list to allow all regions",
+		})
+	}
+	for i, region := range regions {
+		if region == "" || slices.Contains(regions[:i], region) {
+			faults = append(faults, setting.FieldError{
+				Path:     fmt.Sprintf("%s[%d]", path, i),
+				Expected: "the name of a region, once",
+				Got:      fmt.Sprintf("%q", region),
+				Remedy:   "use the name in the settings of the instances there",
+			})
+		}
+	}
+	return faults
+}
+
+// Restricted reports whether any deployment or organisation is restricted to regions.
+func (c *Configuration) Restricted() bool {
+	return slices.ContainsFunc(c.Deployments, func(d Deployment) bool { return d.AllowedRegions != nil }) ||
+		slices.ContainsFunc(c.Organisations, func(o Organisation) bool { return o.AllowedRegions != nil })
+}
+
 // checkOrganisations reports duplicate names, invalid digests and keys listed more
 // than once.
 func (c *Configuration) checkOrganisations() []setting.FieldError {
@@ -140,6 +182,7 @@
 			})
 		}
 		names[o.Name] = true
+		faults = append(faults, CheckRegions(path+".allowed_regions", o.AllowedRegions)...)
 		for j, text := range o.KeyDigests {
 			fault := setting.FieldError{
 				Path: fmt.Sprintf("%s.key_digests[%d]", path, j),
@@ -171,7 +214,8 @@
 	list := make([]organisation.Organisation, 0, len(c.Organisations))
 	for _, o := range c.Organisations {
 		entry := organisation.Organisation{
-			Name: o.Name,
+			Name:    o.Name,
+			Regions: residency.FromList(o.AllowedRegions),
 		}
 		for _, text := range o.KeyDigests {
 			// Validate has rejected invalid digests.
--- a/internal/fleet/questionnaire/answers.go
+++ b/internal/fleet/questionnaire/answers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/egretbend/egretbend/internal/fleet/configuration"
 	"github.com/egretbend/egretbend/internal/kernel/setting"
 )
 
@@ -35,6 +36,8 @@
 	RepeatHarms     bool   `json:"repeat_harms" default:"true" doc:"whether it would do harm to run some of its requests twice"`
 	EchoesAttempt   bool   `json:"echoes_attempt" default:"false" doc:"whether it answers with the Egretbend-Attempt header that it was sent"`
 	LargestAnswerKB int64  `json:"largest_answer_kb" default:"1024" min:"1" max:"1048576" doc:"its largest answer, in kilobytes"`
+	// AllowedRegions is nil if all regions are allowed; it is the same in the other answers.
+	AllowedRegions []string `json:"allowed_regions,omitempty" doc:"regions in which its requests may be served and stored; none means all"`
 }
 
 // Model describes a model and its trainers.
@@ -55,6 +58,7 @@
 	SamplesPerStep   int       `json:"samples_per_step" default:"128" min:"1" max:"65536" doc:"samples in a step"`
 	FetchesAtOnce    int       `json:"fetches_at_once" default:"4" min:"1" max:"10000" doc:"engines that may fetch from the weight store at the same time"`
 	Trainers         []Trainer `json:"trainers" doc:"trainers that share its engines"`
+	AllowedRegions   []string  `json:"allowed_regions,omitempty" doc:"regions in which its requests may be served and stored; none means all"`
 }
 
 // Trainer describes a trainer of a model.
@@ -76,7 +80,8 @@
 	Name       string   `json:"name" need:"true" doc:"name of the organisation"`
 	KeyDigests []string `json:"key_digests" doc:"digests of its keys, as printed by egretbend digest"`
 	// WhoWaits says who waits for its answers.
-	WhoWaits string `json:"who_waits" default:"a_person" oneof:"a_person,a_trainer,nobody" doc:"who waits for its answers"`
+	WhoWaits       string   `json:"who_waits" default:"a_person" oneof:"a_person,a_trainer,nobody" doc:"who waits for its answers"`
+	AllowedRegions []string `json:"allowed_regions,omitempty" doc:"regions in which its requests may be served and stored; none means all"`
 }
 
 // Validate implements setting.Validator. It rejects answers that contradict each other.
@@ -90,6 +95,15 @@
 			Remedy:   "describe what is to be served",
 		})
 	}
+	for i, s := range a.Services {
+		faults = append(faults, configuration.CheckRegions(fmt.Sprintf("services[%d].allowed_regions", i), s.AllowedRegions)...)
+	}
+	for i, m := range a.Models {
+		faults = append(faults, configuration.CheckRegions(fmt.Sprintf("models[%d].allowed_regions", i), m.AllowedRegions)...)
+	}
+	for i, o := range a.Organisations {
+		faults = append(faults, configuration.CheckRegions(fmt.Sprintf("organisations[%d].allowed_regions", i), o.AllowedRegions)...)
+	}
 	for i := range a.Models {
 		faults = append(faults, a.Models[i].check(fmt.Sprintf("models[%d]", i))...)
 	}
--- a/internal/fleet/questionnaire/generate.go
+++ b/internal/fleet/questionnaire/generate.go
@@ -126,6 +126,7 @@
 	d.EchoesAttempt = withReason(g, path+".echoes_attempt", s.EchoesAttempt, answerPath+"echoes_attempt",
 		"without the echo each connection carries one request, so that answers can't be mixed up")
 	d.MaxAnswerBytes = withReason(g, path+".max_answer_bytes", s.LargestAnswerKB<<10, answerPath+"largest_answer_kb", "a larger answer cannot come from the service")
+	d.AllowedRegions = g.regions(path+".allowed_regions", answerPath+"allowed_regions", s.AllowedRegions)
 	attempts := 3
 	if s.RepeatHarms {
 		attempts = 2
@@ -164,6 +165,7 @@
 	d.MaxConcurrentFetches = withReason(g, path+".fetches_at_once", max(m.FetchesAtOnce, d.Shards), answerPath+"fetches_at_once", "the weight store is rate-limited")
 	d.Staleness.MaxVersions = withReason(g, path+".staleness.max_versions", m.OldestVersions, answerPath+"oldest_versions", "no sample is handed over beyond it")
 	d.Staleness.MaxAgeMS = withReason(g, path+".staleness.max_age_ms", m.OldestSeconds*1000, answerPath+"oldest_seconds", "no sample is handed over beyond it")
+	d.AllowedRegions = g.regions(path+".allowed_regions", answerPath+"allowed_regions", m.AllowedRegions)
 	g.setRounds(&d, path+".rounds", answerPath, m)
 	return d
 }
@@ -207,10 +209,19 @@
 		Name: o.Name,
 		KeyDigests: withReason(g, path+".key_digests", o.KeyDigests, path+".key_digests",
 			"a configuration holds only digests of keys, not the keys"),
-		Priority: g.priority(path, o.WhoWaits),
+		Priority:       g.priority(path, o.WhoWaits),
+		AllowedRegions: g.regions(path+".allowed_regions", path+".allowed_regions", o.AllowedRegions),
 	}
 }
 
+// regions returns a list of allowed regions, with a reason if there is one.
+func (g *generator) regions(path, answerPath string, regions []string) []string {
+	if regions == nil {
+		return nil
+	}
+	return withReason(g, path, regions, answerPath, "requests must not be served or stored in other regions")
+}
+
 func (g *generator) caller(i int, c Caller) configuration.Caller {
 	return configuration.Caller{
 		Name:     c.Name,
--- a/internal/fleet/questionnaire/interview.go
+++ b/internal/fleet/questionnaire/interview.go
@@ -154,6 +154,13 @@
 			continue
 		}
 		for n := range value.(int) {
+			if isText(field.Type.Elem()) {
+				path := fmt.Sprintf("%s[%d]", fieldPath, n)
+				if _, answered := values[path]; !answered {
+					return newTextQuestion(field, path), true
+				}
+				continue
+			}
 			if q, ok := nextQuestion(field.Type.Elem(), fmt.Sprintf("%s[%d]", fieldPath, n), values); ok {
 				return q, true
 			}
@@ -177,6 +184,19 @@
 	return q
 }
 
+// isText reports whether the entries of a list are texts, and not objects with fields.
+func isText(t reflect.Type) bool { return t.Kind() == reflect.String }
+
+// newTextQuestion asks for one entry of a list of texts.
+func newTextQuestion(field reflect.StructField, path string) question {
+	return question{
+		path:     path,
+		kind:     reflect.String,
+		doc:      field.Tag.Get("doc"),
+		required: true,
+	}
+}
+
 func (q question) prompt() string {
 	text := q.path
 	if q.kind == reflect.Slice {
@@ -242,6 +262,18 @@
 			continue
 		}
 		list := make([]any, 0, value.(int))
+		if isText(field.Type.Elem()) {
+			// Without an entry, the list is left out.
+			for n := range value.(int) {
+				if text, ok := values[fmt.Sprintf("%s[%d]", fieldPath, n)]; ok {
+					list = append(list, text)
+				}
+			}
+			if len(list) > 0 {
+				out[name] = list
+			}
+			continue
+		}
 		for n := range value.(int) {
 			list = append(list, buildObject(field.Type.Elem(), fmt.Sprintf("%s[%d]", fieldPath, n), values))
 		}
--- a/internal/fleet/questionnaire/questionnaire_test.go
+++ b/internal/fleet/questionnaire/questionnaire_test.go
@@ -60,6 +60,7 @@
 		"0", // no services
 		"1", "label", "writers", "", "", "", "", "",
 		"staleness", "100", "", "", "", "", "", "0", // a model whose samples may be too old
+		"1", "be-flanders", // the regions of the model
 		"0", "0", "", "", // callers, organisations, instances, replacing
 		"2", // the age again
 	}
@@ -83,4 +84,16 @@
 	d, ok := cfg.Deployment("label")
 	is.True(ok)
 	is.Equal(d.Rounds.Weighting, configuration.WeightStaleness)
+	is.Equal(d.AllowedRegions, []string{"be-flanders"})
+}
+
+// Guards against a list of regions that allows nothing, which would refuse every request.
+func TestListsOfRegionsAreChecked(t *testing.T) {
+	is := is.New(t)
+	_, err := questionnaire.Parse([]byte(`{"format": 1, "title": "t", "team": "t", "services": [
+		{"name": "s", "group": "g", "allowed_regions": []}], "organisations": [{"name": "o", "allowed_regions": ["a", "", "a"]}]}`))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "services[0].allowed_regions: expected at least one region"))
+	is.True(strings.Contains(err.Error(), "organisations[0].allowed_regions[1]"))
+	is.True(strings.Contains(err.Error(), "organisations[0].allowed_regions[2]"))
 }
