router, upstream, caller, rollout: the documented interface obeys allowed_regions

Cause: the documented interface chose upstreams and copy holders from all regions. Change: a deployment's set leaves out upstreams outside its regions, and a request uses the part that its organisation allows too; a configuration that changed applies to the next attempt. The instance list names no regions, so an upstream is in the region of the instances in its failure domain, and in none if no instance runs there. Copies of samples go to instances in allowed regions. Refusals have the kinds regions_empty and region_unavailable.

--- a/internal/entry/caller/completions.go
+++ b/internal/entry/caller/completions.go
@@ -71,14 +71,15 @@
 		stream: body.Stream,
 	}
 	task := stream.Task{
-		RequestID:  meta.requestID,
-		Caller:     meta.caller,
-		Priority:   meta.priority,
-		Weight:     meta.weight,
-		Deployment: deployment,
-		Prompt:     body.Prompt,
-		MaxTokens:  body.MaxTokens,
-		Seed:       body.Seed,
+		RequestID:    meta.requestID,
+		Caller:       meta.caller,
+		Priority:     meta.priority,
+		Weight:       meta.weight,
+		Deployment:   deployment,
+		Organisation: meta.identity.organisation,
+		Prompt:       body.Prompt,
+		MaxTokens:    body.MaxTokens,
+		Seed:         body.Seed,
 	}
 	admission, err := s.Generator.Admit(task)
 	if err != nil {
--- a/internal/entry/caller/services.go
+++ b/internal/entry/caller/services.go
@@ -39,16 +39,17 @@
 		path += "?" + r.URL.RawQuery
 	}
 	call := relay.Call{
-		RequestID:  meta.requestID,
-		Caller:     meta.caller,
-		Priority:   meta.priority,
-		Weight:     meta.weight,
-		Deployment: deployment,
-		Method:     r.Method,
-		Path:       path,
-		Header:     r.Header,
-		Body:       body,
-		Idempotent: meta.idempotent,
+		RequestID:    meta.requestID,
+		Caller:       meta.caller,
+		Priority:     meta.priority,
+		Weight:       meta.weight,
+		Deployment:   deployment,
+		Organisation: meta.identity.organisation,
+		Method:       r.Method,
+		Path:         path,
+		Header:       r.Header,
+		Body:         body,
+		Idempotent:   meta.idempotent,
 	}
 	if meta.idempotent {
 		ctx, cancel := meta.context(r.Context())
--- a/internal/rollout/runner/attempt.go
+++ b/internal/rollout/runner/attempt.go
@@ -164,7 +164,7 @@
 	if firstTokenAt == 0 {
 		firstTokenAt = now
 	}
-	if wanted && o.runner.copyToOtherDomain(o.ctx, o, s, raw, now.Sub(firstTokenAt), doneBelow) {
+	if wanted && o.runner.copyToOtherDomain(o.ctx, o, work.Deployment, s, raw, now.Sub(firstTokenAt), doneBelow) {
 		o.fence()
 	}
 	o.recordResult(work.Key, session.FinishedSample{
--- a/internal/rollout/runner/copies.go
+++ b/internal/rollout/runner/copies.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/peer"
 	"github.com/egretbend/egretbend/internal/rollout/copystore"
 	"github.com/egretbend/egretbend/internal/rollout/sample"
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 const (
@@ -27,10 +29,32 @@
 // of a step.
 func copyPlacementKey(trainer string, step uint64) string { return fmt.Sprintf("%s/%d", trainer, step) }
 
+// copyRegions returns the regions in which the samples of a deployment may be copied.
+func (r *Runner) copyRegions(deployment string) residency.Regions {
+	doc := r.Configuration.Current()
+	if doc == nil {
+		return residency.Regions{}
+	}
+	d, _ := doc.Parsed().Deployment(deployment)
+	return d.Regions()
+}
+
+// restricted reports whether any deployment or organisation is restricted to regions.
+func (r *Runner) restricted() bool {
+	doc := r.Configuration.Current()
+	return doc != nil && doc.Parsed().Restricted()
+}
+
 // copyToOtherDomain copies a finished sample to one instance in another failure
-// domain. It reports whether that instance answered that the session is fenced.
-func (r *Runner) copyToOtherDomain(ctx context.Context, o *openSession, s *sample.Sample, raw []byte, age time.Duration, doneBelow uint64) bool {
+// domain, in a region that the deployment allows. It reports whether that instance answered that the session is fenced.
+func (r *Runner) copyToOtherDomain(ctx context.Context, o *openSession, deployment string, s *sample.Sample, raw []byte, age time.Duration, doneBelow uint64) bool {
 	view := r.Members.View()
+	allowed := r.copyRegions(deployment)
+	if allowed.Restricted() {
+		part := *view
+		part.Alive = slices.DeleteFunc(slices.Clone(view.Alive), func(m member.Member) bool { return !allowed.Allows(m.Region) })
+		view = &part
+	}
 	for _, m := range view.TopOutside(view.Self.FailureDomain, copyPlacementKey(s.Trainer, s.Step), maxCopyTargets) {
 		if m.ID == view.Self.ID {
 			continue
@@ -93,7 +117,9 @@
 // the list has the first-ranked instances outside of each domain.
 func (r *Runner) copyHolders(trainer string, step uint64) []member.Member {
 	view := r.Members.View()
-	if len(view.Known) <= askAllMaxInstances {
+	// The instances that may hold copies depend on the deployments of the samples, which are not
+	// known here.
+	if len(view.Known) <= askAllMaxInstances || r.restricted() {
 		return view.Known
 	}
 	key := copyPlacementKey(trainer, step)
--- a/internal/rollout/stream/generator.go
+++ b/internal/rollout/stream/generator.go
@@ -38,9 +38,11 @@
 	Priority   limit.Priority
 	Weight     float64
 	Deployment string
-	Prompt     string
-	MaxTokens  int
-	Seed       uint64
+	// Organisation is the organisation whose allowed regions apply; it may be empty.
+	Organisation string
+	Prompt       string
+	MaxTokens    int
+	Seed         uint64
 	// Resume holds the tokens of an earlier attempt. The generation continues
 	// after them and does not emit them again.
 	Resume []string
@@ -86,6 +88,7 @@
 		Priority:       task.Priority,
 		Weight:         task.Weight,
 		Deployment:     task.Deployment,
+		Organisation:   task.Organisation,
 		PrefixHash:     prefixHash(task.Prompt),
 		BoundStaleness: task.BoundStaleness,
 		VersionLead:    task.VersionLead,
--- a/internal/route/relay/call.go
+++ b/internal/route/relay/call.go
@@ -31,11 +31,13 @@
 	Priority   limit.Priority
 	Weight     float64
 	Deployment string
-	Method     string
-	Path       string
-	Header     http.Header
-	Body       []byte
-	Idempotent bool
+	// Organisation is the organisation whose allowed regions apply; it may be empty.
+	Organisation string
+	Method       string
+	Path         string
+	Header       http.Header
+	Body         []byte
+	Idempotent   bool
 }
 
 // digest returns the digest that identifies the call when it is sent again.
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -35,12 +35,13 @@
 // repeated. The deadline is that of ctx.
 func (r *Relay) Do(ctx context.Context, c Call) (*Answer, error) {
 	dispatch, err := r.Router.Admit(router.Request{
-		RequestID:  c.RequestID,
-		Caller:     c.Caller,
-		Priority:   c.Priority,
-		Weight:     c.Weight,
-		Deployment: c.Deployment,
-		Digest:     c.digest,
+		RequestID:    c.RequestID,
+		Caller:       c.Caller,
+		Priority:     c.Priority,
+		Weight:       c.Weight,
+		Deployment:   c.Deployment,
+		Organisation: c.Organisation,
+		Digest:       c.digest,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/route/router/router.go
+++ b/internal/route/router/router.go
@@ -71,6 +71,8 @@
 	Priority   limit.Priority
 	Weight     float64
 	Deployment string
+	// Organisation is the organisation whose allowed regions apply; it may be empty.
+	Organisation string
 	// PrefixHash is the hash of the prompt's prefix, for prefix affinity; zero if there is
 	// none.
 	PrefixHash uint64
@@ -101,7 +103,8 @@
 const capacityMaxAge = 50 * time.Millisecond
 
 // Admit admits a request. It returns problem.NotReady, problem.UnknownDeployment,
-// problem.NoUpstream, problem.Overloaded, problem.Quarantined or problem.Internal;
+// problem.NoUpstream, problem.Overloaded, problem.Quarantined, problem.RegionsEmpty,
+// problem.RegionUnavailable or problem.Internal;
 // with any of them nothing has run.
 func (r *Router) Admit(req Request) (*Dispatch, error) {
 	if r.Configuration.Current() == nil {
@@ -115,6 +118,10 @@
 	if set == nil {
 		return nil, problem.UnknownDeployment.Withf("no deployment %q", req.Deployment)
 	}
+	set, err = r.allowedPart(req, set)
+	if err != nil {
+		return nil, r.recordRefusal(req, err)
+	}
 	slots, others := r.capacity(req.Deployment, set)
 	if slots == 0 {
 		return nil, r.recordRefusal(req, problem.NoUpstream.Withf("deployment %q has no usable upstream", req.Deployment).
@@ -157,12 +164,16 @@
 	if r.Metrics != nil {
 		r.Metrics.Refusals.WithLabelValues(req.Deployment, req.Priority.String()).Inc()
 	}
-	r.Journal.Decision("refuse", log.Fields{
+	fields := log.Fields{
 		"request_id": req.RequestID,
 		"deployment": req.Deployment,
 		"priority":   req.Priority.String(),
 		"reason":     err.Error(),
-	})
+	}
+	if regions := r.allowedRegions(req); regions.Restricted() {
+		fields["regions"] = regions.String()
+	}
+	r.Journal.Decision("refuse", fields)
 	return err
 }
 
@@ -241,6 +252,9 @@
 		return nil, problem.NoUpstream.Withf("all %d attempts of request %s have been used", d.attempts, d.Request.RequestID).
 			WithRetryAfter(time.Second)
 	}
+	if err := d.updateRegions(); err != nil {
+		return nil, err
+	}
 	choice := d.policy.Choose(d.Set, d.query(d.Request.VersionLead))
 	if choice.Upstream == nil && d.Request.VersionLead > 0 {
 		// While new versions are being published, possibly no engine has a version
--- a/internal/route/upstream/refresh.go
+++ b/internal/route/upstream/refresh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,7 +80,12 @@
 		return
 	}
 	changes := r.Listing.Changes()
-	if doc.Revision != r.revision || changes != r.listingChanges {
+	regionsChanged := false
+	if doc.Parsed().Restricted() {
+		view := r.Members.View()
+		regionsChanged = r.Table.SetRegions(domainRegions(append(slices.Clone(view.Known), view.Self)))
+	}
+	if doc.Revision != r.revision || changes != r.listingChanges || regionsChanged {
 		r.Table.Build(doc.Parsed(), r.Members.Self(), r.Listing.List(), now)
 		r.revision = doc.Revision
 		r.listingChanges = changes
--- a/internal/route/upstream/set.go
+++ b/internal/route/upstream/set.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +27,10 @@
 	// Total is the number of upstreams in the whole fleet.
 	Total int
 	ring  []ringPoint
+	// domainRegions maps failure domains to their regions, and parts holds the results of In
+	// by the key of the regions.
+	domainRegions map[string]string
+	parts         sync.Map
 }
 
 // ringPoint is a point of an upstream on the consistent hash ring.
@@ -35,10 +40,14 @@
 }
 
 // newSet selects this instance's subset of list and reuses the Upstreams of the old set, if any.
-func newSet(d configuration.Deployment, self member.Member, list []roster.Instance, old *Set, now timer.Instant) *Set {
+func newSet(d configuration.Deployment, self member.Member, list []roster.Instance, domainRegions map[string]string, old *Set, now timer.Instant) *Set {
+	if regions := d.Regions(); regions.Restricted() {
+		list = slices.DeleteFunc(slices.Clone(list), func(in roster.Instance) bool { return !regions.Allows(domainRegions[in.FailureDomain]) })
+	}
 	s := &Set{
-		Deployment: d,
-		Total:      len(list),
+		Deployment:    d,
+		Total:         len(list),
+		domainRegions: domainRegions,
 	}
 	known := make(map[string]*Upstream)
 	if old != nil {
--- a/internal/route/upstream/table.go
+++ b/internal/route/upstream/table.go
@@ -12,8 +12,10 @@
 
 // Table holds the Sets of all deployments. Its zero value is empty.
 type Table struct {
-	mu   sync.Mutex
-	sets atomic.Pointer[map[string]*Set]
+	mu sync.Mutex
+	// domainRegions maps failure domains to their regions.
+	domainRegions map[string]string
+	sets          atomic.Pointer[map[string]*Set]
 }
 
 // Set returns the set of a deployment, or nil.
@@ -45,7 +47,7 @@
 	next := make(map[string]*Set, len(cfg.Deployments))
 	for _, d := range cfg.Deployments {
 		group := groups[d.Group]
-		next[d.Name] = newSet(d, self, group, t.Set(d.Name), now)
+		next[d.Name] = newSet(d, self, group, t.domainRegions, t.Set(d.Name), now)
 	}
 	t.sets.Store(&next)
 }
