--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -48,10 +48,11 @@
 }
 
 // Scorer scores a finished text and returns the signature of its score, or
-// engine.ErrAttemptFailed if the call has failed for good. due is when the step of the text
-// is due; calls of earlier steps are made first.
+// engine.ErrAttemptFailed if the call has failed for good. organisation is that of the batch,
+// whose regions apply to the call. due is when the step of the text is due; calls of earlier
+// steps are made first.
 type Scorer interface {
-	Score(ctx context.Context, reward *submission.Reward, due timer.Instant) (string, error)
+	Score(ctx context.Context, reward *submission.Reward, organisation string, due timer.Instant) (string, error)
 }
 
 // Runner runs the batches that this process owns.
@@ -217,7 +218,9 @@
 // startBatch adds a batch to those of this process and starts to work on it.
 func (r *Runner) startBatch(b *Batch, route catalog.Route, decision string) {
 	b.route = route
-	b.service = route.ChooseService(rand.Float64())
+	b.mu.Lock()
+	b.service = r.Upstreams.ChooseService(route, r.allowedRegions(b), rand.Float64())
+	b.mu.Unlock()
 	after := route.GiveUpAfter
 	if after == 0 {
 		after = defaultGiveUpAfter
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -17,6 +17,9 @@
 // startAttempt chooses an upstream and sends the request to it in a goroutine, which
 // puts the result into d.results.
 func (d *dispatch) startAttempt(ctx context.Context) error {
+	if err := d.checkRegions(); err != nil {
+		return err
+	}
 	chosen, permit, err := d.acquireUpstream(ctx)
 	if err != nil {
 		return err
@@ -110,7 +113,7 @@
 // refreshGroup replaces the group after the list of upstreams or the evacuated failure domains
 // have changed. It keeps a group that became empty for another reason than an evacuation.
 func (d *dispatch) refreshGroup() {
-	if group := d.f.Upstreams.Group(d.service); len(group.Upstreams)+len(group.EvacuatedDomains) > 0 {
+	if group := d.f.Upstreams.Group(d.service).In(d.regions); len(group.Upstreams)+len(group.EvacuatedDomains) > 0 {
 		d.group = group
 	}
 }
--- a/internal/route/forward/cold.go
+++ b/internal/route/forward/cold.go
@@ -66,9 +66,10 @@
 		if !timer.Wait(d.f.Timer, pause, ctx.Done()) {
 			return nil, slowstart.Permit{}, problem.UpstreamTimeout.Withf("the caller cancelled the request: %w", ctx.Err()).WithOutcome(problem.NotRun)
 		}
-		if group := d.f.Upstreams.Group(d.service); len(group.Upstreams) > 0 {
-			d.group = group
+		if err := d.checkRegions(); err != nil {
+			return nil, slowstart.Permit{}, err
 		}
+		d.refreshGroup()
 	}
 }
 
--- a/internal/route/forward/limits.go
+++ b/internal/route/forward/limits.go
@@ -35,6 +35,9 @@
 	// retryAfterEvacuated is for a service whose failure domains are all evacuated, until an
 	// operator takes one back.
 	retryAfterEvacuated = 2 * time.Second
+	// retryAfterRegionsEmpty is for requests that no region may serve until an operator has
+	// changed the configuration.
+	retryAfterRegionsEmpty = 5 * time.Second
 )
 
 // hedgeDelay returns how long to wait for the attempts in flight before a second one is
