weights: a plan of orders takes n log n

Change: candidates that differ by utilization and ID alone are sorted once, and only the first of each such class is compared. The sequence of the orders stays; a property compares it with the earlier way.

--- a/internal/fleet/weights/plan.go
+++ b/internal/fleet/weights/plan.go
@@ -1,7 +1,9 @@
 package weights
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 )
 
 // Engine is the state of an engine as Plan and Assign see it.
@@ -53,6 +55,17 @@
 	utilization float64
 }
 
+// candidateClass is a set of candidates that servingCounts.less orders by utilization and ID alone.
+type candidateClass struct {
+	model  string
+	urgent bool
+}
+
+// compare orders candidates of the same class.
+func (c candidate) compare(other candidate) int {
+	return cmp.Or(cmp.Compare(c.utilization, other.utilization), strings.Compare(c.Engine, other.Engine))
+}
+
 // servingCounts holds, by model, the number of engines in the model's set that can serve
 // its newest step (current) and the one after (next). Engines that are loading count as
 // if they had loaded.
@@ -85,10 +98,7 @@
 	if x, y := counts[a.Model], counts[b.Model]; x != y {
 		return x < y
 	}
-	if a.utilization != b.utilization {
-		return a.utilization < b.utilization
-	}
-	return a.Engine < b.Engine
+	return a.compare(b) < 0
 }
 
 // Plan returns the orders to give now, at most maxLoads minus the loads in progress.
@@ -104,7 +114,7 @@
 		current: make(map[string]int),
 		next:    make(map[string]int),
 	}
-	var candidates []candidate
+	candidates := make(map[candidateClass][]candidate)
 	for _, e := range engines {
 		model := assignment[e.ID]
 		if e.Loading != "" {
@@ -119,27 +129,39 @@
 		if behind == 0 || behind == 1 && recent[model] {
 			continue
 		}
-		candidates = append(candidates, candidate{
+		class := candidateClass{
+			model:  model,
+			urgent: behind > 1,
+		}
+		candidates[class] = append(candidates[class], candidate{
 			Order: Order{
 				Engine:  e.ID,
 				Model:   model,
 				Version: latest[model],
 			},
-			urgent:      behind > 1,
+			urgent:      class.urgent,
 			utilization: e.Utilization,
 		})
 	}
+	for _, list := range candidates {
+		slices.SortFunc(list, candidate.compare)
+	}
 	var orders []Order
 	for len(orders) < maxLoads && len(candidates) > 0 {
-		best := 0
-		for i := range candidates {
-			if serving.less(candidates[i], candidates[best]) {
-				best = i
+		// The candidates of a class differ only by what they are sorted by, so only the
+		// first of each class can be the next one.
+		var best candidateClass
+		found := false
+		for class, list := range candidates {
+			if !found || serving.less(list[0], candidates[best][0]) {
+				best, found = class, true
 			}
 		}
-		orders = append(orders, candidates[best].Order)
-		serving.add(candidates[best].Model, 0)
-		candidates = slices.Delete(candidates, best, best+1)
+		orders = append(orders, candidates[best][0].Order)
+		serving.add(best.model, 0)
+		if candidates[best] = candidates[best][1:]; len(candidates[best]) == 0 {
+			delete(candidates, best)
+		}
 	}
 	return orders
 }
--- a/internal/fleet/weights/plan_test.go
+++ b/internal/fleet/weights/plan_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/egretbend/egretbend/internal/standin/property"
 )
 
 func newEngine(id string, load float64, versions map[string]uint64) Engine {
@@ -151,3 +155,48 @@
 		is.Equal(MaxLoads(n), want)
 	}
 }
+
+// Guards against a plan that differs from the one that compares each order with all candidates:
+// only the first candidate of each class is compared, and each order changes the counts that
+// the next depends on.
+func TestPlanTakesTheFirstOfAllCandidates(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		latest := map[string]uint64{"m0": 5, "m1": 4, "m2": 3}
+		assignment := make(map[string]string)
+		serving := servingCounts{current: make(map[string]int), next: make(map[string]int)}
+		var engines []Engine
+		var all []candidate
+		for i := range rapid.IntRange(1, 30).Draw(t, "engines") {
+			id := fmt.Sprintf("e%02d", i)
+			m := rapid.SampledFrom([]string{"m0", "m1", "m2"}).Draw(t, "model")
+			behind := rapid.Uint64Range(0, 2).Draw(t, "behind")
+			load := float64(rapid.IntRange(0, 2).Draw(t, "load"))
+			assignment[id] = m
+			engines = append(engines, newEngine(id, load, map[string]uint64{m: latest[m] - behind}))
+			serving.add(m, behind)
+			if behind > 0 {
+				all = append(all, candidate{
+					Order:       Order{Engine: id, Model: m, Version: latest[m]},
+					urgent:      behind > 1,
+					utilization: load,
+				})
+			}
+		}
+		maxLoads := rapid.IntRange(1, 30).Draw(t, "loads")
+		var want []Order
+		for len(want) < maxLoads && len(all) > 0 {
+			best := 0
+			for i := range all {
+				if serving.less(all[i], all[best]) {
+					best = i
+				}
+			}
+			want = append(want, all[best].Order)
+			serving.add(all[best].Model, 0)
+			all = slices.Delete(all, best, best+1)
+		}
+		if got := Plan(engines, latest, nil, assignment, maxLoads); !slices.Equal(got, want) {
+			t.Fatalf("orders %v, compared with all candidates %v", got, want)
+		}
+	})
+}
