upstream, catalog, policy, forward: a decision on a request does not look at every upstream

Cause: each request sorted the paces of its service for the delay of a second attempt, looked for an idle connection at every upstream and for the entry of the one that it chose: 309 us and 358 kB at 10,000 upstreams. Each change of any entry rebuilt the groups of all services. Change: the sets of a service share a list of the upstreams that may have idle connections and a count of the changes of paces. Entries are found by binary search. Only the groups of services whose upstreams come, go, restart or change their failure domain or region are rebuilt.

--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -1,7 +1,8 @@
 package catalog
 
 import (
-	"sort"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,12 +61,26 @@
 	Set *upstream.Set
 }
 
+// Find returns the upstream of the group with the given state, or nil. Groups are in order of the
+// IDs.
+func (g *Group) Find(u *upstream.Upstream) *Upstream {
+	i, found := slices.BinarySearchFunc(g.Upstreams, u.ID, func(x *Upstream, id string) int { return strings.Compare(x.ID, id) })
+	if !found || g.Upstreams[i].Upstream != u {
+		return nil
+	}
+	return g.Upstreams[i]
+}
+
 // Upstreams holds all upstreams by ID. Its zero value is empty; Timer must be set before Update.
 type Upstreams struct {
 	Timer timer.Service
 
-	mu     sync.Mutex
-	byID   map[string]*Upstream
+	mu   sync.Mutex
+	byID map[string]*Upstream
+	// shared holds what the upstreams of each service share.
+	shared map[string]*upstream.Shared
+	// stale holds the services whose group has to be rebuilt.
+	stale  map[string]bool
 	groups atomic.Pointer[map[string]*Group]
 }
 
@@ -95,6 +110,8 @@
 	defer b.mu.Unlock()
 	if b.byID == nil {
 		b.byID = make(map[string]*Upstream)
+		b.shared = make(map[string]*upstream.Shared)
+		b.stale = make(map[string]bool)
 	}
 	initial := len(b.byID) == 0
 	for i := range entries {
@@ -104,9 +121,13 @@
 		if u := b.byID[id]; u != nil {
 			u.MarkLeaving()
 			delete(b.byID, id)
+			b.stale[u.Listed().Service] = true
 		}
 	}
-	b.rebuildGroups()
+	if len(b.stale) > 0 || b.groups.Load() == nil {
+		b.rebuildGroups(b.stale)
+		clear(b.stale)
+	}
 }
 
 // upsert adds or updates the upstream of an entry. If the address, Born or the service changed,
@@ -119,7 +140,10 @@
 		old := u.Listed()
 		if old.Address != entry.Address || old.Born != entry.Born || old.Service != entry.Service {
 			u.MarkLeaving()
+			b.stale[old.Service] = true
 			u = nil
+		} else if old.FailureDomain != entry.FailureDomain || old.Region != entry.Region {
+			b.stale[entry.Service] = true
 		}
 	}
 	if u == nil {
@@ -130,8 +154,10 @@
 				FailureDomain: entry.FailureDomain,
 				Incarnation:   uint64(entry.Born),
 				Slots:         entry.Slots,
+				Shared:        b.sharedBy(entry.Service),
 			},
 		}
+		b.stale[entry.Service] = true
 		since := b.Timer.Now()
 		if initial {
 			since = since.Add(-time.Minute)
@@ -145,20 +171,43 @@
 	}
 }
 
-// rebuildGroups replaces the groups after a change of b.byID. The caller holds b.mu.
-func (b *Upstreams) rebuildGroups() {
+// sharedBy returns what the upstreams of a service share. The caller holds b.mu.
+func (b *Upstreams) sharedBy(service string) *upstream.Shared {
+	if b.shared[service] == nil {
+		b.shared[service] = &upstream.Shared{}
+	}
+	return b.shared[service]
+}
+
+// rebuildGroups replaces the groups of some services after a change of b.byID, or all groups if
+// services is nil. An entry that only changes other fields, as when weights are loaded, needs no
+// new group. The caller holds b.mu.
+func (b *Upstreams) rebuildGroups(services map[string]bool) {
 	groups := make(map[string]*Group)
+	for service, g := range b.Groups() {
+		if services != nil && !services[service] {
+			groups[service] = g
+		}
+	}
 	for _, u := range b.byID {
 		service := u.Listed().Service
+		if services != nil && !services[service] {
+			continue
+		}
 		if groups[service] == nil {
 			groups[service] = &Group{}
 		}
 		groups[service].Upstreams = append(groups[service].Upstreams, u)
 	}
-	for _, g := range groups {
-		sort.Slice(g.Upstreams, func(i, j int) bool { return g.Upstreams[i].ID < g.Upstreams[j].ID })
+	for service, g := range groups {
+		if g.Set != nil {
+			continue // unchanged
+		}
+		slices.SortFunc(g.Upstreams, func(x, y *Upstream) int { return strings.Compare(x.ID, y.ID) })
 		g.Set = &upstream.Set{
-			Total: len(g.Upstreams),
+			Total:     len(g.Upstreams),
+			Upstreams: make([]*upstream.Upstream, 0, len(g.Upstreams)),
+			Shared:    b.sharedBy(service),
 		}
 		for _, u := range g.Upstreams {
 			g.Set.Upstreams = append(g.Set.Upstreams, u.Upstream)
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -80,12 +80,7 @@
 	if c.Upstream == nil {
 		return nil
 	}
-	for _, u := range d.group.Upstreams {
-		if u.Upstream == c.Upstream {
-			return u
-		}
-	}
-	return nil
+	return d.group.Find(c.Upstream)
 }
 
 // cancelOthers cancels all attempts except the winner, whose answer may still be
--- a/internal/route/policy/idle_connection.go
+++ b/internal/route/policy/idle_connection.go
@@ -15,12 +15,22 @@
 // preferred: with half of its slots free, a request does not wait.
 const idleConnMaxLoad = 0.6
 
+// minPruned is the number of listed upstreams without an idle connection from which on they are
+// removed from the list: fewer cost a request less than a tenth of a microsecond.
+const minPruned = 16
+
 // Choose implements Policy.
 func (IdleConnection) Choose(s *upstream.Set, q Query) Choice {
-	n := uint64(len(s.Upstreams))
+	idle := s.PossiblyIdle()
+	n := uint64(len(idle))
+	ended := uint64(0)
 	for i := range n {
-		u := s.Upstreams[(q.Random%n+i)%n]
-		if u.HasIdleConnection(q.Now) && !u.Slow() && q.eligible(u) && q.score(u) <= idleConnMaxLoad {
+		u := idle[(q.Random%n+i)%n]
+		if !u.HasIdleConnection(q.Now) {
+			ended++
+			continue
+		}
+		if !u.Slow() && q.eligible(u) && q.score(u) <= idleConnMaxLoad && contains(s, u) {
 			return Choice{
 				Upstream:   u,
 				Candidates: len(s.Upstreams),
@@ -28,5 +38,17 @@
 			}
 		}
 	}
+	if ended >= minPruned && 2*ended > n {
+		s.PruneIdle(q.Now)
+	}
 	return TwoChoices{}.Choose(s, q)
 }
+
+// contains reports whether a set contains an upstream that PossiblyIdle returned.
+func contains(s *upstream.Set, u *upstream.Upstream) bool {
+	if s.Shared == nil {
+		return true
+	}
+	_, found := s.Find(u)
+	return found
+}
--- a/internal/route/upstream/idle.go
+++ b/internal/route/upstream/idle.go
@@ -26,6 +26,9 @@
 	}
 	u.idleConns.expiresAt.Store(int64(now.Add(keepAlive)))
 	u.idleConns.count.Add(1)
+	if u.Shared != nil && u.inIdleList.CompareAndSwap(false, true) {
+		u.Shared.idle.add(u, now)
+	}
 }
 
 // HasIdleConnection reports whether this instance has an idle connection to the upstream.
--- a/internal/route/upstream/set.go
+++ b/internal/route/upstream/set.go
@@ -25,7 +25,10 @@
 	Upstreams  []*Upstream
 	// Total is the number of upstreams in the whole fleet.
 	Total int
-	ring  []ringPoint
+	// Shared is what the upstreams share. If it is not nil, Upstreams is in order of the IDs.
+	Shared *Shared
+	ring   []ringPoint
+	median medianCache
 }
 
 // ringPoint is a point of an upstream on the consistent hash ring.
@@ -227,35 +230,45 @@
 }
 
 // MedianPace returns the median time per unit of work in seconds, or zero if fewer than three
-// upstreams have a pace.
+// upstreams have a pace. In a set of more than maxExactPaces it may be a little out of date.
 func (s *Set) MedianPace() float64 {
-	var paces []float64
-	for _, u := range s.Upstreams {
-		if p := u.Pace(); p > 0 {
-			paces = append(paces, p)
-		}
+	if s.Shared == nil {
+		return medianOf(s.Upstreams, (*Upstream).Pace)
 	}
-	if len(paces) < 3 {
-		return 0
+	changes := s.Shared.paceChanges.Load()
+	if median, ok := s.median.lookup(changes, len(s.Upstreams)); ok {
+		return median
 	}
-	sort.Float64s(paces)
-	return paces[len(paces)/2]
+	median := medianOf(s.Upstreams, (*Upstream).Pace)
+	s.median.store(changes, median)
+	return median
 }
 
 // PaceNoise returns the median of the noise in the paces of the upstreams that have any: by how
 // much the measured paces of equal upstreams differ. It is zero if fewer than three have any.
-func (s *Set) PaceNoise() float64 {
-	var noise []float64
-	for _, u := range s.Upstreams {
-		if n := u.PaceNoise(); n > 0 {
-			noise = append(noise, n)
-		}
+func (s *Set) PaceNoise() float64 { return medianOf(s.Upstreams, (*Upstream).PaceNoise) }
+
+// Find returns the index of an upstream in a set that is in order of the IDs, and whether it is
+// there.
+func (s *Set) Find(u *Upstream) (int, bool) {
+	i, found := slices.BinarySearchFunc(s.Upstreams, u.ID, func(x *Upstream, id string) int { return strings.Compare(x.ID, id) })
+	return i, found && s.Upstreams[i] == u
+}
+
+// PossiblyIdle returns the upstreams of the set to which this instance may have an idle connection:
+// all, unless the set has Shared. They may include some that are no longer in the set.
+func (s *Set) PossiblyIdle() []*Upstream {
+	if s.Shared == nil {
+		return s.Upstreams
 	}
-	if len(noise) < 3 {
-		return 0
+	return s.Shared.idle.load()
+}
+
+// PruneIdle removes the upstreams whose idle connections have ended from what PossiblyIdle returns.
+func (s *Set) PruneIdle(now timer.Instant) {
+	if s.Shared != nil {
+		s.Shared.idle.prune(now)
 	}
-	sort.Float64s(noise)
-	return noise[len(noise)/2]
 }
 
 // maxEjectedShare is the largest share of a set that may be ejected for failures.
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -46,6 +46,8 @@
 	FailureDomain string
 	Incarnation   uint64
 	Slots         int
+	// Shared is shared by the upstreams of a service; it may be nil.
+	Shared *Shared
 
 	// inFlight is the number of requests of this instance at the upstream; peak and
 	// previousPeak are its maxima in the window that began at windowStart and in the one before.
@@ -76,6 +78,8 @@
 	// pace before it, as float64 bits.
 	paceNoise atomic.Uint64
 	idleConns idleConnections
+	// inIdleList says that the upstream is in the list of Shared.
+	inIdleList atomic.Bool
 	// reportsSlowdown says that the reports have the slowdown of the upstream's machine,
 	// slowdown is the last one, and slowPace when paces were much higher than before.
 	reportsSlowdown atomic.Bool
@@ -175,6 +179,9 @@
 	}
 	bounded := min(pace.Seconds(), maxJump*old)
 	u.pace.Store(math.Float64bits(old + weight*(bounded-old)))
+	if u.Shared != nil {
+		u.Shared.paceChanges.Add(1)
+	}
 	return true
 }
 
