--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -61,14 +61,12 @@
 	Set *upstream.Set
 }
 
-// Find returns the upstream of the group with the given state, or nil. Groups are in order of the
-// IDs.
+// Find returns the upstream of the group with the given state, or nil.
 func (g *Group) Find(u *upstream.Upstream) *Upstream {
-	i, found := slices.BinarySearchFunc(g.Upstreams, u.ID, func(x *Upstream, id string) int { return strings.Compare(x.ID, id) })
-	if !found || g.Upstreams[i].Upstream != u {
-		return nil
+	if i, found := g.Set.Find(u); found {
+		return g.Upstreams[i]
 	}
-	return g.Upstreams[i]
+	return nil
 }
 
 // Upstreams holds all upstreams by ID. Its zero value is empty; Timer must be set before Update.
@@ -165,7 +163,11 @@
 		u.SetSlowStart(since)
 		b.byID[entry.ID] = u
 	}
-	u.entry.Store(entry)
+	// The entry is copied, as entries that were decoded together would otherwise stay in memory as
+	// long as one of them is in use. Its strings are those that the upstream has already.
+	stored := *entry
+	stored.ID, stored.Address = u.ID, u.Address
+	u.entry.Store(&stored)
 	if entry.Leaving {
 		u.MarkLeaving()
 	}
--- a/internal/route/upstream/set.go
+++ b/internal/route/upstream/set.go
@@ -251,8 +251,15 @@
 // Find returns the index of an upstream in a set that is in order of the IDs, and whether it is
 // there.
 func (s *Set) Find(u *Upstream) (int, bool) {
+	if i := int(u.foundAt.Load()); i < len(s.Upstreams) && s.Upstreams[i] == u {
+		return i, true
+	}
 	i, found := slices.BinarySearchFunc(s.Upstreams, u.ID, func(x *Upstream, id string) int { return strings.Compare(x.ID, id) })
-	return i, found && s.Upstreams[i] == u
+	found = found && s.Upstreams[i] == u
+	if found {
+		u.foundAt.Store(int32(i))
+	}
+	return i, found
 }
 
 // PossiblyIdle returns the upstreams of the set to which this instance may have an idle connection:
--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -80,6 +80,8 @@
 	idleConns idleConnections
 	// inIdleList says that the upstream is in the list of Shared.
 	inIdleList atomic.Bool
+	// foundAt is the index at which Set.Find last found the upstream.
+	foundAt atomic.Int32
 	// reportsSlowdown says that the reports have the slowdown of the upstream's machine,
 	// slowdown is the last one, and slowPace when paces were much higher than before.
 	reportsSlowdown atomic.Bool
