runner: a batch of a large service looks at a stable subset of its engines first

Cause: each wake-up and each check of a batch looked at all engines of its service, and each item at all engines of its model, under the lock of the batch; a home opened connections to all of them. Change: in services of more than 512 engines a batch takes the engines in the order of a rendezvous hash of its instance, those of its failure domain first, until enough of them have room for an item: 256, or two for each unfinished item. Full, slow and lent engines don't count, so that others take their place. If an item finds no engine among them, all engines are looked at as before. Whether all streams are slow together still depends on the number of usable engines of the whole service.

--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -43,11 +43,20 @@
 	if b.over() || b.nextReady(now) < 0 {
 		return
 	}
-	usable := r.usableCandidates(b, now)
+	usable, whole := r.nearCandidates(b, now)
+	if !r.place(b, usable, whole, now) && !whole {
+		r.place(b, r.usableCandidates(b, now), true, now)
+	}
+}
+
+// place starts as many queued items as the usable engines have free slots for. If these are not
+// the whole service, it stops at the first item that would have to wait and reports
+// false. The caller holds b.mu.
+func (r *Runner) place(b *Batch, usable []candidate, whole bool, now timer.Instant) bool {
 	candidates := usable
 	medianPace := r.medianPace(b)
 	b.medianPace = medianPace
-	if b.crowds(usable) {
+	if whole && b.crowds(usable) {
 		// The model's own engines come first. Items that they can't take are borrowed
 		// for.
 		r.lending.observe(usable, now)
@@ -58,16 +67,17 @@
 	for first := b.nextReady(now); first >= 0; first = b.nextReadyExcept(now, p.waiting) {
 		i, picked, need := p.next(first)
 		if picked < 0 {
-			if p.waitForMemory(b.queue[i], need) {
+			if whole && p.waitForMemory(b.queue[i], need) {
 				continue
 			}
-			return
+			return false
 		}
 		t := b.queue[i]
 		p.take(t, picked, need)
 		b.queue = slices.Delete(b.queue, i, i+1)
 		r.startAttempt(b, t, p.candidates[picked].u, need, now)
 	}
+	return true
 }
 
 // startAttempt starts one attempt at an item. The caller holds b.mu.
--- a/internal/batch/runner/engines.go
+++ b/internal/batch/runner/engines.go
@@ -65,13 +65,13 @@
 	return neverReported
 }
 
-// availableCandidates returns the engines that can serve the batch now. If the
-// batch has too many items for the engines of its own model, engines of other
-// models are left out unless they are known to have free slots and may lend one
-// for any item. The caller holds b.mu.
+// availableCandidates returns the engines that can serve the batch now, in a large
+// service those of nearCandidates. If the batch has too many items for the engines
+// of its own model, engines of other models are left out unless they are known to
+// have free slots and may lend one for any item. The caller holds b.mu.
 func (r *Runner) availableCandidates(b *Batch, now timer.Instant) []candidate {
-	candidates := r.usableCandidates(b, now)
-	if !b.crowds(candidates) {
+	candidates, whole := r.nearCandidates(b, now)
+	if !whole || !b.crowds(candidates) {
 		return candidates
 	}
 	r.lending.observe(candidates, now)
@@ -101,39 +101,71 @@
 	return slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return c.OtherModel })
 }
 
+// group returns the engines of the service of a batch.
+func (r *Runner) group(b *Batch) *catalog.Group { return r.Upstreams.Group(b.service) }
+
 // usableCandidates returns the usable engines whose weights are new enough for
 // the batch. The caller holds b.mu.
 func (r *Runner) usableCandidates(b *Batch, now timer.Instant) []candidate {
-	var candidates []candidate
-	memory := r.engineMemory(b.service)
-	models := r.engineModels(b, now)
-	group := r.Upstreams.Group(b.service)
-	medianPace := group.Set.MedianPace()
+	group := r.group(b)
+	c := r.newCandidates(b, group, now)
 	for _, u := range group.Upstreams {
-		if !u.Usable(now) {
-			continue
-		}
-		if b.sub.Model != "" && u.ModelVersion(b.sub.Model) < b.sub.OldestVersion {
-			continue
-		}
-		candidates = append(candidates, candidate{
-			Engine: schedule.Engine{
-				FreeSlots:         freeSlots(u, now),
-				Slots:             max(1, u.Slots),
-				Pace:              u.RelativePace(medianPace, now),
-				SameFailureDomain: u.FailureDomain == r.FailureDomain,
-				Memory:            memory,
-				Reserved:          u.Reserved(),
-				OtherModel:        b.isOtherModel(models[u.ID]),
-				ReportAge:         reportAge(u, now),
-				IdleConnection:    u.HasIdleConnection(now),
-				Slowdown:          schedule.Slowdown(u.Slowdown(now)),
-			},
-			u:     u,
-			model: models[u.ID],
-		})
+		c.add(u)
+	}
+	return c.list
+}
+
+// canUse reports whether an engine is usable and its weights are new enough for the batch.
+func (b *Batch) canUse(u *catalog.Upstream, now timer.Instant) bool {
+	return u.Usable(now) && (b.sub.Model == "" || u.ModelVersion(b.sub.Model) >= b.sub.OldestVersion)
+}
+
+// candidates collects the candidates of a batch.
+type candidates struct {
+	r          *Runner
+	b          *Batch
+	now        timer.Instant
+	memory     int64
+	models     map[string]string
+	medianPace float64
+	list       []candidate
+}
+
+// newCandidates returns an empty list of candidates of a group. The caller holds b.mu.
+func (r *Runner) newCandidates(b *Batch, group *catalog.Group, now timer.Instant) *candidates {
+	return &candidates{
+		r:          r,
+		b:          b,
+		now:        now,
+		memory:     r.engineMemory(b.service),
+		models:     r.engineModels(b, now),
+		medianPace: group.Set.MedianPace(),
+	}
+}
+
+// add adds an engine, and reports false if the batch can't use it.
+func (c *candidates) add(u *catalog.Upstream) bool {
+	if !c.b.canUse(u, c.now) {
+		return false
 	}
-	return candidates
+	model := c.models[u.ID]
+	c.list = append(c.list, candidate{
+		Engine: schedule.Engine{
+			FreeSlots:         freeSlots(u, c.now),
+			Slots:             max(1, u.Slots),
+			Pace:              u.RelativePace(c.medianPace, c.now),
+			SameFailureDomain: u.FailureDomain == c.r.FailureDomain,
+			Memory:            c.memory,
+			Reserved:          u.Reserved(),
+			OtherModel:        c.b.isOtherModel(model),
+			ReportAge:         reportAge(u, c.now),
+			IdleConnection:    u.HasIdleConnection(c.now),
+			Slowdown:          schedule.Slowdown(u.Slowdown(c.now)),
+		},
+		u:     u,
+		model: model,
+	})
+	return true
 }
 
 // engineMemory returns the memory of one engine of a service in tokens; 0 if
--- a/internal/batch/runner/move.go
+++ b/internal/batch/runner/move.go
@@ -113,7 +113,12 @@
 func (r *Runner) moveFailing(b *Batch, now timer.Instant) {
 	medianPace, paceNoise := r.medianPace(b), r.paceNoise(b)
 	candidates := r.availableCandidates(b, now)
-	if r.slowTogether(b, len(candidates), medianPace, paceNoise, now) {
+	usable := len(candidates)
+	if len(r.group(b).Upstreams) > maxWholeService && schedule.AtStepStart(now.Sub(b.startedAt)) && !b.crowds(candidates) {
+		// The candidates may be a part of the usable engines.
+		usable = r.usableEngines(b, now)
+	}
+	if r.slowTogether(b, usable, medianPace, paceNoise, now) {
 		return
 	}
 	for _, t := range b.tasks {
--- a/internal/batch/runner/rank.go
+++ b/internal/batch/runner/rank.go
@@ -101,6 +101,7 @@
 func (r *Runner) totalSlots(b *Batch, now timer.Instant) int {
 	all, own := 0, 0
 	models := r.engineModels(b, now)
+	anyCrowded := models != nil && len(r.crowdedModels(b)) > 0
 	var engines []schedule.StepEngine
 	items := b.itemsByEngine()
 	for _, u := range r.Upstreams.Group(b.service).Upstreams {
@@ -111,6 +112,9 @@
 			if !otherModel {
 				own += slots
 			}
+			if !anyCrowded {
+				continue
+			}
 			engines = append(engines, schedule.StepEngine{
 				Slots:      slots,
 				FreeSlots:  u.FreeSlots(now),
@@ -122,7 +126,7 @@
 		}
 	}
 	crowds := schedule.CrowdsOwnEngines(b.open, own)
-	if models != nil && len(r.crowdedModels(b)) > 0 {
+	if anyCrowded {
 		return schedule.UsableSlots(engines, crowds)
 	}
 	if crowds {
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -80,7 +80,9 @@
 	// lending decides which engines of other models crowded steps use.
 	lending lending
 	reading schedule.PromptReading
-	tomb    tomb.Tomb
+	// orders holds the order in which batches look at the engines of large services.
+	orders engineOrders
+	tomb   tomb.Tomb
 	// batchStarted wakes watch.
 	batchStarted wake.Signal
 	mu           sync.Mutex
--- a/internal/batch/schedule/place.go
+++ b/internal/batch/schedule/place.go
@@ -96,11 +96,11 @@
 }
 
 // denoisedPace returns the pace without measurement noise and the effect of the streams
-// that run at the moment: any pace up to olderEnginePace counts as 1. With the pace as
+// that run at the moment: any pace up to OlderEnginePace counts as 1. With the pace as
 // measured, several long outputs would go to one of some equal engines and slow each
 // other down.
 func (e Engine) denoisedPace() float64 {
-	if e.Pace <= olderEnginePace {
+	if e.Pace <= OlderEnginePace {
 		return 1
 	}
 	return e.Pace
@@ -138,8 +138,8 @@
 	// maxShortDuration is the expected run time below which an item is short. The end of
 	// a short item does not affect the end of its step, which lasts six seconds or more.
 	maxShortDuration = 1500 * time.Millisecond
-	// olderEnginePace is the pace above which an engine counts as of an older kind.
-	olderEnginePace = 1.12
+	// OlderEnginePace is the pace above which an engine counts as of an older kind.
+	OlderEnginePace = 1.12
 	// failingEnginePace is the pace from which on an engine counts as failing rather
 	// than old. One that has just become two and a half times slower measures 1.6 at
 	// first.
@@ -206,7 +206,7 @@
 // engines of an older kind that are not failing.
 func (n Need) cost(e Engine) float64 {
 	cost := e.Cost() + memoryExcessCost*n.memoryExcess(e) + e.Slowdown.cost(n.ExpectedDuration) - n.warmGain(e) + n.connectionCost(e)
-	if n.Short() && e.Pace > olderEnginePace && e.Pace < failingEnginePace {
+	if n.Short() && e.Pace > OlderEnginePace && e.Pace < failingEnginePace {
 		return cost - e.Pace
 	}
 	return cost
@@ -234,5 +234,5 @@
 // closedToShortItems reports whether e is a fast engine whose free slots are kept for
 // long items.
 func (e Engine) closedToShortItems() bool {
-	return e.Pace <= olderEnginePace && e.FreeSlots <= (1-shortItemSlotShare)*float64(e.Slots)
+	return e.Pace <= OlderEnginePace && e.FreeSlots <= (1-shortItemSlotShare)*float64(e.Slots)
 }
