registry, watchrelay: watchers are chosen once for each view, and copies of large lists reach back further

A copy kept 256 changes: engines that load weights make 2,000 in a second, and each follower would have listed all 10,000 upstreams at each query. Change: the watchers to ask are kept for a view. Members are found by binary search and ranked by their hashes, computed once. A copy keeps half as many changes as it has items, without the values that were replaced; a follower gets the last value of each key, and every removal.

--- a/internal/fleet/registry/member.go
+++ b/internal/fleet/registry/member.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/egretbend/egretbend/internal/fleet/member"
@@ -30,37 +31,50 @@
 // hundred streams takes the smallest instances seconds, longer than the step may
 // take.
 func Eligible(members []Member) []Member {
-	maxCores := 0.0
-	for _, m := range members {
-		if !m.Leaving {
-			maxCores = max(maxCores, m.Cores)
-		}
-	}
+	minCores := minEligibleCores(members)
 	var eligible []Member
-	for _, m := range members {
-		if !m.Leaving && m.Cores >= eligibleShare*maxCores {
-			eligible = append(eligible, m)
+	for i := range members {
+		if members[i].eligible(minCores) {
+			eligible = append(eligible, members[i])
 		}
 	}
 	return eligible
 }
 
+// minEligibleCores returns the cores that a member must have to be eligible for batches.
+func minEligibleCores(members []Member) float64 {
+	maxCores := 0.0
+	for i := range members {
+		if m := &members[i]; !m.Leaving {
+			maxCores = max(maxCores, m.Cores)
+		}
+	}
+	return eligibleShare * maxCores
+}
+
+func (m *Member) eligible(minCores float64) bool { return !m.Leaving && m.Cores >= minCores }
+
 // Ranked returns the n eligible members with the highest rendezvous hash for key,
 // the highest first. All instances with the same view get the same result, and
 // few keys change members when a member joins or leaves.
 func Ranked(members []Member, key string, n int) []Member {
-	eligible := Eligible(members)
-	slices.SortFunc(eligible, func(a, b Member) int {
-		x, y := member.Score(a.Name, key), member.Score(b.Name, key)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
+	type scored struct {
+		score uint64
+		index int
+	}
+	minCores := minEligibleCores(members)
+	list := make([]scored, 0, len(members))
+	for i := range members {
+		if members[i].eligible(minCores) {
+			list = append(list, scored{score: member.Score(members[i].Name, key), index: i})
 		}
-		return 0
-	})
-	return eligible[:min(n, len(eligible))]
+	}
+	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	ranked := make([]Member, min(n, len(list)))
+	for i := range ranked {
+		ranked[i] = members[list[i].index]
+	}
+	return ranked
 }
 
 // Without returns the members except the one called name.
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -130,27 +130,32 @@
 
 // Find returns the instance called name.
 func (r *Registry) Find(name string) (Member, bool) {
-	for _, m := range r.Members() {
-		if m.Name == name {
-			return m, true
-		}
+	members := r.Members()
+	i, found := slices.BinarySearchFunc(members, name, func(m Member, name string) int { return strings.Compare(m.Name, name) })
+	if !found {
+		return Member{}, false
 	}
-	return Member{}, false
+	return members[i], true
 }
 
 // FirstEligible returns the name of the eligible instance whose name sorts first, or an
 // empty string if there is none.
 func (r *Registry) FirstEligible() string {
-	for _, m := range Eligible(r.Members()) {
-		return m.Name
+	members := r.Members()
+	minCores := minEligibleCores(members)
+	for i := range members {
+		if members[i].eligible(minCores) {
+			return members[i].Name
+		}
 	}
 	return ""
 }
 
 // Eligible reports whether this instance is eligible for batches, by the present view.
 func (r *Registry) Eligible() bool {
-	name := r.Self().Name
-	return slices.ContainsFunc(Eligible(r.Members()), func(m Member) bool { return m.Name == name })
+	members := r.Members()
+	self, ok := r.Find(r.Self().Name)
+	return ok && self.eligible(minEligibleCores(members))
 }
 
 // DutyValue returns the last value read from the key of a duty, or an empty string.
--- a/internal/fleet/watchrelay/copy.go
+++ b/internal/fleet/watchrelay/copy.go
@@ -8,9 +8,16 @@
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
-// maxKeptChanges is the number of changes that a copy keeps: those of some seconds
-// at the busiest times. A follower that is further behind lists the whole prefix.
-const maxKeptChanges = 256
+const (
+	// maxKeptChanges is the number of changes that a copy keeps: those of some seconds
+	// at the busiest times. A follower that is further behind lists the whole prefix.
+	maxKeptChanges = 256
+	// keptShare is the share 1/keptShare of its items that a larger copy keeps as changes. If each
+	// of 9,000 engines loads weights every 4 s, that is two seconds, more than twice the time
+	// between two queries of a follower; with 256 changes each follower would list all
+	// upstreams at each query.
+	keptShare = 2
+)
 
 // Copy holds the items below a prefix and their last changes, from which this
 // instance answers the queries of others.
@@ -42,10 +49,18 @@
 		changes = nil
 	}
 	c.changes = append(c.changes, changes...)
-	if over := len(c.changes) - maxKeptChanges; over > 0 {
+	kept := max(maxKeptChanges, len(c.items)/keptShare)
+	if over := len(c.changes) - kept; over > 0 {
 		c.completeAfter = c.changes[over-1].Revision
 		c.changes = slices.Delete(c.changes, 0, over)
 	}
+	if len(c.changes) > maxKeptChanges {
+		for i := range c.changes {
+			if c.superseded(c.changes[i]) {
+				c.changes[i].Value = nil // is not sent any more
+			}
+		}
+	}
 	c.revision = max(c.revision, revision)
 	if len(changes) > 0 {
 		c.wake()
@@ -66,6 +81,14 @@
 	}
 }
 
+// superseded reports whether a change set a value that a later change replaced. A removal is
+// never superseded: what a key stood for has ended, even if the key was written again. c.mu must
+// be held.
+func (c *Copy) superseded(change keyvalue.Change) bool {
+	item, ok := c.items[change.Key]
+	return !change.Removed && ok && item.Revision > change.Revision
+}
+
 // listing returns the items of the copy; ok is false before the first Apply.
 func (c *Copy) listing() (l keyvalue.Listing, ok bool) {
 	c.mu.Lock()
@@ -111,8 +134,9 @@
 	c.wake()
 }
 
-// changesAfter returns the changes after a revision, and a channel that is closed at
-// the next change. ok is false if the copy does not reach back that far.
+// changesAfter returns the last value of each key that was set after a revision and all
+// removals after it, and a channel that is closed at the next change. ok is false if the
+// copy does not reach back that far.
 func (c *Copy) changesAfter(after uint64) (changes []keyvalue.Change, revision uint64, next <-chan struct{}, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -123,7 +147,7 @@
 		return nil, c.revision, c.nextChange, false
 	}
 	for _, change := range c.changes {
-		if change.Revision > after {
+		if change.Revision > after && !c.superseded(change) {
 			changes = append(changes, change)
 		}
 	}
--- /dev/null
+++ b/internal/fleet/watchrelay/copy_test.go
@@ -0,0 +1,88 @@
+package watchrelay
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+)
+
+// newLargeCopy returns a copy of 10,000 items.
+func newLargeCopy() *Copy {
+	c := &Copy{}
+	c.Apply(listChanges(10_000, 0), 10_000)
+	return c
+}
+
+// Guards against followers that list all upstreams at each query: 9,000 engines that load weights
+// every 4 s make 2,000 changes between two queries.
+func TestFollowerOfLargeListGetsTheChangesOfSomeSeconds(t *testing.T) {
+	is := is.New(t)
+	c := newLargeCopy()
+	for i := range 4 {
+		after := uint64(10_000 + 1000*i)
+		c.Apply(listChanges(1000, after), after+1000)
+	}
+	changes, revision, _, ok := c.changesAfter(12_000)
+	is.True(ok)
+	is.Equal(revision, uint64(14_000))
+	// The same 1,000 engines changed twice since; only the last change of each is sent.
+	is.Equal(len(changes), 1000)
+	for _, change := range changes {
+		is.True(change.Revision > 13_000)
+		is.True(len(change.Value) > 0)
+	}
+	// The values that were replaced are not kept in memory.
+	kept := 0
+	for _, change := range c.changes {
+		if change.Value != nil {
+			kept++
+		}
+	}
+	is.Equal(kept, 1000)
+}
+
+// Guards against a follower that does not learn that an instance ended because its entry was
+// written again, and so nobody takes over its batches.
+func TestRemovalIsSentThoughTheKeyIsWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	c := newLargeCopy()
+	key := listChanges(1, 0)[0].Key
+	c.Apply([]keyvalue.Change{{Item: keyvalue.Item{Key: key, Revision: 10_001}, Removed: true}}, 10_001)
+	c.Apply([]keyvalue.Change{{Item: keyvalue.Item{Key: key, Revision: 10_002, Value: []byte("again")}}}, 10_002)
+	changes, _, _, ok := c.changesAfter(10_000)
+	is.True(ok)
+	is.Equal(len(changes), 2)
+	is.True(changes[0].Removed)
+}
+
+// Guards against an instance that goes on to query watchers which left the view.
+func TestWatchersFollowTheView(t *testing.T) {
+	is := is.New(t)
+	f, members := newFleet(nil, nil, 60)
+	follower, asked := f.findFollower(members)
+	v := follower.Registry.(*view)
+	for range 3 {
+		is.Equal(follower.watchersToAsk(), asked)
+	}
+	for i := range members {
+		if members[i].Name != asked[0].Name {
+			continue
+		}
+		v.members = append(append(members[:0:0], members[:i]...), members[i+1:]...)
+	}
+	for _, m := range follower.watchersToAsk() {
+		is.True(m.Name != asked[0].Name)
+	}
+	// An instance that becomes a watcher has nobody to ask.
+	v.members = nil
+	for i := range 2 {
+		m := v.self
+		if i == 1 {
+			m.Name = "other"
+		}
+		v.members = append(v.members, m)
+	}
+	is.Equal(len(follower.watchersToAsk()), 0)
+}
--- a/internal/fleet/watchrelay/relay.go
+++ b/internal/fleet/watchrelay/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/fleet/member"
@@ -136,6 +137,20 @@
 
 	copies map[string]*Copy
 	poller watcherPoller
+	// asked is the result of watchersToAsk for the last view.
+	asked atomic.Pointer[askedWatchers]
+}
+
+// askedWatchers are the watchers that an instance queries by a view of the instances.
+type askedWatchers struct {
+	self     string
+	view     []registry.Member
+	watchers []registry.Member
+}
+
+// isFor reports whether a was computed from a view, which is never changed in place.
+func (a *askedWatchers) isFor(self string, view []registry.Member) bool {
+	return a != nil && a.self == self && len(a.view) == len(view) && (len(view) == 0 || &a.view[0] == &view[0])
 }
 
 // AddCopy adds a copy of a prefix, to be filled by the caller. All copies must be
@@ -176,10 +191,19 @@
 
 // rank orders members by their rendezvous hash for a key.
 func rank(members []registry.Member, key string) []registry.Member {
-	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b registry.Member) int {
-		return cmp.Compare(member.Score(b.Name, key), member.Score(a.Name, key))
-	})
+	type scored struct {
+		score uint64
+		index int
+	}
+	list := make([]scored, len(members))
+	for i := range members {
+		list[i] = scored{score: member.Score(members[i].Name, key), index: i}
+	}
+	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	ranked := make([]registry.Member, len(list))
+	for i, s := range list {
+		ranked[i] = members[s.index]
+	}
 	return ranked
 }
 
@@ -193,15 +217,23 @@
 }
 
 // watchersToAsk returns the watchers to query, in order, or nothing if this instance
-// is a watcher itself.
+// is a watcher itself. It is computed once for each view, as each query and each
+// answer needs it.
 func (r *Relay) watchersToAsk() []registry.Member {
-	self := r.Registry.Self().Name
-	watchers := Watchers(r.Registry.Members())
-	if contains(watchers, self) {
-		return nil
+	self, view := r.Registry.Self().Name, r.Registry.Members()
+	if known := r.asked.Load(); known.isFor(self, view) {
+		return known.watchers
+	}
+	asked := &askedWatchers{
+		self: self,
+		view: view,
+	}
+	if watchers := Watchers(view); !contains(watchers, self) {
+		list := rank(watchers, self)
+		asked.watchers = list[:min(maxWatchersAsked, len(list))]
 	}
-	list := rank(watchers, self)
-	return list[:min(maxWatchersAsked, len(list))]
+	r.asked.Store(asked)
+	return asked.watchers
 }
 
 // Watch implements keyvalue.TransactionalStore.
