--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -61,6 +61,9 @@
 	// with the revision up to which all changes are known. It fills a copy that
 	// answers other instances. It may be nil.
 	OnSeen func(changes []keyvalue.Change, revision uint64)
+	// NeedsAll reports whether the next call of OnSeen must hold all items, also those
+	// that it was called with before; the prefix is then listed. Nil means never.
+	NeedsAll func() bool
 	// OnRemovalDelayed is called with the keys whose removal is delayed by RemovalDelay.
 	// It may be nil.
 	OnRemovalDelayed func(keys []string)
@@ -133,8 +136,9 @@
 
 // listOrWatch makes one call: a listing if one is needed, else a watch.
 func (m *Mirror) listOrWatch(ctx context.Context, t *tomb.Tomb) error {
-	if !m.synced.Load() || m.relist {
-		return m.list(ctx)
+	needsAll := m.NeedsAll != nil && m.NeedsAll()
+	if !m.synced.Load() || m.relist || needsAll {
+		return m.list(ctx, needsAll)
 	}
 	wait := watchWait
 	if len(m.removeAt) > 0 {
@@ -144,7 +148,7 @@
 	defer cancel()
 	changes, next, err := m.Store.Watch(ctx, m.Prefix, m.revision, wait)
 	if errors.Is(err, keyvalue.ErrCompacted) {
-		return m.list(ctx)
+		return m.list(ctx, false)
 	}
 	if err != nil {
 		// The connection may have been dead for a while before the watch failed.
@@ -154,7 +158,7 @@
 	}
 	m.noteAnswer()
 	m.revision = max(m.revision, next)
-	m.apply(changes)
+	m.apply(changes, false)
 	m.removeExpired()
 	if len(changes) > 0 && m.CoalesceDelay > 0 {
 		timer.Wait(m.Timer, m.CoalesceDelay, t.Dying())
@@ -172,8 +176,8 @@
 }
 
 // list lists the whole prefix, and treats known keys that are missing from it as
-// removed.
-func (m *Mirror) list(ctx context.Context) error {
+// removed. needsAll says that OnSeen needs all items.
+func (m *Mirror) list(ctx context.Context, needsAll bool) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	listing, err := m.Store.Range(ctx, m.Prefix, keyvalue.Fresh)
@@ -201,7 +205,7 @@
 		}
 	}
 	m.revision = max(m.revision, listing.Revision)
-	m.apply(changes)
+	m.apply(changes, needsAll)
 	m.removeExpired()
 	m.relist = false
 	m.synced.Store(true)
@@ -209,16 +213,21 @@
 }
 
 // apply passes on the changes that are newer than the known ones, in order of their
-// revisions. Removals just after an outage are delayed.
-func (m *Mirror) apply(changes []keyvalue.Change) {
+// revisions. Removals just after an outage are delayed. If needsAll is set, OnSeen is called
+// with the known ones as well.
+func (m *Mirror) apply(changes []keyvalue.Change, needsAll bool) {
 	var seen, applied []keyvalue.Change
 	var delayed []string
 	slices.SortStableFunc(changes, func(a, b keyvalue.Change) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, c := range changes {
-		if !strings.HasPrefix(c.Key, m.Prefix) || c.Revision <= m.keyRevisions[c.Key] {
+		known := c.Revision <= m.keyRevisions[c.Key]
+		if !strings.HasPrefix(c.Key, m.Prefix) || known && !needsAll {
 			continue
 		}
 		seen = append(seen, c)
+		if known {
+			continue
+		}
 		if c.Removed && m.delaysRemovals() {
 			if _, waits := m.removeAt[c.Key]; !waits {
 				m.removeAt[c.Key] = m.Timer.Now().Add(m.RemovalDelay)
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -160,3 +160,55 @@
 	is.Equal(suspects, []string{"p/a"})
 	is.True(f.waitForValue("p/a", "")) // removed after RemovalDelay
 }
+
+// Guards against a copy of the prefix that lacks the items which were known before it was kept
+// again, and against a second report of these to the one who follows the changes.
+func TestAllItemsAreSeenAgainOnDemand(t *testing.T) {
+	is := is.New(t)
+	clock := &timer.Manual{}
+	store := &memorystore.Store{Timer: clock}
+	for _, key := range []string{"p/a", "p/b"} {
+		_, err := store.Commit(context.Background(), keyvalue.Transaction{Writes: []keyvalue.Write{{Key: key, Value: []byte("1")}}})
+		is.NoErr(err)
+	}
+	var needsAll atomic.Bool
+	var mu sync.Mutex
+	seen, changed := make(map[string]int), make(map[string]int)
+	count := func(counts map[string]int, changes []keyvalue.Change) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range changes {
+			counts[c.Key]++
+		}
+	}
+	m := &mirror.Mirror{
+		Store:    store,
+		Prefix:   "p/",
+		Timer:    clock,
+		OnChange: func(changes []keyvalue.Change) { count(changed, changes) },
+		OnSeen:   func(changes []keyvalue.Change, _ uint64) { count(seen, changes) },
+		NeedsAll: func() bool { return needsAll.Swap(false) },
+	}
+	var running tomb.Tomb
+	running.Go(func() error { return m.Run(&running) })
+	t.Cleanup(clock.Run(20*time.Millisecond, time.Millisecond))
+	t.Cleanup(func() {
+		running.Kill(nil)
+		_ = running.Wait()
+	})
+	await := func(holds func() bool) {
+		is.True(timer.Poll(timer.Real{}, time.Millisecond, 5*time.Second, nil, func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return holds()
+		}))
+	}
+	await(func() bool { return seen["p/a"] == 1 && seen["p/b"] == 1 })
+	needsAll.Store(true)
+	_, err := store.Commit(context.Background(), keyvalue.Transaction{Writes: []keyvalue.Write{{Key: "p/b", Value: []byte("2")}}})
+	is.NoErr(err)
+	await(func() bool { return seen["p/a"] == 2 && changed["p/b"] == 2 })
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(changed["p/a"], 1)
+}
--- a/internal/fleet/watchrelay/copy.go
+++ b/internal/fleet/watchrelay/copy.go
@@ -22,9 +22,17 @@
 // Copy holds the items below a prefix and their last changes, from which this
 // instance answers the queries of others.
 type Copy struct {
-	mu      sync.Mutex
-	items   map[string]keyvalue.Item
-	changes []keyvalue.Change
+	// Wanted reports whether this instance may have to answer queries; while it is false, nothing
+	// is kept. Nil means always.
+	Wanted func() bool
+
+	mu sync.Mutex
+	// dropped is set while nothing is kept, and reloading while the next call of Apply holds the
+	// whole prefix again.
+	dropped   bool
+	reloading bool
+	items     map[string]keyvalue.Item
+	changes   []keyvalue.Change
 	// loaded is set once the whole prefix was read.
 	loaded bool
 	// completeAfter is the revision after which changes holds every change.
@@ -38,10 +46,20 @@
 }
 
 // Apply applies changes. revision is the one up to which all changes are known. The
-// first call must hold the whole prefix.
+// first call must hold the whole prefix, and so must the next one after NeedsReload
+// returned true.
 func (c *Copy) Apply(changes []keyvalue.Change, revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.Wanted != nil && !c.Wanted() {
+		c.items, c.changes = nil, nil
+		c.loaded, c.dropped, c.reloading = false, true, false
+		return
+	}
+	if c.dropped && !c.reloading {
+		return
+	}
+	c.dropped, c.reloading = false, false
 	c.applyToItems(changes)
 	if !c.loaded {
 		c.loaded = true
@@ -67,6 +85,15 @@
 	}
 }
 
+// NeedsReload reports whether the copy was dropped and is wanted again, so that the next
+// call of Apply must hold the whole prefix.
+func (c *Copy) NeedsReload() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reloading = c.dropped && c.Wanted()
+	return c.reloading
+}
+
 // applyToItems applies changes to the items. c.mu must be held.
 func (c *Copy) applyToItems(changes []keyvalue.Change) {
 	if c.items == nil {
--- a/internal/fleet/watchrelay/copy_test.go
+++ b/internal/fleet/watchrelay/copy_test.go
@@ -86,3 +86,39 @@
 	}
 	is.Equal(len(follower.watchersToAsk()), 0)
 }
+
+// Guards against instances that keep the values of 10,000 upstreams, 6 MB, although they are too
+// small to answer queries, and against followers that get a part of a list from an instance which
+// has become eligible.
+func TestCopyIsKeptWhileItIsWanted(t *testing.T) {
+	is := is.New(t)
+	wanted := true
+	c := &Copy{Wanted: func() bool { return wanted }}
+	c.Apply(listChanges(10, 0), 10)
+	is.True(!c.NeedsReload())
+	wanted = false
+	c.Apply(listChanges(1, 10), 11)
+	is.Equal(len(c.items), 0)
+	is.True(!c.NeedsReload())
+	served := func() bool {
+		_, listed := c.listing()
+		_, _, _, ok := c.changesAfter(100)
+		is.Equal(listed, ok)
+		return listed
+	}
+	is.True(!served())
+	wanted = true
+	c.Apply(listChanges(1, 11), 12) // only a change: the list is not complete
+	is.True(!served())
+	is.True(c.NeedsReload())
+	wanted = false
+	c.Apply(listChanges(1, 12), 13)
+	wanted = true
+	c.Apply(listChanges(1, 13), 14) // the reload did not take place
+	is.True(!served())
+	is.True(c.NeedsReload())
+	c.Apply(listChanges(10, 14), 24)
+	is.True(served())
+	is.Equal(len(c.items), 10)
+	is.True(!c.NeedsReload())
+}
