weights: the division of engines counts in slices

Change: models and engines are numbered; the closest model of an engine is looked up once; a move goes on where the last one ended.

--- a/internal/fleet/weights/assign.go
+++ b/internal/fleet/weights/assign.go
@@ -2,7 +2,8 @@
 
 import (
 	"math"
-	"sort"
+	"slices"
+	"strings"
 )
 
 // equalFraction is the fraction of the engines that is divided equally among the models.
@@ -51,51 +52,87 @@
 	return shares
 }
 
-// assigner holds the state of Assign and AssignByNeed.
+// noModel is the index of the model of an engine that has none yet.
+const noModel = -1
+
+// assigner holds the state of Assign and AssignByNeed. Models are numbered by their place in
+// models, and engines by ascending ID.
 type assigner struct {
-	models []string
-	shares map[string]float64
-	total  int
-	// engines holds the engines by ascending ID.
+	models  []string
 	engines []Engine
-	// modelOf holds the model of each engine, by engine ID.
-	modelOf map[string]string
-	// sizes holds the number of engines assigned to each model.
-	sizes map[string]int
-	// pinned holds the engines that must stay with their model, by engine ID.
-	pinned map[string]bool
+	// modelOf holds the model of each engine, or noModel.
+	modelOf []int
+	// closest holds the result of closestModel for each engine.
+	closest []int
+	// pinned holds the engines that must stay with their model.
+	pinned []bool
+	// shares, minSizes, maxSizes and sizes hold the share of each model, the share in engines
+	// rounded down, but at least 1, and rounded up, and the number of engines assigned.
+	shares                    []float64
+	minSizes, maxSizes, sizes []int
+	// movable is the number of assigned engines of each model that are not pinned, and firstMovable
+	// the index before which there is none of them.
+	movable, firstMovable []int
 }
 
-func newAssigner(engines []Engine, models []string, shares map[string]float64) *assigner {
+func newAssigner(engines []Engine, models []string, latest map[string]uint64, shares map[string]float64) *assigner {
 	a := &assigner{
-		models:  models,
-		shares:  shares,
-		total:   len(engines),
-		engines: append([]Engine(nil), engines...),
-		modelOf: make(map[string]string, len(engines)),
-		sizes:   make(map[string]int, len(models)),
-		pinned:  make(map[string]bool),
-	}
-	sort.Slice(a.engines, func(i, j int) bool { return a.engines[i].ID < a.engines[j].ID })
+		models:       models,
+		engines:      engines,
+		modelOf:      make([]int, len(engines)),
+		closest:      make([]int, len(engines)),
+		pinned:       make([]bool, len(engines)),
+		shares:       make([]float64, len(models)),
+		minSizes:     make([]int, len(models)),
+		maxSizes:     make([]int, len(models)),
+		sizes:        make([]int, len(models)),
+		movable:      make([]int, len(models)),
+		firstMovable: make([]int, len(models)),
+	}
+	byID := func(x, y Engine) int { return strings.Compare(x.ID, y.ID) }
+	if !slices.IsSortedFunc(engines, byID) {
+		a.engines = slices.SortedFunc(slices.Values(engines), byID)
+	}
+	for i, e := range a.engines {
+		a.modelOf[i] = noModel
+		a.closest[i] = closestModel(e, models, latest)
+	}
+	for m, name := range models {
+		share := shares[name] * float64(len(engines))
+		a.shares[m] = shares[name]
+		a.minSizes[m] = max(1, int(share+roundingTolerance))
+		a.maxSizes[m] = int(math.Ceil(share - roundingTolerance))
+	}
 	return a
 }
 
+// result returns the model of each engine, by engine ID.
+func (a *assigner) result() map[string]string {
+	modelOf := make(map[string]string, len(a.engines))
+	for i, m := range a.modelOf {
+		if m != noModel {
+			modelOf[a.engines[i].ID] = a.models[m]
+		}
+	}
+	return modelOf
+}
+
 // Assign divides engines among models and returns the model of each engine, by engine ID.
 // An engine stays with the model whose weights it has closest to the latest version,
 // unless the set of that model exceeds its share. The remaining engines go to the sets
 // that are filled least relative to their shares. A set that is below its share, as after
 // the loss of its engines, gets engines from the set that is filled most.
 func Assign(engines []Engine, models []string, latest map[string]uint64, demand Demand) map[string]string {
-	a := newAssigner(engines, models, demand.shares(models))
+	a := newAssigner(engines, models, latest, demand.shares(models))
 	if len(models) == 0 {
-		return a.modelOf
+		return a.result()
 	}
-	a.assignClosest(latest)
+	a.assignClosest()
 	a.assignRest()
 	for {
 		to, from := a.leastFilled(), a.mostFilled()
-		if a.sizes[to] >= a.minSize(to) || a.sizes[from] <= a.minSize(from) {
-			return a.modelOf
+		if a.sizes[to] >= a.minSizes[to] || a.sizes[from] <= a.minSizes[from] {
+			return a.result()
 		}
 		a.moveOne(from, to)
 	}
@@ -108,80 +145,86 @@
 // version is published, and the engines have to load in any case. If there are enough
 // engines, each model gets at least one.
 func AssignByNeed(engines []Engine, models []string, latest map[string]uint64, shares map[string]float64, stepping map[string]bool) map[string]string {
-	a := newAssigner(engines, models, shares)
+	a := newAssigner(engines, models, latest, shares)
 	if len(models) == 0 {
-		return a.modelOf
+		return a.result()
 	}
-	for _, e := range a.engines {
-		if m := closestModel(e, models, latest); m != "" && stepping[m] && e.Versions[m] >= latest[m] {
-			a.assign(e, m)
-			a.pinned[e.ID] = true
+	for i, e := range a.engines {
+		if m := a.closest[i]; m != noModel && stepping[models[m]] && e.Versions[models[m]] >= latest[models[m]] {
+			a.pinned[i] = true
+			a.assign(i, m)
 		}
 	}
-	a.assignClosest(latest)
+	a.assignClosest()
 	a.assignRest()
 	for {
 		to, from := a.receiver(), a.donor()
-		if to == "" || from == "" {
+		if to == noModel || from == noModel {
 			break
 		}
 		a.moveOne(from, to)
 	}
-	for _, m := range models {
-		if a.sizes[m] > 0 || a.total < len(models) {
+	for m := range models {
+		if a.sizes[m] > 0 || len(a.engines) < len(models) {
 			continue
 		}
-		from := models[0]
-		for _, other := range models {
+		from := 0
+		for other := range models {
 			if a.sizes[other] > a.sizes[from] {
 				from = other
 			}
 		}
-		clear(a.pinned)
+		a.unpinAll()
 		a.moveOne(from, m)
 	}
-	return a.modelOf
+	return a.result()
 }
 
 // assignClosest assigns the engines without a model to the model whose weights they have
 // closest to the latest version, up to its share.
-func (a *assigner) assignClosest(latest map[string]uint64) {
-	for _, e := range a.engines {
-		if a.modelOf[e.ID] != "" {
-			continue
-		}
-		if model := closestModel(e, a.models, latest); model != "" && a.sizes[model] < a.maxSize(model) {
-			a.assign(e, model)
+func (a *assigner) assignClosest() {
+	for i, m := range a.closest {
+		if a.modelOf[i] == noModel && m != noModel && a.sizes[m] < a.maxSizes[m] {
+			a.assign(i, m)
 		}
 	}
 }
 
 // assignRest assigns the engines without a model to the least filled sets.
 func (a *assigner) assignRest() {
-	for _, e := range a.engines {
-		if a.modelOf[e.ID] == "" {
-			a.assign(e, a.leastFilled())
+	for i := range a.engines {
+		if a.modelOf[i] == noModel {
+			a.assign(i, a.leastFilled())
 		}
 	}
 }
 
 // moveOne moves the first engine that is not pinned from one set to another.
-func (a *assigner) moveOne(from, to string) {
-	for _, e := range a.engines {
-		if a.modelOf[e.ID] == from && !a.pinned[e.ID] {
+func (a *assigner) moveOne(from, to int) {
+	for i := a.firstMovable[from]; i < len(a.engines); i++ {
+		if a.modelOf[i] == from && !a.pinned[i] {
+			a.firstMovable[from] = i + 1
 			a.sizes[from]--
-			a.assign(e, to)
+			a.movable[from]--
+			a.assign(i, to)
 			return
 		}
 	}
 }
 
-// receiver returns the least filled model with fewer engines than its share, or "" if there
-// is none.
-func (a *assigner) receiver() string {
-	best := ""
-	for _, m := range a.models {
-		if a.sizes[m] < a.minSize(m) && (best == "" || a.fillRatio(m) < a.fillRatio(best)-roundingTolerance) {
+// unpinAll makes all engines movable.
+func (a *assigner) unpinAll() {
+	clear(a.pinned)
+	clear(a.firstMovable)
+	copy(a.movable, a.sizes)
+}
+
+// receiver returns the least filled model with fewer engines than its share, or noModel if
+// there is none.
+func (a *assigner) receiver() int {
+	best := noModel
+	for m := range a.models {
+		if a.sizes[m] < a.minSizes[m] && (best == noModel || a.fillRatio(m) < a.fillRatio(best)-roundingTolerance) {
 			best = m
 		}
 	}
@@ -189,17 +232,11 @@
 }
 
 // donor returns the most filled model with more engines than its share, one of which is
-// not pinned, or "" if there is none.
-func (a *assigner) donor() string {
-	movable := make(map[string]bool)
-	for _, e := range a.engines {
-		if !a.pinned[e.ID] {
-			movable[a.modelOf[e.ID]] = true
-		}
-	}
-	best := ""
-	for _, m := range a.models {
-		if movable[m] && a.sizes[m] > a.minSize(m) && (best == "" || a.fillRatio(m) > a.fillRatio(best)+roundingTolerance) {
+// not pinned, or noModel if there is none.
+func (a *assigner) donor() int {
+	best := noModel
+	for m := range a.models {
+		if a.movable[m] > 0 && a.sizes[m] > a.minSizes[m] && (best == noModel || a.fillRatio(m) > a.fillRatio(best)+roundingTolerance) {
 			best = m
 		}
 	}
@@ -207,19 +244,13 @@
 }
 
 // assign adds an engine to a model's set.
-func (a *assigner) assign(e Engine, model string) {
-	a.modelOf[e.ID] = model
-	a.sizes[model]++
-}
-
-// maxSize returns the share of a model in engines, rounded up.
-func (a *assigner) maxSize(model string) int {
-	return int(math.Ceil(a.shares[model]*float64(a.total) - roundingTolerance))
-}
-
-// minSize returns the share of a model in engines, rounded down, but at least 1.
-func (a *assigner) minSize(model string) int {
-	return max(1, int(a.shares[model]*float64(a.total)+roundingTolerance))
+func (a *assigner) assign(i, m int) {
+	a.modelOf[i] = m
+	a.sizes[m]++
+	if !a.pinned[i] {
+		a.movable[m]++
+		a.firstMovable[m] = min(a.firstMovable[m], i)
+	}
 }
 
 // roundingTolerance compensates for floating-point errors, so that a third of nine engines
@@ -227,12 +258,12 @@
 const roundingTolerance = 1e-9
 
 // fillRatio returns the size of a model's set relative to the model's share.
-func (a *assigner) fillRatio(model string) float64 { return float64(a.sizes[model]) / a.shares[model] }
+func (a *assigner) fillRatio(m int) float64 { return float64(a.sizes[m]) / a.shares[m] }
 
 // leastFilled returns the model with the lowest fillRatio.
-func (a *assigner) leastFilled() string {
-	best := a.models[0]
-	for _, m := range a.models[1:] {
+func (a *assigner) leastFilled() int {
+	best := 0
+	for m := range a.models {
 		if a.fillRatio(m) < a.fillRatio(best)-roundingTolerance {
 			best = m
 		}
@@ -241,9 +272,9 @@
 }
 
 // mostFilled returns the model with the highest fillRatio.
-func (a *assigner) mostFilled() string {
-	best := a.models[0]
-	for _, m := range a.models[1:] {
+func (a *assigner) mostFilled() int {
+	best := 0
+	for m := range a.models {
 		if a.fillRatio(m) > a.fillRatio(best)+roundingTolerance {
 			best = m
 		}
--- a/internal/fleet/weights/plan.go
+++ b/internal/fleet/weights/plan.go
@@ -31,17 +31,17 @@
 // MaxLoads returns how many of n engines may load at the same time.
 func MaxLoads(n int) int { return max(1, (n+enginesPerLoad/2)/enginesPerLoad) }
 
-// closestModel returns the model whose latest version the engine is least behind, or ""
-// if the engine has no model beyond its first version.
-func closestModel(e Engine, models []string, latest map[string]uint64) string {
-	best, behind := "", uint64(0)
-	for _, m := range models {
+// closestModel returns the index of the model whose latest version the engine is least
+// behind, or noModel if the engine has no model beyond its first version.
+func closestModel(e Engine, models []string, latest map[string]uint64) int {
+	best, behind := noModel, uint64(0)
+	for i, m := range models {
 		v := e.Versions[m]
 		if v <= 1 {
 			continue
 		}
-		if gap := max(latest[m], v) - v; best == "" || gap < behind {
-			best, behind = m, gap
+		if gap := max(latest[m], v) - v; best == noModel || gap < behind {
+			best, behind = i, gap
 		}
 	}
 	return best
