--- a/internal/batch/runner/engines.go
+++ b/internal/batch/runner/engines.go
@@ -73,13 +73,13 @@
 	return neverReported
 }
 
-// availableCandidates returns the engines that can serve the batch now. If the
-// batch has too many items for the engines of its own model, engines of other
-// models are left out unless they are known to have free slots and may lend one
-// for any item. The caller holds b.mu.
+// availableCandidates returns the engines that can serve the batch now, in a large
+// service those of nearCandidates. If the batch has too many items for the engines
+// of its own model, engines of other models are left out unless they are known to
+// have free slots and may lend one for any item. The caller holds b.mu.
 func (r *Runner) availableCandidates(b *Batch, now timer.Instant) []candidate {
-	candidates := r.usableCandidates(b, now)
-	if !b.crowds(candidates) {
+	candidates, whole := r.nearCandidates(b, now)
+	if !whole || !b.crowds(candidates) {
 		return candidates
 	}
 	r.lending.observe(candidates, now)
@@ -112,44 +112,76 @@
 // usableCandidates returns the usable engines whose weights are new enough for
 // the batch. The caller holds b.mu.
 func (r *Runner) usableCandidates(b *Batch, now timer.Instant) []candidate {
-	var candidates []candidate
-	memory := r.engineMemory(b.service)
-	models := r.engineModels(b, now)
 	group := r.engineGroup(b)
-	medianPace := group.Set.MedianPace()
-	newest := newestVersion(group, b.sub.Model)
+	c := r.newCandidates(b, group, now)
 	for _, u := range group.Upstreams {
-		if !u.InService(now) {
-			continue
-		}
-		if u.ModelVersion(b.sub.Model) < newest && u.ReturnedWithin(maxReloadTime, now) {
-			continue
-		}
-		if b.sub.Model != "" && u.ModelVersion(b.sub.Model) < b.sub.OldestVersion {
-			continue
-		}
-		if u.Held(now) {
-			u.WantShare(now)
-			continue
-		}
-		candidates = append(candidates, candidate{
-			Engine: schedule.Engine{
-				FreeSlots:         freeSlots(u, now),
-				Slots:             max(1, u.Slots),
-				Pace:              u.RelativePace(medianPace, now),
-				SameFailureDomain: u.FailureDomain == r.FailureDomain,
-				Memory:            memory,
-				Reserved:          u.Reserved(),
-				OtherModel:        b.isOtherModel(models[u.ID]),
-				ReportAge:         reportAge(u, now),
-				IdleConnection:    u.HasIdleConnection(now),
-				Slowdown:          schedule.Slowdown(u.Slowdown(now)),
-			},
-			u:     u,
-			model: models[u.ID],
-		})
-	}
-	return candidates
+		c.add(u)
+	}
+	return c.list
+}
+
+// canUse reports whether an engine is usable and its weights are new enough for the batch.
+func (b *Batch) canUse(u *catalog.Upstream, now timer.Instant) bool {
+	if !u.InService(now) || u.Evacuated() || b.sub.Model != "" && u.ModelVersion(b.sub.Model) < b.sub.OldestVersion {
+		return false
+	}
+	if u.Held(now) {
+		// A share lets this instance send to the engine while it is cold.
+		u.WantShare(now)
+		return false
+	}
+	return true
+}
+
+// candidates collects the candidates of a batch.
+type candidates struct {
+	r          *Runner
+	b          *Batch
+	now        timer.Instant
+	memory     int64
+	models     map[string]string
+	medianPace float64
+	// newest is the newest weight version of the model at any engine.
+	newest uint64
+	list   []candidate
+}
+
+// newCandidates returns an empty list of candidates of a group. The caller holds b.mu.
+func (r *Runner) newCandidates(b *Batch, group *catalog.Group, now timer.Instant) *candidates {
+	return &candidates{
+		r:          r,
+		b:          b,
+		now:        now,
+		memory:     r.engineMemory(b.service),
+		models:     r.engineModels(b, now),
+		medianPace: group.Set.MedianPace(),
+		newest:     newestVersion(group, b.sub.Model),
+	}
+}
+
+// add adds an engine, and reports false if the batch can't use it.
+func (c *candidates) add(u *catalog.Upstream) bool {
+	if u.ReturnedWithin(maxReloadTime, c.now) && u.ModelVersion(c.b.sub.Model) < c.newest || !c.b.canUse(u, c.now) {
+		return false
+	}
+	model := c.models[u.ID]
+	c.list = append(c.list, candidate{
+		Engine: schedule.Engine{
+			FreeSlots:         freeSlots(u, c.now),
+			Slots:             max(1, u.Slots),
+			Pace:              u.RelativePace(c.medianPace, c.now),
+			SameFailureDomain: u.FailureDomain == c.r.FailureDomain,
+			Memory:            c.memory,
+			Reserved:          u.Reserved(),
+			OtherModel:        c.b.isOtherModel(model),
+			ReportAge:         reportAge(u, c.now),
+			IdleConnection:    u.HasIdleConnection(c.now),
+			Slowdown:          schedule.Slowdown(u.Slowdown(c.now)),
+		},
+		u:     u,
+		model: model,
+	})
+	return true
 }
 
 // maxReloadTime is how long an engine whose evacuation ended gets no items with weights that are
--- a/internal/batch/runner/rank.go
+++ b/internal/batch/runner/rank.go
@@ -101,6 +101,7 @@
 func (r *Runner) totalSlots(b *Batch, now timer.Instant) int {
 	all, own := 0, 0
 	models := r.engineModels(b, now)
+	anyCrowded := models != nil && len(r.crowdedModels(b)) > 0
 	var engines []schedule.StepEngine
 	items := b.itemsByEngine()
 	for _, u := range r.engineGroup(b).Upstreams {
@@ -114,6 +115,9 @@
 			if !otherModel {
 				own += slots
 			}
+			if !anyCrowded {
+				continue
+			}
 			engines = append(engines, schedule.StepEngine{
 				Slots:      slots,
 				FreeSlots:  coldFreeSlots(u, now),
@@ -125,7 +129,7 @@
 		}
 	}
 	crowds := schedule.CrowdsOwnEngines(b.open, own)
-	if models != nil && len(r.crowdedModels(b)) > 0 {
+	if anyCrowded {
 		return schedule.UsableSlots(engines, crowds)
 	}
 	if crowds {
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -134,19 +134,23 @@
 
 // Find returns the instance called name.
 func (r *Registry) Find(name string) (Member, bool) {
-	for _, m := range r.Members() {
-		if m.Name == name {
-			return m, true
-		}
+	members := r.Members()
+	i, found := slices.BinarySearchFunc(members, name, func(m Member, name string) int { return strings.Compare(m.Name, name) })
+	if !found {
+		return Member{}, false
 	}
-	return Member{}, false
+	return members[i], true
 }
 
 // FirstEligible returns the name of the eligible instance whose name sorts first, or an
 // empty string if there is none.
 func (r *Registry) FirstEligible() string {
-	for _, m := range Eligible(r.Members()) {
-		return m.Name
+	members := r.Members()
+	minCores := minEligibleCores(members)
+	for i := range members {
+		if members[i].eligible(minCores) {
+			return members[i].Name
+		}
 	}
 	return ""
 }
@@ -154,15 +158,15 @@
 // Eligible reports whether this instance is eligible for batches, by the present view. While
 // batches are restricted to regions, those of its region may leave it as the largest instance.
 func (r *Registry) Eligible() bool {
-	self := r.Self()
-	isSelf := func(m Member) bool { return m.Name == self.Name }
-	if slices.ContainsFunc(Eligible(r.Members()), isSelf) {
-		return true
+	members := r.Members()
+	self, ok := r.Find(r.Self().Name)
+	if !ok || self.eligible(minEligibleCores(members)) {
+		return ok
 	}
 	if r.Restricted == nil || !r.Restricted() {
 		return false
 	}
-	return slices.ContainsFunc(Eligible(InRegions(r.Members(), residency.FromList([]string{self.Region}))), isSelf)
+	return self.eligible(minEligibleCores(InRegions(members, residency.FromList([]string{self.Region}))))
 }
 
 // DutyValue returns the last value read from the key of a duty, or an empty string.
--- a/internal/route/catalog/evacuation.go
+++ b/internal/route/catalog/evacuation.go
@@ -25,7 +25,7 @@
 		b.applyEvacuation(u)
 	}
 	b.putBack(returned)
-	b.rebuildGroups()
+	b.rebuildGroups(nil)
 }
 
 // putBack ends the evacuation of upstreams. The caller holds b.mu.
--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -2,7 +2,7 @@
 
 import (
 	"slices"
-	"sort"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,6 +74,14 @@
 	parts sync.Map
 }
 
+// Find returns the upstream of the group with the given state, or nil.
+func (g *Group) Find(u *upstream.Upstream) *Upstream {
+	if i, found := g.Set.Find(u); found {
+		return g.Upstreams[i]
+	}
+	return nil
+}
+
 // Upstreams holds all upstreams by ID. Its zero value is empty; Timer must be set before Update.
 type Upstreams struct {
 	Timer timer.Service
@@ -100,7 +108,11 @@
 	// was a listing.
 	slowStart map[string]time.Duration
 	listed    bool
-	groups    atomic.Pointer[map[string]*Group]
+	// shared holds what the upstreams of each service share.
+	shared map[string]*upstream.Shared
+	// stale holds the services whose group has to be rebuilt.
+	stale  map[string]bool
+	groups atomic.Pointer[map[string]*Group]
 	// evacuated holds the evacuated failure domains; nil before the first SetEvacuated.
 	evacuated atomic.Pointer[map[string]bool]
 }
@@ -131,6 +143,8 @@
 	defer b.mu.Unlock()
 	if b.byID == nil {
 		b.byID = make(map[string]*Upstream)
+		b.shared = make(map[string]*upstream.Shared)
+		b.stale = make(map[string]bool)
 	}
 	initial := len(b.byID) == 0
 	for i := range entries {
@@ -140,10 +154,14 @@
 		if u := b.byID[id]; u != nil {
 			u.MarkLeaving()
 			delete(b.byID, id)
+			b.stale[u.Listed().Service] = true
 		}
 	}
 	b.listed = true
-	b.rebuildGroups()
+	if len(b.stale) > 0 || b.groups.Load() == nil {
+		b.rebuildGroups(b.stale)
+		clear(b.stale)
+	}
 }
 
 // upsert adds or updates the upstream of an entry. If the address, Born or the service changed,
@@ -156,7 +174,10 @@
 		old := u.Listed()
 		if old.Address != entry.Address || old.Born != entry.Born || old.Service != entry.Service {
 			u.MarkLeaving()
+			b.stale[old.Service] = true
 			u = nil
+		} else if old.FailureDomain != entry.FailureDomain || old.Region != entry.Region {
+			b.stale[entry.Service] = true
 		}
 	}
 	if u == nil {
@@ -167,8 +188,10 @@
 				FailureDomain: entry.FailureDomain,
 				Incarnation:   uint64(entry.Born),
 				Slots:         entry.Slots,
+				Shared:        b.sharedBy(entry.Service),
 			},
 		}
+		b.stale[entry.Service] = true
 		since := b.Timer.Now()
 		if initial {
 			since = since.Add(-time.Minute)
@@ -180,7 +203,11 @@
 	} else {
 		u.coldAssumed = false
 	}
-	u.entry.Store(entry)
+	// The entry is copied, as entries that were decoded together would otherwise stay in memory as
+	// long as one of them is in use. Its strings are those that the upstream has already.
+	stored := *entry
+	stored.ID, stored.Address = u.ID, u.Address
+	u.entry.Store(&stored)
 	u.listedAt = b.Timer.Now()
 	if coldStart, ok := b.slowStart[entry.Service]; ok {
 		b.applyColdness(u, coldStart)
@@ -252,15 +279,32 @@
 	return len(b.slowStart) > 0
 }
 
-// rebuildGroups replaces the groups after a change of b.byID or of the evacuated failure
-// domains. The caller holds b.mu.
-func (b *Upstreams) rebuildGroups() {
+// sharedBy returns what the upstreams of a service share. The caller holds b.mu.
+func (b *Upstreams) sharedBy(service string) *upstream.Shared {
+	if b.shared[service] == nil {
+		b.shared[service] = &upstream.Shared{}
+	}
+	return b.shared[service]
+}
+
+// rebuildGroups replaces the groups of some services after a change of b.byID, or all groups if
+// services is nil, as after a change of the evacuated failure domains. An entry that only changes other fields, as when weights are loaded, needs no
+// new group. The caller holds b.mu.
+func (b *Upstreams) rebuildGroups(services map[string]bool) {
 	groups := make(map[string]*Group)
+	for service, g := range b.Groups() {
+		if services != nil && !services[service] {
+			groups[service] = g
+		}
+	}
 	for _, u := range b.byID {
 		if b.AwaitEvacuations && !b.EvacuationsKnown() {
 			break
 		}
 		l := u.Listed()
+		if services != nil && !services[l.Service] {
+			continue
+		}
 		g := groups[l.Service]
 		if g == nil {
 			g = &Group{}
@@ -272,11 +316,16 @@
 			g.EvacuatedDomains = append(g.EvacuatedDomains, l.FailureDomain)
 		}
 	}
-	for _, g := range groups {
-		sort.Strings(g.EvacuatedDomains)
-		sort.Slice(g.Upstreams, func(i, j int) bool { return g.Upstreams[i].ID < g.Upstreams[j].ID })
+	for service, g := range groups {
+		if g.Set != nil {
+			continue // unchanged
+		}
+		slices.Sort(g.EvacuatedDomains)
+		slices.SortFunc(g.Upstreams, func(x, y *Upstream) int { return strings.Compare(x.ID, y.ID) })
 		g.Set = &upstream.Set{
-			Total: len(g.Upstreams),
+			Total:     len(g.Upstreams),
+			Upstreams: make([]*upstream.Upstream, 0, len(g.Upstreams)),
+			Shared:    b.sharedBy(service),
 		}
 		for _, u := range g.Upstreams {
 			g.Set.Upstreams = append(g.Set.Upstreams, u.Upstream)
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -102,12 +102,7 @@
 	if c.Upstream == nil {
 		return nil
 	}
-	for _, u := range d.group.Upstreams {
-		if u.Upstream == c.Upstream {
-			return u
-		}
-	}
-	return nil
+	return d.group.Find(c.Upstream)
 }
 
 // refreshGroup replaces the group after the list of upstreams or the evacuated failure domains
