runner: claims are confirmed in time when the store is reached through others

A read that gave up after 500 ms ended just when it would have been made through another instance, so that the claim could lapse while only the direct way to the store was broken. It has 750 ms now and begins 0.8 s after the last confirmation. Items of a batch that is not stored are withheld 1.8 s after its last request, as it may have been accepted and ended elsewhere since.

--- a/internal/batch/runner/confirm.go
+++ b/internal/batch/runner/confirm.go
@@ -19,14 +19,15 @@
 const (
 	// confirmInterval is how long after a claim was last confirmed it is read again. It
 	// leaves claimTrust - confirmInterval for the read.
-	confirmInterval = time.Second
+	confirmInterval = 800 * time.Millisecond
 	// claimTrust is how long after a claim was confirmed items are sent.
 	claimTrust = 1800 * time.Millisecond
 	// itemDeliveryTimeout is how long the kernel may retain the bytes of an item.
 	itemDeliveryTimeout = time.Second
 	// confirmTimeout limits reading a claim, and asking whether the key-value service is
-	// down.
-	confirmTimeout = 500 * time.Millisecond
+	// down. If the service can't be reached directly, a read is made through another
+	// instance after 500 ms.
+	confirmTimeout = 750 * time.Millisecond
 	// confirmRetryPause is the pause after a claim that could not be read.
 	confirmRetryPause = 300 * time.Millisecond
 )
@@ -47,10 +48,14 @@
 // The caller holds b.mu.
 func (b *Batch) confirmed(at timer.Instant) { b.confirmation.at = max(b.confirmation.at, at) }
 
-// claimTrusted reports whether the claim was confirmed so lately that items may be sent. The
-// caller holds b.mu.
+// claimTrusted reports whether the claim was confirmed so lately that items may be sent. A batch
+// that is not stored yet may have been accepted by another instance since it was last requested
+// here, and ended there. The caller holds b.mu.
 func (b *Batch) claimTrusted(now timer.Instant) bool {
-	return b.unstored || now.Sub(b.confirmation.at) < claimTrust
+	if b.unstored {
+		return now.Sub(b.requestedAt) < claimTrust
+	}
+	return now.Sub(b.confirmation.at) < claimTrust
 }
 
 // withClaimCheck returns the context of an attempt, which is withheld if the claim is no longer
@@ -71,7 +76,7 @@
 // it lately. The caller holds b.mu.
 func (r *Runner) confirmClaim(b *Batch, now timer.Instant) {
 	c := &b.confirmation
-	if !b.claimTrusted(now) && !c.withheld {
+	if !b.unstored && !b.claimTrusted(now) && !c.withheld {
 		c.withheld = true
 		r.Journal.Warn("items withheld until the claim is confirmed", nil, log.Fields{
 			"request_id":     b.sub.ID,
