runner, platform: test of an item that is withheld before its first byte

The model of the runner's tests has no connections, so that the check before the first byte was not covered. The test of the end in the ledger also passed when the batch was dropped by a write a minute later.

--- a/internal/batch/runner/confirm_test.go
+++ b/internal/batch/runner/confirm_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/wire"
 	"github.com/egretbend/egretbend/internal/standin/memorystore"
 )
 
@@ -56,6 +60,7 @@
 	is.NoErr(err)
 	ended := b.clock.Now()
 	is.True(eventually(func() bool { return !b.runner.Has("b") }))
+	is.True(b.clock.Now().Sub(ended) < b.route.GiveUpAfter/2) // long before a write fails
 	is.True(lastSent().Sub(ended) <= claimTrust)
 }
 
@@ -92,6 +97,32 @@
 	is.True(lastSent() == stopped || lastSent().Sub(taken) <= claimTrust)
 }
 
+// Guards against an item that is written after the trust in its claim has ended, as its
+// connection was opened meanwhile or its instance was paused.
+func TestItemIsWithheldBeforeItsFirstByte(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	clock := &timer.Manual{}
+	r := &Runner{Timer: clock}
+	b := &Batch{ctx: context.Background()}
+	b.confirmed(clock.Now())
+	var client wire.Client
+	defer client.CloseIdle()
+	send := func() (sent bool, err error) {
+		req, err := http.NewRequestWithContext(r.withClaimCheck(b), http.MethodGet, server.URL, nil)
+		is.NoErr(err)
+		_, sent, err = client.Do(req, wire.Fresh)
+		return sent, err
+	}
+	_, err := send()
+	is.NoErr(err)
+	clock.Advance(claimTrust)
+	sent, err := send()
+	is.True(errors.Is(err, engine.ErrWithdrawn))
+	is.Equal(sent, false)
+}
+
 // Guards against a step that stands still while the key-value service is down for all
 // instances, when no batch can be ended.
 func TestOwnerGoesOnWhileStoreIsDown(t *testing.T) {
