--- a/internal/route/forward/cold_test.go
+++ b/internal/route/forward/cold_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/slowstart"
+	"github.com/egretbend/egretbend/internal/route/wire"
 )
 
 // newColdForwarder returns a forwarder whose upstreams are cold for an hour. Their service
@@ -38,13 +43,48 @@
 	is.NoErr(err)
 	is.True(s.ids[0] != s.ids[1])
 	is.Equal(answer.Attempts, 2)
+	s.behaviours = []behaviour{withdraws}
+	for range 2 {
+		_, err = f.Do(context.Background(), Request{ID: "y", Route: patient(catalog.NonIdempotent)})
+		is.Equal(problem.From(err).Kind.Outcome, problem.NotRun)
+	}
 	for _, u := range f.Upstreams.Group("s").Upstreams {
 		is.True(u.Usable(f.Timer.Now()))
 		is.Equal(u.InFlight(), int64(0))
 	}
-	s.behaviours = []behaviour{withdraws}
-	_, err = f.Do(context.Background(), Request{ID: "y", Route: patient(catalog.NonIdempotent)})
-	is.Equal(problem.From(err).Kind.Outcome, problem.NotRun)
+}
+
+// lateSender is a Sender whose upstream becomes cold before the request is written.
+type lateSender struct{ address string }
+
+// Send implements Sender.
+func (s lateSender) Send(ctx context.Context, u *catalog.Upstream, _ Request, _ time.Duration) (*Answer, error) {
+	u.RecordColdness(time.Hour, 0, 1<<40)
+	u.DenyShare()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.address, nil)
+	if err != nil {
+		return nil, err
+	}
+	var c wire.Client
+	defer c.CloseIdle()
+	res, _, err := c.Do(req, wire.Pooled)
+	if err != nil {
+		return nil, err
+	}
+	return &Answer{Status: res.StatusCode}, res.Body.Close()
+}
+
+// Guards against attempts whose permit is not checked when the request is written.
+func TestAttemptIsCheckedBeforeTheWrite(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	f, stop := newColdForwarder(&sender{}, 1)
+	defer stop()
+	f.Upstreams.Group("s").Upstreams[0].EndColdness()
+	f.Sender = lateSender{server.URL}
+	_, err := f.Do(context.Background(), Request{ID: "x", Route: patient(catalog.Idempotent)})
+	is.True(errors.Is(err, engine.ErrWithdrawn))
 }
 
 // Guards against requests that wait in vain for cold upstreams, or that are refused without the
--- a/internal/route/slowstart/limiter.go
+++ b/internal/route/slowstart/limiter.go
@@ -213,7 +213,7 @@
 type Opening struct {
 	// At is the earliest time at which this instance may send to one of them; 0 if unknown.
 	At timer.Instant
-	// Pending says that a share may be granted soon.
+	// Pending says that a share may be granted, or that a probe may answer, soon.
 	Pending bool
 	// Spacing is the time between two requests that this instance may send, 0 if they all
 	// may be sent at once.
@@ -265,7 +265,8 @@
 		if !u.MayHaveRestarted() && (o.At == 0 || u.HeldUntil() < o.At) {
 			o.At = u.HeldUntil()
 		}
-		o.Pending = o.Pending || u.ShareWanted() && now.Sub(u.ShareWantedSince()) < maxClaimWait
+		o.Pending = o.Pending || u.LostWithin(2*initialProbeDelay, now) ||
+			u.ShareWanted() && now.Sub(u.ShareWantedSince()) < maxClaimWait
 		if u.HasShare() {
 			holders++
 		}
--- a/internal/route/slowstart/limiter_test.go
+++ b/internal/route/slowstart/limiter_test.go
@@ -122,6 +122,28 @@
 	is.Equal(len(listing.Items), 1)
 }
 
+// Guards against permits that are taken twice within an interval, because the upstream got another
+// list entry of the same incarnation.
+func TestShareIsFoundAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	in := f.start(0, coldFor)
+	in.claim()
+	_, ok := f.take(in)
+	is.True(ok)
+	in.claims.Upstreams.Update([]catalog.Entry{{ID: "u", Service: "s", Address: "b", Slots: 8, Born: 1}}, nil)
+	old := in.u
+	in.u = in.claims.Upstreams.Group("s").Upstreams[0]
+	is.True(in.u != old)
+	in.claim()
+	is.True(in.u.HasShare())
+	_, ok = f.take(in)
+	is.True(!ok)
+	f.clock.Advance(750 * time.Millisecond)
+	_, ok = f.take(in)
+	is.True(ok)
+}
+
 // Guards against shares that fill the store for ever, and against removing those of upstreams that
 // are only missing from the list for a while.
 func TestCleanupRemovesSharesOfGoneUpstreams(t *testing.T) {
--- a/internal/route/slowstart/prober.go
+++ b/internal/route/slowstart/prober.go
@@ -27,7 +27,7 @@
 // HealthClient asks upstreams for their health.
 type HealthClient interface {
 	// Health requests the health path of an upstream, and records in its state what the
-	// response says about its coldness.
+	// response says about its coldness. Without a path it only opens a connection.
 	Health(ctx context.Context, u *catalog.Upstream, path string) error
 }
 
@@ -76,9 +76,6 @@
 			continue
 		}
 		path := p.Limiter.Config.Current().Services[service].HealthPath
-		if path == "" {
-			continue
-		}
 		for _, u := range g.Upstreams {
 			if !u.MayHaveRestarted() || u.Leaving() {
 				continue
--- a/internal/route/upstream/coldness.go
+++ b/internal/route/upstream/coldness.go
@@ -14,8 +14,8 @@
 // has not answered since.
 const unknownEnd = math.MaxInt64
 
-// againTolerance is by how much a reading may be later than the known end of the coldness.
-// Readings that are received with different delays differ by less.
+// againTolerance is by how much the end of the coldness by a reading may be later than the known
+// one. It covers the rounding of readings and the drift of clocks.
 const againTolerance = time.Second
 
 // claimState says whether this instance claims or holds a share of the requests that a cold
@@ -188,9 +188,9 @@
 	c := &u.cold
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if until := c.until.Load(); until != unknownEnd && int64(now.Add(left)) > until+int64(againTolerance) && u.HasShare() {
-		// Cold again. If the upstream has restarted, other instances may hold the shares of
-		// the new incarnation.
+	if until := c.until.Load(); until != unknownEnd && int64(since.Add(left)) > until+int64(againTolerance) && u.HasShare() {
+		// Cold again, however long the response took. If the upstream has restarted, other
+		// instances may hold the shares of the new incarnation.
 		c.suspended = true
 	}
 	older := since < max(c.knownAt, c.listedAt)
@@ -249,6 +249,16 @@
 	return 0
 }
 
+// LostWithin reports whether the upstream may have restarted, and that became known within d.
+func (u *Upstream) LostWithin(d time.Duration, now timer.Instant) bool {
+	if !u.MayHaveRestarted() {
+		return false
+	}
+	u.cold.mu.Lock()
+	defer u.cold.mu.Unlock()
+	return now.Sub(u.cold.knownAt) < d
+}
+
 // Answered records that the upstream answered a request that was sent at since. If it may have
 // restarted before, it counts as cold for d.
 func (u *Upstream) Answered(d time.Duration, since, now timer.Instant) {
