--- a/internal/batch/runner/cold_test.go
+++ b/internal/batch/runner/cold_test.go
@@ -60,6 +60,18 @@
 	is.Equal(len(sent["two"]), 0)
 	is.True(engines[1].ShareWanted())
 	is.True(sent["one"][2].Sub(now) >= 1500*time.Millisecond)
+	mu.Unlock()
+
+	engines[1].GrantShare(3, now) // there are three shares by now, so that it gives no permit
+	other := b.newSubmission("v", "w")
+	other.ID = "other"
+	is.NoErr(b.runner.Submit(context.Background(), other, b.route))
+	is.True(eventually(func() bool {
+		page, err := b.runner.Read(context.Background(), "other", 0, 0)
+		return err == nil && len(page.Results) == 2
+	}))
+	mu.Lock()
+	is.Equal(len(sent["two"]), 0)
 }
 
 // Guards against an attempt whose permit is not checked when it is written, and against one that was
@@ -75,7 +87,9 @@
 	b = newTestBench(t, func(ctx context.Context, u *catalog.Upstream, _ Attempt, emit func(Event) error) error {
 		mu.Lock()
 		defer mu.Unlock()
-		ejected = ejected || u.Ejected(b.clock.Now())
+		for _, e := range b.runner.Upstreams.Group("s").Upstreams {
+			ejected = ejected || e.Ejected(b.clock.Now())
+		}
 		if withdrawn == 20 {
 			return emitEvents(0, 2, 5, emit)
 		}
@@ -95,7 +109,7 @@
 		}
 		return err
 	})
-	engines := b.makeCold()
+	b.makeCold()
 	is.NoErr(b.submit("x"))
 	got := b.waitForResults(1)
 	is.Equal(len(got), 1)
@@ -103,9 +117,6 @@
 	mu.Lock()
 	defer mu.Unlock()
 	is.True(!ejected)
-	for _, u := range engines {
-		is.True(!u.Ejected(b.clock.Now()))
-	}
 }
 
 // Guards against a running stream that is moved because its engine is cold and takes no further
--- a/internal/route/slowstart/limiter_test.go
+++ b/internal/route/slowstart/limiter_test.go
@@ -79,6 +79,11 @@
 	f.clock.Advance(time.Second)
 	p, ok = f.take(in)
 	is.True(ok)
+	in.claims.Limiter.RecordLoss(in.u) // the share may be one of an earlier incarnation
+	is.True(errors.Is(p.Check(), engine.ErrWithdrawn))
+	in.u.EndColdness()
+	p, ok = f.take(in)
+	is.True(ok)
 	in.u.MarkLeaving()
 	is.True(errors.Is(p.Check(), engine.ErrWithdrawn))
 }
@@ -102,6 +107,24 @@
 	is.Equal(f.store.CallCount(memorystore.Commit), calls) // no further claims
 }
 
+// Guards against claims for upstreams that are warm or gone, or whose incarnation is not known.
+func TestOnlyUsefulSharesAreClaimed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	for i, change := range []func(*instance){
+		func(in *instance) { in.u.EndColdness() },
+		func(in *instance) { in.u.MarkLeaving() },
+		func(in *instance) { in.u.ConnectionLost(f.clock.Now()) },
+	} {
+		in := f.start(i, coldFor)
+		in.u.WantShare(f.clock.Now())
+		change(in)
+		in.claim()
+		is.True(!in.u.HasShare() && !in.u.ShareWanted())
+	}
+	is.Equal(f.store.CallCount(memorystore.Commit), 0)
+}
+
 // Guards against a share that is used before it is known to be stored, and against one that is lost
 // because its transaction was carried out late.
 func TestShareOfLostAnswerIsFoundLater(t *testing.T) {
--- a/internal/route/upstream/coldness_test.go
+++ b/internal/route/upstream/coldness_test.go
@@ -73,6 +73,7 @@
 		is.True(!u.TakePermit(1, time.Second, after(0.9)))
 		restart(&u)
 		u.Answered(20*time.Second, after(1), after(2))
+		is.True(u.Held(after(2)))
 		is.True(!u.TakePermit(1, time.Second, after(2)))
 		u.RecordListedColdness(20*time.Second, after(0), after(3))
 		is.True(!u.TakePermit(1, time.Second, after(3))) // the entry may be older
