kvfallback, coordinator: contents of batches pass through instances of the own region only

Cause: an instance that does not reach the store calls it through other instances, so a batch could pass through a region that is not allowed. Change: while anything is restricted, calls with bodies, results or texts of batches go only through instances in the region of the caller; other calls go as before. A batch that waits for an instance which may run it is looked at again when the configuration changes. Result: TestConfinedCallsUseOnlySomePeers.

--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -93,8 +93,10 @@
 
 	// claimsUncertain is set until the claims of this instance are looked up again.
 	claimsUncertain atomic.Bool
-	mu              sync.Mutex
-	owners          map[string]ledger.Owner
+	// waiting is set while batches of this instance may wait for an instance that may run them.
+	waiting atomic.Bool
+	mu      sync.Mutex
+	owners  map[string]ledger.Owner
 	// bindings holds what determines the regions of each batch, as far as it is known.
 	bindings map[string]submission.Binding
 	// pendingStores holds, by batch, the channel for the result of each store operation
--- a/internal/batch/coordinator/residency.go
+++ b/internal/batch/coordinator/residency.go
@@ -154,6 +154,10 @@
 			continue
 		}
 		d.leaveRegion(ctx)
+		if d.waiting.Swap(false) {
+			// A batch that no instance could run may be allowed somewhere now.
+			d.takeOverFailed.Set()
+		}
 		select {
 		case <-cfg.Superseded():
 		case <-t.Dying():
@@ -199,6 +203,7 @@
 func (d *Coordinator) handOver(ctx context.Context, c ledger.Claim, reason string) {
 	to := FirstRanked(registry.Without(d.membersFor(c.Binding), d.Ledger.Self.Instance), c.Batch)
 	owner := d.Ledger.Self
+	d.waiting.Store(d.waiting.Load() || to.Name == "")
 	if to.Name != "" {
 		owner = ownerOf(to)
 	} else if d.AllowedHere(c.Binding) {
--- a/internal/batch/coordinator/takeover.go
+++ b/internal/batch/coordinator/takeover.go
@@ -258,6 +258,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), sweepTimeout)
 	defer cancel()
 	if !d.AllowedHere(seen.Binding) {
+		// The instance that gave the batch away may know a newer configuration.
+		d.takeOverFailed.Set()
 		return
 	}
 	claim := seen
--- a/internal/batch/ledger/ledger.go
+++ b/internal/batch/ledger/ledger.go
@@ -106,6 +106,9 @@
 	Pause func(time.Duration)
 }
 
+// HoldsBatch reports whether the value of a key has bodies, results or texts of a batch.
+func HoldsBatch(key string) bool { return strings.HasPrefix(key, batchPrefix) }
+
 func partKey(id string, n int) string  { return fmt.Sprintf("%s%s/part/%02d", batchPrefix, id, n) }
 func endKey(id string) string          { return batchPrefix + id + "/end" }
 func progressKey(id string) string     { return batchPrefix + id + "/progress" }
--- a/internal/fleet/kvfallback/call.go
+++ b/internal/fleet/kvfallback/call.go
@@ -48,6 +48,18 @@
 	Transaction keyvalue.Transaction
 }
 
+// keys returns the keys whose values the call or its answer may hold.
+func (c *Call) keys() []string {
+	keys := []string{c.Key}
+	for _, e := range c.Transaction.Expects {
+		keys = append(keys, e.Key)
+	}
+	for _, w := range c.Transaction.Writes {
+		keys = append(keys, w.Key)
+	}
+	return keys
+}
+
 // Reply is the answer to a Call.
 type Reply struct {
 	Item     keyvalue.Item
--- a/internal/fleet/kvfallback/store.go
+++ b/internal/fleet/kvfallback/store.go
@@ -58,8 +58,11 @@
 	Peers  Peers
 	// PeerAddresses returns the addresses of the other instances.
 	PeerAddresses func() []string
-	Timer         timer.Service
-	Journal       *journal.Journal
+	// ConfinedTo returns the addresses of the only instances through which calls on a key may
+	// go, and whether the key is confined to them. Nil means that none is.
+	ConfinedTo func(key string) (addresses []string, confined bool)
+	Timer      timer.Service
+	Journal    *journal.Journal
 	// OnDirectLost is called when the direct path fails after it worked. It may be nil.
 	OnDirectLost func()
 
@@ -182,7 +185,9 @@
 			return Reply{}, combineErrors(errs)
 		}
 	}
-	s.pause()
+	if _, confined := s.confinedTo(c); !confined {
+		s.pause()
+	}
 	return Reply{}, combineErrors(errs)
 }
 
@@ -201,7 +206,7 @@
 // callPeers makes a call through other instances, one after the other.
 func (s *Store) callPeers(ctx context.Context, c Call) (Reply, error) {
 	var errs []error
-	for _, address := range s.pickPeers() {
+	for _, address := range s.pickPeers(c) {
 		callCtx, cancel := context.WithTimeout(ctx, c.timeout(peerTimeout)+c.transferTime())
 		reply, err := s.Peers.Call(callCtx, address, c)
 		cancel()
@@ -237,13 +242,31 @@
 	return reply, err
 }
 
+// confinedTo returns the addresses of the only instances through which a call may go, and
+// whether it is confined to them.
+func (s *Store) confinedTo(c Call) ([]string, bool) {
+	if s.ConfinedTo == nil {
+		return nil, false
+	}
+	for _, key := range c.keys() {
+		if addresses, confined := s.ConfinedTo(key); confined {
+			return addresses, true
+		}
+	}
+	return nil, false
+}
+
 // pickPeers returns up to maxPeersTried other instances in random order, without those
 // that failed within peerAvoidTime.
-func (s *Store) pickPeers() []string {
+func (s *Store) pickPeers(c Call) []string {
+	addresses, confined := s.confinedTo(c)
+	if !confined {
+		addresses = s.PeerAddresses()
+	}
 	now := s.Timer.Now()
 	s.mu.Lock()
 	var peers []string
-	for _, address := range s.PeerAddresses() {
+	for _, address := range addresses {
 		if now >= s.avoidUntil[address] {
 			peers = append(peers, address)
 		}
@@ -284,7 +307,7 @@
 
 // watchAtPeer watches through one other instance, for peerWatchWait at most.
 func (s *Store) watchAtPeer(ctx context.Context, c Call) ([]keyvalue.Change, uint64, error) {
-	peers := s.pickPeers()
+	peers := s.pickPeers(c)
 	if len(peers) == 0 {
 		return nil, 0, keyvalue.ErrUnavailable
 	}
--- a/internal/fleet/kvfallback/store_test.go
+++ b/internal/fleet/kvfallback/store_test.go
@@ -19,11 +19,14 @@
 	store keyvalue.TransactionalStore
 	calls int
 	fail  error
+	// through holds the address of each call.
+	through []string
 }
 
 // Call implements Peers.
-func (p *peersStub) Call(ctx context.Context, _ string, c Call) (Reply, error) {
+func (p *peersStub) Call(ctx context.Context, address string, c Call) (Reply, error) {
 	p.calls++
+	p.through = append(p.through, address)
 	if p.fail != nil {
 		return Reply{}, p.fail
 	}
@@ -183,3 +186,24 @@
 		t.Fatal("the watch still waits")
 	}
 }
+
+// Guards against the contents of a batch that pass through an instance in a region that is not
+// allowed, on their way to the service.
+func TestConfinedCallsUseOnlySomePeers(t *testing.T) {
+	is := is.New(t)
+	clock := &timer.Manual{}
+	s, peers := newTestStore(clock, newDownStore(clock), &memorystore.Store{Timer: clock})
+	allowed := []string{}
+	s.ConfinedTo = func(key string) ([]string, bool) { return allowed, key == "body" }
+	put := func(key string) error {
+		_, err := s.Commit(context.Background(), keyvalue.Transaction{Writes: []keyvalue.Write{{Key: "claim"}, {Key: key}}})
+		return err
+	}
+	is.True(put("body") != nil)
+	is.Equal(peers.calls, 0)
+	is.NoErr(put("other")) // other calls are not held up
+	allowed = []string{"near"}
+	peers.through = nil
+	is.NoErr(put("body"))
+	is.Equal(peers.through, []string{"near"})
+}
