--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -245,6 +245,7 @@
 
 			Binding: sub.Binding(),
 		})
+		d.leaveIfNotAllowed(sub.Binding())
 	case errors.Is(err, ledger.ErrExists):
 		d.Journal.Decision("accepted_before", log.Fields{
 			"request_id": sub.ID,
--- a/internal/batch/coordinator/residency.go
+++ b/internal/batch/coordinator/residency.go
@@ -180,6 +180,13 @@
 	}
 }
 
+// leaveIfNotAllowed hands over a batch that began here while the configuration changed.
+func (d *Coordinator) leaveIfNotAllowed(b submission.Binding) {
+	if !d.AllowedHere(b) {
+		go d.leaveRegion(context.Background())
+	}
+}
+
 // giveAway gives a batch that this instance owns and does not run to an instance in an allowed
 // region, if there is one.
 func (d *Coordinator) giveAway(c ledger.Claim) {
--- a/internal/batch/coordinator/takeover.go
+++ b/internal/batch/coordinator/takeover.go
@@ -292,6 +292,7 @@
 		Owner:   claim.Owner,
 		Binding: claim.Binding,
 	})
+	d.leaveIfNotAllowed(claim.Binding)
 }
 
 // HandOver gives the batches of this instance, which is stopping, to other instances,
