--- a/internal/route/forward/residency.go
+++ b/internal/route/forward/residency.go
@@ -100,6 +100,7 @@
 		"organisation":   d.req.Organisation,
 		"regions":        d.regions.String(),
 		"reason":         e.Kind.Code,
+		"error":          e.Cause.Error(),
 		"retry_after_ms": e.RetryAfter.Milliseconds(),
 	})
 }
