--- a/internal/route/forward/cold_test.go
+++ b/internal/route/forward/cold_test.go
@@ -11,7 +11,6 @@
 	"github.com/matryer/is"
 
 	"github.com/egretbend/egretbend/internal/kernel/problem"
-	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/slowstart"
 	"github.com/egretbend/egretbend/internal/route/wire"
