catalog: replaced upstreams of an evacuated domain get nothing more

A request that waited for its connection to an upstream that started anew, or left the list, before its domain was evacuated would have been written: SetEvacuated marks only the listed upstreams.

The check before the first byte looks at the evacuated domains as well.

TestReplacedUpstreamIsEvacuated fails without the change; the tests of catalog, forward, runner and platform pass with the race detector.

--- a/internal/route/catalog/evacuation.go
+++ b/internal/route/catalog/evacuation.go
@@ -1,11 +1,13 @@
 package catalog
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/engine"
 )
 
 // SetEvacuated replaces the set of evacuated failure domains. Group and Groups leave out their
@@ -41,6 +43,18 @@
 	}
 }
 
+// CheckSend returns engine.ErrWithdrawn if nothing may be sent to the upstream. A request may
+// still wait for its connection to an upstream that is no longer listed, or listed anew, and that
+// SetEvacuated does not mark, so the failure domain counts as well.
+func (u *Upstream) CheckSend() error {
+	if u.evacuated != nil {
+		if domains := u.evacuated.Load(); domains != nil && (*domains)[u.FailureDomain] {
+			return fmt.Errorf("%w: the failure domain %s is evacuated", engine.ErrWithdrawn, u.FailureDomain)
+		}
+	}
+	return u.Upstream.CheckSend()
+}
+
 // ReturnedWithin reports whether the evacuation of the upstream's domain ended within d before now.
 func (u *Upstream) ReturnedWithin(d time.Duration, now timer.Instant) bool {
 	at := u.returnedAt.Load()
--- a/internal/route/catalog/evacuation_test.go
+++ b/internal/route/catalog/evacuation_test.go
@@ -47,6 +47,24 @@
 	is.NoErr(b.Group("s").Upstreams[0].CheckSend())
 }
 
+// Guards against a request that waits for its connection to an upstream that started anew or left
+// the list before its domain was evacuated.
+func TestReplacedUpstreamIsEvacuated(t *testing.T) {
+	is := is.New(t)
+	b := &Upstreams{
+		Timer: &timer.Manual{},
+	}
+	b.Update([]Entry{newEntryIn("u", "a"), newEntryIn("v", "a")}, nil)
+	old := b.Group("s").Upstreams
+	again := newEntryIn("u", "a")
+	again.Born++
+	b.Update([]Entry{again}, []string{"v"})
+	b.SetEvacuated(map[string]bool{"a": true})
+	for _, u := range old {
+		is.True(errors.Is(u.CheckSend(), engine.ErrWithdrawn))
+	}
+}
+
 // Guards against an instance that sends requests before it has read which domains are evacuated.
 func TestNoUpstreamsBeforeEvacuationsAreKnown(t *testing.T) {
 	is := is.New(t)
--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -42,6 +42,8 @@
 	prompts        promptQueue
 	// returnedAt is when the evacuation of its failure domain last ended; 0 if it never was.
 	returnedAt atomic.Int64
+	// evacuated holds the evacuated failure domains; nil if the upstream is in no Upstreams.
+	evacuated *atomic.Pointer[map[string]bool]
 }
 
 // Reserve reserves engine memory for a stream; a negative number releases it.
@@ -146,6 +148,7 @@
 				Incarnation:   uint64(entry.Born),
 				Slots:         entry.Slots,
 			},
+			evacuated: &b.evacuated,
 		}
 		since := b.Timer.Now()
 		if initial {
