--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -48,6 +48,8 @@
 	prompts        promptQueue
 	// returnedAt is when the evacuation of its failure domain last ended; 0 if it never was.
 	returnedAt atomic.Int64
+	// evacuated holds the evacuated failure domains; nil if the upstream is in no Upstreams.
+	evacuated *atomic.Pointer[map[string]bool]
 }
 
 // Reserve reserves engine memory for a stream; a negative number releases it.
@@ -190,6 +192,7 @@
 				Slots:         entry.Slots,
 				Shared:        b.sharedBy(entry.Service),
 			},
+			evacuated: &b.evacuated,
 		}
 		b.stale[entry.Service] = true
 		since := b.Timer.Now()
