--- a/internal/fleet/watchrelay/scale_test.go
+++ b/internal/fleet/watchrelay/scale_test.go
@@ -62,7 +62,7 @@
 	changes := make([]keyvalue.Change, n)
 	for i := range changes {
 		changes[i].Item = keyvalue.Item{
-			Key:      fmt.Sprintf("servers/engine-%05d", i),
+			Key:      fmt.Sprintf("upstreams/engine-%05d", i),
 			Value:    []byte(newListEntry(i, after)),
 			Revision: after + uint64(i) + 1,
 		}
