duty: a new holder waits for its predecessor's last call only

After the loss of a holder, engines got no weight orders for 6 to 7 s: 2.2 s until its lease ended, and 4.7 s of waiting, three of them so that calls of two holders are three seconds apart. What engines and the platform must not get are calls with a lower fencing token after a higher one, and calls of holders that take turns, A, B and A again, within three seconds.

A new holder now calls as soon as no call of its predecessor can arrive, 1.7 s after it was found missing, and an instance that held the duty before waits until three seconds after its own last call.

--- a/internal/fleet/duty/doc.go
+++ b/internal/fleet/duty/doc.go
@@ -18,8 +18,10 @@
 //
 // # Order of calls
 //
-// Calls of two holders arrive at least three seconds apart, and never one with a lower fencing
-// token after one with a higher token. Each call is made in the context of BeginCall:
+// A call with a lower fencing token never arrives after one with a higher token, and holders don't
+// take turns within three seconds: an instance whose calls were followed by those of another
+// holder makes none until three seconds after its last one. Each call is made in the context of
+// BeginCall:
 //
 //   - The permission P of a holder ends maxLeaseAge (1.2 s) after the request of its last
 //     successful renewal. Nobody finds its key missing before that renewal, so that
@@ -33,7 +35,9 @@
 //     instance is paused and can't reset it, TCP_USER_TIMEOUT does so DeliveryTimeout (0.5 s)
 //     after the bytes were written. So the last call arrives before
 //     max(P + 0.2 s, P - 0.2 s + 0.5 s + 0.2 s) = P + 0.5 s <= T + 1.7 s.
-//   - The next holder makes its first call at T + HandoverWait (4.7 s), three seconds later.
+//   - The next holder makes its first call at T + HandoverWait (1.7 s), and at least returnWait
+//     (3 s) after its own last one. As an earlier process of the same instance may have made
+//     calls, it counts from the start of the process if it has made none.
 //
 // The token of one holder also changes, with its lease and at the end of its wait. Calls under
 // the new token wait until those under the earlier one have ended and networkDelay has passed.
--- a/internal/fleet/duty/holder.go
+++ b/internal/fleet/duty/holder.go
@@ -42,14 +42,15 @@
 	// takeoverDelay is how long the holder must be missing before another instance
 	// takes over. A holder that restarts continues without this delay.
 	takeoverDelay = 1500 * time.Millisecond
-	// engineLeaseTime is how long engines and the platform get no calls from another holder
-	// after one of the previous holder.
-	engineLeaseTime = 3 * time.Second
+	// returnWait is how long after its last call an instance makes no calls as a new holder.
+	// Engines and the platform must not get calls from holders that take turns within three
+	// seconds.
+	returnWait = 3 * time.Second
 	// HandoverWait is the time between the detection that the previous holder is missing
 	// and the first call of the new one. A holder whose lease was revoked relies on it for
 	// another maxLeaseAge at most, and its last call arrives within DeliveryTimeout after
 	// that. The package's documentation has the arithmetic.
-	HandoverWait = engineLeaseTime + maxLeaseAge + DeliveryTimeout
+	HandoverWait = maxLeaseAge + DeliveryTimeout
 	// keepTimeout is the time limit of one call of Maintain.
 	keepTimeout = 900 * time.Millisecond
 )
@@ -97,7 +98,10 @@
 	// call that was begun so far can arrive.
 	calls      int
 	callsUntil timer.Instant
-	holds      atomic.Bool
+	// startedAt is when this process first took part in the election. Before, an earlier
+	// process of the same instance may have made calls.
+	startedAt timer.Instant
+	holds     atomic.Bool
 	// missing is the holder that was found to be missing, if any.
 	missing missingHolder
 }
@@ -205,6 +209,11 @@
 func (h *Holder) Maintain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
+	h.mu.Lock()
+	if h.startedAt == 0 {
+		h.startedAt = h.Timer.Now()
+	}
+	h.mu.Unlock()
 	lease, fresh := h.leaseFresh()
 	if h.fence != 0 && lease == h.lease && (h.waitOver || h.Timer.Now() < h.callsFrom) {
 		return nil
@@ -289,6 +298,9 @@
 	if detected {
 		callsFrom = max(h.Timer.Now(), h.missing.since.Add(HandoverWait))
 	}
+	if previous != h.Name || waiting {
+		callsFrom = max(callsFrom, h.lastOwnCall().Add(returnWait))
+	}
 	if item.Revision == 0 {
 		// The key is never removed, so nobody has held the duty or given an order yet.
 		callsFrom = h.Timer.Now()
@@ -317,7 +329,7 @@
 	}
 	if previous != "" && previous != h.Name && !detected {
 		// The previous holder may have been alive until the commit.
-		callsFrom = h.Timer.Now().Add(HandoverWait)
+		callsFrom = max(callsFrom, h.Timer.Now().Add(HandoverWait))
 	}
 	h.set(rev, lease, callsFrom, waitOver)
 	h.holds.Store(true)
@@ -341,6 +353,14 @@
 	h.fence, h.lease, h.callsFrom, h.waitOver = fence, lease, callsFrom, waitOver
 }
 
+// lastOwnCall returns the time after which no call arrives that this instance made as an earlier
+// holder.
+func (h *Holder) lastOwnCall() timer.Instant {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(h.startedAt, h.callsUntil)
+}
+
 // firstCallTime returns the time from which this instance may make calls, given the
 // previous holder and whether that one was still waiting.
 func (h *Holder) firstCallTime(previous string, waiting bool) timer.Instant {
