registry, coordinator: homes and entry addresses in the region of the caller

The home is now chosen in the region in which a batch is submitted, and callers get the instances of their region if at least three serve there. With one region nothing changes.

--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -118,7 +118,7 @@
 		return d.refuse(ctx, sub, refusal)
 	}
 	triedHome := false
-	for _, home := range Homes(d.membersFor(sub.Binding()), homeKey(sub)) {
+	for _, home := range Homes(d.membersFor(sub.Binding()), d.Registry.Self().Region, homeKey(sub)) {
 		if home.Name == d.Ledger.Self.Instance {
 			break
 		}
--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -315,12 +315,33 @@
 		{Name: "b", Cores: 0.8},
 		{Name: "c", Cores: 0.8},
 	}
-	homes := Homes(members, "m")
+	homes := Homes(members, "", "m")
 	is.Equal(len(homes), 2)
 	is.Equal(homes[0], FirstRanked(members, "m"))
 	is.True(homes[1].Name != homes[0].Name && homes[1].Cores == 0.8)
-	is.Equal(len(Homes(members[:1], "m")), 1)
-	is.Equal(len(Homes(nil, "m")), 0)
+	is.Equal(len(Homes(members[:1], "", "m")), 1)
+	is.Equal(len(Homes(nil, "", "m")), 0)
+}
+
+// Guards against homes that every read of a batch reaches across regions.
+func TestHomesAreInTheRegionOfTheTrainer(t *testing.T) {
+	is := is.New(t)
+	var members []registry.Member
+	for _, name := range []string{"a1", "a2", "a3", "b1", "b2", "c1"} {
+		members = append(members, registry.Member{
+			Name:   name,
+			Region: name[:1],
+			Cores:  0.8,
+		})
+	}
+	for _, key := range []string{"m0", "m1", "m2", "m3"} {
+		homes := Homes(members, "b", key)
+		is.Equal(homes[0].Region, "b")
+		is.Equal(homes[1].Region, "b")
+		homes = Homes(members, "c", key)
+		is.Equal(homes[0].Name, "c1")
+		is.Equal(homes[1], Homes(members[:5], "", key)[0])
+	}
 }
 
 // slowStore delays listings until release is closed, and counts them.
--- a/internal/batch/coordinator/prepare.go
+++ b/internal/batch/coordinator/prepare.go
@@ -66,7 +66,7 @@
 // isHome reports whether this instance is the home of a batch, which begins it even
 // before it is stored.
 func (d *Coordinator) isHome(sub *submission.Submission) bool {
-	homes := Homes(d.membersFor(sub.Binding()), homeKey(sub))
+	homes := Homes(d.membersFor(sub.Binding()), d.Registry.Self().Region, homeKey(sub))
 	return len(homes) > 0 && homes[0].Name == d.Ledger.Self.Instance
 }
 
--- a/internal/batch/coordinator/takeover.go
+++ b/internal/batch/coordinator/takeover.go
@@ -211,9 +211,10 @@
 const maxHomes = 2
 
 // Homes returns the instances that batches of a key should run at, the most preferred
-// first.
-func Homes(members []registry.Member, key string) []registry.Member {
-	return registry.Ranked(members, key, maxHomes)
+// first. Those of the region in which a batch is submitted come first: its trainer reads the
+// results there, several times as many bytes as the batch itself has.
+func Homes(members []registry.Member, region, key string) []registry.Member {
+	return registry.RankedNear(members, region, key, maxHomes)
 }
 
 // takeOver acquires a batch unless its owner turns out to be alive.
--- a/internal/fleet/registry/member.go
+++ b/internal/fleet/registry/member.go
@@ -78,6 +78,21 @@
 	return ranked
 }
 
+// RankedNear returns up to n members like Ranked, those of a region first.
+func RankedNear(members []Member, region, key string, n int) []Member {
+	ranked := Ranked(members, key, len(members))
+	slices.SortStableFunc(ranked, func(a, b Member) int {
+		switch {
+		case a.Region == region && b.Region != region:
+			return -1
+		case a.Region != region && b.Region == region:
+			return 1
+		}
+		return 0
+	})
+	return ranked[:min(n, len(ranked))]
+}
+
 // InRegions returns the members in the allowed regions.
 func InRegions(members []Member, regions residency.Regions) []Member {
 	if !regions.Restricted() {
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -350,15 +350,24 @@
 	// Region is the caller's own region.
 	Region string
 	// Rank ranks the other regions by whether requests of the caller may be seen there, 0 being
-	// the best; nil means that the region of an instance does not matter.
+	// the best; nil means that they may be seen in all regions.
 	Rank func(region string) int
 }
 
+// minAddresses is the smallest number of instances of its own region that a caller connects to
+// while its requests may be seen in other regions as well: with fewer, a caller may find none
+// that serves, as while instances restart.
+const minAddresses = 3
+
 // inBestRegions returns the members in the caller's own region, if there are any, and else
-// those in the regions that rank best.
+// those in the regions that rank best. Without a rank, the own region needs minAddresses.
 func (c Client) inBestRegions(members []Member) []Member {
 	if c.Rank == nil {
-		return members
+		own := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Region != c.Region })
+		if len(own) < minAddresses {
+			return members
+		}
+		return own
 	}
 	var best []Member
 	bestRank := 0
--- a/internal/fleet/registry/residency_test.go
+++ b/internal/fleet/registry/residency_test.go
@@ -48,3 +48,21 @@
 	r.updateView()
 	is.Equal(addresses(Client{Region: "b", Rank: allowsOnly("c")}), []string{"c0", "c1"}) // none serves in b
 }
+
+// Guards against callers that connect to instances far away, and those of a region with few
+// instances, which find none while these restart.
+func TestCallersStayInARegionWithEnoughInstances(t *testing.T) {
+	is := is.New(t)
+	r := &Registry{}
+	r.SetSelf(Member{Name: "a0", EntryAddress: "a0", Region: "a", FailureDomain: "a1"})
+	r.members = make(map[string]Member)
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		r.members[name] = Member{Name: name, EntryAddress: name, Region: name[:1], FailureDomain: name}
+	}
+	r.updateView()
+	list := r.EntryAddresses(Client{Region: "a", FailureDomain: "a2"}, 64)
+	is.Equal(list[0], "a2")
+	is.Equal(len(list), 3)
+	is.Equal(len(r.EntryAddresses(Client{Region: "b", FailureDomain: "b1"}, 64)), 5)
+	is.Equal(len(r.EntryAddresses(Client{}, 64)), 5)
+}
