submission: a batch is bound once by each configuration

Cause: an instance that accepts a batch itself after its homes did not answer bound it again by the same configuration, while a call to a home might still be reading it. Change: Bind does nothing for the version by which the batch is bound already. Result: tests of submission, coordinator and runner with -race.

--- a/internal/batch/submission/binding.go
+++ b/internal/batch/submission/binding.go
@@ -33,12 +33,12 @@
 }
 
 // Bind records the regions that a configuration allows for the batch. It does nothing if the
-// batch was bound by a newer one.
+// batch was bound by the same one or a newer one; a call that forwards the batch may still be
+// reading it.
 func (s *Submission) Bind(cfg *catalog.Configuration) {
-	if cfg == nil || cfg.Version < s.ConfigVersion {
+	if cfg == nil || cfg.Version <= s.ConfigVersion {
 		return
 	}
-	s.Regions = nil
 	s.ConfigVersion = cfg.Version
 	s.Regions = cfg.RequestRegions(s.Host, s.Path, s.Organisation, residency.Regions{}).Names()
 }
