--- a/internal/route/slowstart/limiter_test.go
+++ b/internal/route/slowstart/limiter_test.go
@@ -253,6 +253,13 @@
 			_ = p.Check()
 		}
 	}), 0.0)
+	f.config.Update(catalog.Configuration{Version: 2, Services: map[string]catalog.Service{"s": {Name: "s"}}}.WithIndex())
+	ctx := context.Background()
+	is.Equal(testing.AllocsPerRun(100, func() {
+		p, ok := f.take(warm)
+		is.True(ok)
+		is.True(p.Guard(ctx) == ctx) // no check without a slow start
+	}), 0.0)
 }
 
 // BenchmarkTake measures the check on the path of a request to a warm upstream, with and without a
