forward: an evacuation refuses only waiting requests whose regions have no upstream left

The gates of parts of services were looked up as services, so that each change of the evacuated domains refused all requests that waited there.

--- a/internal/route/forward/evacuation_test.go
+++ b/internal/route/forward/evacuation_test.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/admission"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/residency"
 	"github.com/egretbend/egretbend/internal/route/wire"
 )
 
@@ -161,6 +162,34 @@
 	is.Equal(s.sent.Load(), int32(0))
 }
 
+// Guards against refusing the requests that wait for upstreams in their allowed regions when
+// another failure domain is evacuated, and against holding them when no upstream is left there.
+func TestEvacuationAndGateOfRegions(t *testing.T) {
+	is := is.New(t)
+	f, stop := evacuatingForwarder(&evacuatingSender{})
+	defer stop()
+	var list []catalog.Entry
+	for _, id := range []string{"a0", "b0"} {
+		list = append(list, catalog.Entry{ID: id, Service: "s", Address: id, Slots: 4, FailureDomain: id[:1], Region: id[:1]})
+	}
+	f.Upstreams.Update(list, []string{"a1", "a2", "b1", "b2"})
+	addGates(f)
+	regions := residency.FromList([]string{"a"})
+	gate := f.gateOf(&dispatch{f: f, service: "s", regions: regions, group: f.Upstreams.Group("s").In(regions)})
+	for range 4 {
+		is.NoErr(gate.Acquire(context.Background(), admission.Request{}))
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- gate.Acquire(context.Background(), admission.Request{}) }()
+	is.True(eventually(func() bool { return gate.Waiting(admission.Interactive) == 1 }))
+	f.Upstreams.SetEvacuated(map[string]bool{"b": true})
+	f.UpstreamsChanged()
+	is.Equal(gate.Waiting(admission.Interactive), 1)
+	f.Upstreams.SetEvacuated(map[string]bool{"a": true})
+	f.UpstreamsChanged()
+	is.True(<-ended != nil)
+}
+
 // Guards against a queued request that is sent to the upstream that it would have had when it
 // was queued.
 func TestQueuedRequestChoosesAgain(t *testing.T) {
--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/admission"
+	"github.com/egretbend/egretbend/internal/route/residency"
 	"github.com/egretbend/egretbend/internal/route/upstream"
 )
 
@@ -211,10 +212,25 @@
 // at the gates: those of a service without an upstream are refused.
 func (f *Forwarder) UpstreamsChanged() {
 	if f.Admission != nil {
-		f.Admission.Refresh(func(service string) *upstream.Set { return f.Upstreams.Group(service).Set })
+		f.Admission.Refresh(f.setOfGate)
 	}
 }
 
+// gatedPart is the part of a service that has a gate of its own.
+type gatedPart struct {
+	service string
+	regions residency.Regions
+}
+
+// setOfGate returns the present upstreams behind a gate.
+func (f *Forwarder) setOfGate(name string) *upstream.Set {
+	if part, ok := f.gatedParts.Load(name); ok {
+		p := part.(gatedPart)
+		return f.Upstreams.Group(p.service).In(p.regions).Set
+	}
+	return f.Upstreams.Group(name).Set
+}
+
 func isRefusal(err error) bool {
 	if err == nil {
 		return false // the most frequent case, without the allocation below
@@ -253,6 +269,9 @@
 	name := d.service
 	if d.regions.Restricted() {
 		name += " in " + d.regions.String()
+		if _, known := f.gatedParts.Load(name); !known {
+			f.gatedParts.Store(name, gatedPart{d.service, d.regions})
+		}
 	}
 	return f.Admission.Service(name, d.group.Set)
 }
