admission: outdated upstreams don't open a gate that a total evacuation closed

A request that took its upstreams just before the evacuation passed them to Gates.Service, which took them for new ones. Requests waited at the gate until their deadlines then.

--- a/internal/route/admission/service.go
+++ b/internal/route/admission/service.go
@@ -44,9 +44,12 @@
 
 	mu       sync.RWMutex
 	services map[string]*Service
+	// setOf is the function that Refresh was last called with; nil before.
+	setOf atomic.Pointer[func(service string) *upstream.Set]
 }
 
-// Service returns the gate of a service with the given upstreams.
+// Service returns the gate of a service with the given upstreams. If the service has none any more
+// according to Refresh, the caller's are out of date, and the gate stays as it is.
 func (g *Gates) Service(name string, set *upstream.Set) *Service {
 	g.mu.RLock()
 	s := g.services[name]
@@ -55,11 +58,17 @@
 		s = g.create(name)
 	}
 	if s.set.Load() != set {
-		s.setUpstreams(set)
+		s.update(set, func() bool { return !g.isEmpty(name) })
 	}
 	return s
 }
 
+// isEmpty reports whether a service has no upstream according to Refresh.
+func (g *Gates) isEmpty(name string) bool {
+	setOf := g.setOf.Load()
+	return setOf != nil && len((*setOf)(name).Upstreams) == 0
+}
+
 func (g *Gates) create(name string) *Service {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -91,13 +100,14 @@
 
 // Refresh updates the slots of all services at once after a change of the upstreams, where
 // Service would do so with the next request. setOf returns the upstreams of a service. The
-// waiting requests of a service without any are refused.
+// waiting requests of a service without any are refused. Service calls setOf as well later.
 func (g *Gates) Refresh(setOf func(service string) *upstream.Set) {
+	g.setOf.Store(&setOf)
 	g.all(func(name string, s *Service) {
 		if set := setOf(name); len(set.Upstreams) == 0 {
 			s.close()
 		} else if s.set.Load() != set {
-			s.setUpstreams(set)
+			s.update(set, nil)
 		}
 	})
 }
@@ -122,10 +132,18 @@
 	closed bool
 }
 
-// setUpstreams updates the slots after the list of upstreams has changed.
-func (s *Service) setUpstreams(set *upstream.Set) {
+// update updates the slots after the list of upstreams has changed, if valid is nil or reports true.
+// valid is called under the lock, so that close is not undone by a caller that was valid before it.
+func (s *Service) update(set *upstream.Set, valid func() bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if valid != nil && !valid() {
+		if s.set.Load() == nil {
+			s.closed = true
+			s.set.Store(&upstream.Set{})
+		}
+		return
+	}
 	s.set.Store(set)
 	s.closed = false
 	now := s.timer.Now()
@@ -152,7 +170,7 @@
 	s.gate.SetCapacity(float64(slots))
 }
 
-// close refuses the waiting requests, and those that would have to wait until setUpstreams.
+// close refuses the waiting requests, and those that would have to wait until update.
 func (s *Service) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/route/admission/service_test.go
+++ b/internal/route/admission/service_test.go
@@ -184,3 +184,27 @@
 	is.NoErr(s.Acquire(context.Background(), Request{}))
 	is.Equal(s.gate.slots, 8.0)
 }
+
+// Guards against a gate that a request with the upstreams from before a total evacuation opens
+// again: the requests that wait there would only be refused at their deadlines.
+func TestOutdatedUpstreamsLeaveGateClosed(t *testing.T) {
+	is := is.New(t)
+	clock := &timer.Manual{}
+	clock.Advance(time.Hour)
+	gates := &Gates{Timer: clock}
+	old, current := newSet(1, 1), &upstream.Set{}
+	s := gates.Service("s", old)
+	is.NoErr(s.Acquire(context.Background(), Request{}))
+	gates.Refresh(func(string) *upstream.Set { return current })
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for _, name := range []string{"s", "new"} {
+		s := gates.Service(name, old)
+		s.gate.Enter(Interactive)
+		var refusal *RefusalError
+		is.True(errors.As(s.Acquire(ctx, Request{Deadline: clock.Now().Add(time.Hour)}), &refusal))
+		is.Equal(refusal.Reason, ReasonNoUpstream)
+	}
+	current = newSet(1, 8)
+	is.NoErr(gates.Service("s", current).Acquire(context.Background(), Request{}))
+}
