evacuation: a domain known only from the listing after a pause is put back

The mirror reports no removal of a key that it never had: if the key was removed before the mirror listed the keys again, the domain stayed evacuated until the process ended. Bad keys are logged once, also if they are listed again after each pause.

--- a/internal/fleet/evacuation/evacuation_test.go
+++ b/internal/fleet/evacuation/evacuation_test.go
@@ -97,7 +97,7 @@
 		OnChange:    func([]keyvalue.Change) {},
 		Timer:       f.clock,
 		RejectOlder: true,
-		OnSeen: func(changes []keyvalue.Change, _ uint64) {
+		OnSeen: func(changes []keyvalue.Change, revision uint64) {
 			var decoded []evacuation.Change
 			for _, c := range changes {
 				decoded = append(decoded, evacuation.Change{
@@ -107,6 +107,7 @@
 				})
 			}
 			f.tracker.Apply(decoded)
+			f.tracker.Followed(revision)
 		},
 	}
 	var running tomb.Tomb
@@ -235,3 +236,46 @@
 		is.True(strings.Contains(f.log.String(), text))
 	}
 }
+
+// Guards against a domain that stays evacuated for ever, as the removal of its key fell into a time
+// that the mirror skipped after another listing had shown the key, and against a domain that is
+// put back although the mirror does not reach back to that listing, or has the key as well.
+func TestEvacuationKnownFromListingOnly(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.follow(t)
+	is.True(f.waitForSet(""))
+	is.NoErr(f.commit("b", ""))
+	is.True(f.waitForSet("b"))
+	listing, err := f.store.Range(context.Background(), "e/", keyvalue.Fresh)
+	is.NoErr(err)
+	f.tracker.ApplyListing([]evacuation.Change{
+		{Domain: "a", Revision: listing.Revision + 1},
+		{Domain: "b", Revision: listing.Items[0].Revision},
+	})
+	is.True(f.waitForSet("a b"))
+	f.tracker.Followed(listing.Revision + 1)
+	is.True(f.waitForSet("a b"))
+	f.setDown(true) // the key of a is written and removed before the mirror lists again
+	f.clock.Advance(time.Minute)
+	f.setDown(false)
+	is.NoErr(f.commit("x", ""))
+	is.NoErr(f.commit("", "x"))
+	f.store.Compact()
+	is.True(f.waitForSet("b"))
+}
+
+// Guards against logging a bad key again with each listing.
+func TestBadInputIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	for range 3 {
+		f.tracker.Apply([]evacuation.Change{
+			{Domain: "", Revision: 1},
+			{Domain: "a", Revision: 2, Invalid: errors.New("no object")},
+		})
+	}
+	is.NoErr(f.tracker.Journal.Flush())
+	is.Equal(strings.Count(f.log.String(), "names no failure domain"), 1)
+	is.Equal(strings.Count(f.log.String(), "no object"), 1)
+}
--- a/internal/fleet/evacuation/set.go
+++ b/internal/fleet/evacuation/set.go
@@ -60,10 +60,13 @@
 	}
 	var events []Event
 	for _, c := range changes {
-		if c.Domain == "" || c.Revision <= next.revisions[c.Domain] {
+		if c.Revision <= next.revisions[c.Domain] {
 			continue
 		}
 		next.revisions[c.Domain] = c.Revision
+		if c.Domain == "" {
+			continue
+		}
 		known, evacuated := next.byDomain[c.Domain]
 		switch {
 		case c.Removed && evacuated:
--- a/internal/fleet/evacuation/tracker.go
+++ b/internal/fleet/evacuation/tracker.go
@@ -29,12 +29,60 @@
 	mu    sync.Mutex
 	set   Set
 	known bool
+	// unconfirmed holds the revisions of the evacuations of which only ApplyListing has told.
+	unconfirmed map[string]uint64
 }
 
 // Apply applies changes in order of their revisions. The first call states the whole set.
 func (t *Tracker) Apply(changes []Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, c := range changes {
+		delete(t.unconfirmed, c.Domain)
+	}
+	t.apply(changes)
+}
+
+// ApplyListing applies the evacuations of a listing that was read beside the changes that Apply is
+// called with.
+func (t *Tracker) ApplyListing(listed []Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.unconfirmed == nil {
+		t.unconfirmed = make(map[string]uint64)
+	}
+	for _, c := range listed {
+		if c.Revision > t.set.revisions[c.Domain] {
+			t.unconfirmed[c.Domain] = c.Revision
+		}
+	}
+	t.apply(listed)
+}
+
+// Followed tells that Apply was called with all changes up to a revision. An evacuation that only
+// ApplyListing told of has ended if it began before: the mirror of the keys has listed them
+// after the key was removed, and reports no removal of a key that it never had.
+func (t *Tracker) Followed(revision uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ended []Change
+	for domain, began := range t.unconfirmed {
+		if began < revision {
+			delete(t.unconfirmed, domain)
+			ended = append(ended, Change{
+				Domain:   domain,
+				Revision: revision,
+				Removed:  true,
+			})
+		}
+	}
+	if len(ended) > 0 {
+		t.apply(ended)
+	}
+}
+
+// apply applies changes. The caller holds t.mu.
+func (t *Tracker) apply(changes []Change) {
 	t.logProblems(changes)
 	next, events := t.set.Apply(changes, t.Timer.Now())
 	if t.known && len(events) == 0 {
@@ -62,6 +110,7 @@
 			"revision": c.Revision,
 		}
 		switch {
+		case c.Revision <= t.set.revisions[c.Domain]: // known, and logged before
 		case c.Domain == "":
 			t.Journal.Warn("evacuation ignored", errNoDomain, fields)
 		case c.Removed:
