--- a/internal/batch/runner/confirm.go
+++ b/internal/batch/runner/confirm.go
@@ -20,6 +20,10 @@
 	// confirmInterval is how long after a claim was last confirmed it is read again. It
 	// leaves claimTrust - confirmInterval for the read.
 	confirmInterval = 800 * time.Millisecond
+	// quickConfirmInterval takes its place while reads take quickRead at most, since each read is
+	// a billed call. It leaves 300 ms after the checkInterval, and a slow service takes 240 ms.
+	quickConfirmInterval = 1400 * time.Millisecond
+	quickRead            = 100 * time.Millisecond
 	// claimTrust is how long after a claim was confirmed items are sent.
 	claimTrust = 1800 * time.Millisecond
 	// itemDeliveryTimeout is how long the kernel may retain the bytes of an item.
@@ -40,10 +44,20 @@
 	// reading says that the claim is being read, and nextAt is when it may be read again.
 	reading bool
 	nextAt  timer.Instant
+	// quick says that the last read took quickRead at most.
+	quick bool
 	// withheld says that items are withheld as the claim is not confirmed.
 	withheld bool
 }
 
+// interval returns how long after the claim was last confirmed it is read again.
+func (c *confirmation) interval() time.Duration {
+	if c.quick {
+		return quickConfirmInterval
+	}
+	return confirmInterval
+}
+
 // confirmed records that a call that began at an instant has shown that the claim is valid.
 // The caller holds b.mu.
 func (b *Batch) confirmed(at timer.Instant) { b.confirmation.at = max(b.confirmation.at, at) }
@@ -84,7 +98,7 @@
 			"unconfirmed_ms": now.Sub(c.at).Milliseconds(),
 		})
 	}
-	if b.unstored || b.open == 0 || c.reading || now < c.nextAt || now.Sub(c.at) < confirmInterval {
+	if b.unstored || b.open == 0 || c.reading || now < c.nextAt || now.Sub(c.at) < c.interval() {
 		return
 	}
 	c.reading = true
@@ -111,10 +125,12 @@
 	case errors.Is(err, ledger.ErrFenced):
 		return true
 	case err != nil:
+		c.quick = false
 		c.nextAt = r.Timer.Now().Add(confirmRetryPause)
 		return false
 	}
 	b.confirmed(at)
+	c.quick = r.Timer.Now().Sub(at) <= quickRead
 	if c.withheld && b.claimTrusted(r.Timer.Now()) {
 		c.withheld = false
 		r.Journal.Info("claim confirmed again", log.Fields{
--- a/internal/batch/runner/confirm_test.go
+++ b/internal/batch/runner/confirm_test.go
@@ -199,3 +199,35 @@
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 }
+
+// Guards against reading claims more often than needed, as each read is billed, and against a slow
+// or failed read that is followed by one too late to keep the claim trusted.
+func TestClaimIsReadLessOftenWhileReadsAreQuick(t *testing.T) {
+	is := is.New(t)
+	b, lastSent, cut := resendingBench(t)
+	b.runner.StoreDown = func(context.Context) (timer.Instant, bool) { return 0, false }
+	is.NoErr(b.submit("x"))
+	began, before := b.clock.Now(), b.store.CallCount(memorystore.Get)
+	const period = 15 * time.Second
+	is.True(eventually(func() bool { return b.clock.Now().Sub(began) > period }))
+	reads := b.store.CallCount(memorystore.Get) - before
+	is.True(reads >= 7)
+	is.True(reads <= int(period/quickConfirmInterval)+2)
+	is.True(b.clock.Now().Sub(lastSent()) < claimTrust)
+
+	batch := b.runner.find("b")
+	interval := func() time.Duration {
+		batch.mu.Lock()
+		defer batch.mu.Unlock()
+		return batch.confirmation.interval()
+	}
+	is.Equal(interval(), quickConfirmInterval)
+	cut.Store(true)
+	is.True(eventually(func() bool { return interval() == confirmInterval }))
+	cut.Store(false)
+	is.True(eventually(func() bool { return interval() == quickConfirmInterval }))
+	slow := &Batch{ctx: context.Background()}
+	slow.confirmation.quick = true
+	is.Equal(b.runner.claimRead(slow, b.clock.Now().Add(-2*quickRead), nil), false)
+	is.Equal(slow.confirmation.interval(), confirmInterval)
+}
