wire, platform: an idle connection that ends early counts as lost

An upstream that restarts under the same ID and address closes its idle connections. The transport drops them silently and opens a new one, over which requests reached the cold upstream without a permit while the list was old. The end of an idle connection before its keep-alive timeout, and a connection that turns out to be closed when a request is given to it, now count as a lost connection.

--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -107,13 +107,17 @@
 // returned only with a nil error.
 func (c *Client) Do(req *http.Request, reuse Reuse) (res *http.Response, sent bool, err error) {
 	c.once.Do(c.configureTransports)
-	tracker := connTracker{
+	tracker := &connTracker{
 		beforeWrite:     c.beforeWrite(req.Context()),
 		deliveryTimeout: deliveryTimeoutOf(req.Context()),
 	}
+	tracker.onIdleLost, _ = req.Context().Value(idleLostKey{}).(func(time.Duration))
 	trace := &httptrace.ClientTrace{
 		GotConn: tracker.gotConn,
 	}
+	if tracker.onIdleLost != nil {
+		trace.PutIdleConn = tracker.putIdleConn
+	}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	// Without GetBody the transport can't silently repeat a request whose body
 	// it has begun to send.
@@ -159,6 +163,16 @@
 	return check
 }
 
+// idleLostKey is the context key of WithOnIdleLost.
+type idleLostKey struct{}
+
+// WithOnIdleLost returns a context for requests that call onLost when the other side closes their
+// connection after it became idle, with the time for which it was idle, or when they find that it
+// was closed and are moved to another connection. onLost must not wait.
+func WithOnIdleLost(ctx context.Context, onLost func(idle time.Duration)) context.Context {
+	return context.WithValue(ctx, idleLostKey{}, onLost)
+}
+
 // deliveryTimeoutKey is the context key of WithDeliveryTimeout.
 type deliveryTimeoutKey struct{}
 
@@ -219,6 +233,27 @@
 	withheld    error
 	// deliveryTimeout is the delivery timeout of the request.
 	deliveryTimeout time.Duration
+	// onIdleLost is the function of WithOnIdleLost; it may be nil. last is the connection that
+	// was given last.
+	onIdleLost func(time.Duration)
+	last       *conn
+}
+
+// idleLost calls the function of WithOnIdleLost.
+func (t *connTracker) idleLost(idle time.Duration) {
+	if t.onIdleLost != nil {
+		t.onIdleLost(idle)
+	}
+}
+
+// putIdleConn is called by httptrace when the request returns its connection.
+func (t *connTracker) putIdleConn(err error) {
+	t.mu.Lock()
+	last := t.last
+	t.mu.Unlock()
+	if err == nil && last != nil {
+		last.idle.returned(t)
+	}
 }
 
 // connUse is a connection and the bytes written to it before the request.
@@ -233,6 +268,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	setDeliveryTimeout(info.Conn, t.deliveryTimeout)
+	if len(t.uses) > 0 {
+		// The other side closed the connection before it received the request.
+		t.idleLost(0)
+	}
+	if ok {
+		t.last = c
+		c.idle.use(t)
+	}
 	if t.beforeWrite != nil {
 		t.withheld = t.beforeWrite()
 	}
--- a/internal/route/wire/conn.go
+++ b/internal/route/wire/conn.go
@@ -25,12 +25,58 @@
 	deliveryTimeout time.Duration
 	// onClose is called when the connection is closed; it may be nil.
 	onClose func()
+	idle    idleState
 
 	mu      sync.Mutex
 	written uint64
 	sealed  bool
 }
 
+// idleState tells whether a connection is idle. Its zero value is that of one that is not.
+type idleState struct {
+	mu sync.Mutex
+	// user is the last request that the connection was given to.
+	user *connTracker
+	// since is when that request returned the connection; it is zero before.
+	since time.Time
+}
+
+// use records that the connection was given to a request.
+func (s *idleState) use(t *connTracker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.user, s.since = t, time.Time{}
+}
+
+// returned records that a request returned the connection, unless another one has it already.
+func (s *idleState) returned(t *connTracker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.user == t {
+		s.since = time.Now()
+	}
+}
+
+// lost reports the end of the connection to the last request if the connection is idle.
+func (s *idleState) lost() {
+	s.mu.Lock()
+	user, since := s.user, s.since
+	s.since = time.Time{}
+	s.mu.Unlock()
+	if user != nil && !since.IsZero() {
+		user.idleLost(time.Since(since))
+	}
+}
+
+// Read implements net.Conn. The transport reads from idle connections to notice their end.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		c.idle.lost()
+	}
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
