slowstart: shares of evacuated upstreams are kept

The groups of upstreams leave out evacuated failure domains, so after 15 minutes of an evacuation the cleanup removed shares that holders still use when the domain returns, and other instances could claim them as well.

--- a/internal/route/catalog/upstreams.go
+++ b/internal/route/catalog/upstreams.go
@@ -139,6 +139,17 @@
 	return nil
 }
 
+// Entries returns the entries of all listed upstreams, also of those in evacuated failure domains.
+func (b *Upstreams) Entries() []*Entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	entries := make([]*Entry, 0, len(b.byID))
+	for _, u := range b.byID {
+		entries = append(entries, u.Listed())
+	}
+	return entries
+}
+
 // Update adds or replaces the given entries, and removes the upstreams with the IDs in gone.
 func (b *Upstreams) Update(entries []Entry, gone []string) {
 	b.mu.Lock()
--- a/internal/route/slowstart/cleanup.go
+++ b/internal/route/slowstart/cleanup.go
@@ -55,10 +55,8 @@
 		return missing
 	}
 	listed := make(map[string]bool)
-	for _, g := range c.Upstreams.Groups() {
-		for _, u := range g.Upstreams {
-			listed[incarnationPrefix(u.Listed())] = true
-		}
+	for _, entry := range c.Upstreams.Entries() {
+		listed[incarnationPrefix(entry)] = true
 	}
 	now := c.Timer.Now()
 	next := make(map[string]timer.Instant)
--- a/internal/route/slowstart/limiter_test.go
+++ b/internal/route/slowstart/limiter_test.go
@@ -192,6 +192,23 @@
 	is.Equal(count(), 0)
 }
 
+// Guards against shares that are removed while the failure domain of their upstream is evacuated:
+// the holders use them when it returns, and other instances would claim them as well.
+func TestCleanupKeepsSharesOfEvacuatedUpstreams(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	in := f.start(0, coldFor)
+	in.claim()
+	in.claims.Upstreams.SetEvacuated(map[string]bool{"": true})
+	ctx := context.Background()
+	missing := in.claims.cleanUp(ctx, nil)
+	f.clock.Advance(shareRetention)
+	in.claims.cleanUp(ctx, missing)
+	listing, err := f.store.Range(ctx, Prefix, keyvalue.Fresh)
+	is.NoErr(err)
+	is.Equal(len(listing.Items), 1)
+}
+
 // health is a HealthClient that counts the probes.
 type health struct {
 	limiter *Limiter
