catalog: upstreams that return from an evacuation are probed

An upstream whose connection was lost just before its failure domain was evacuated was never probed, as it was in no group, and was held back until its list entry changed.

--- a/internal/route/catalog/evacuation.go
+++ b/internal/route/catalog/evacuation.go
@@ -28,6 +28,10 @@
 	}
 	b.putBack(returned)
 	b.rebuildGroups(nil)
+	if slices.ContainsFunc(returned, func(u *Upstream) bool { return u.MayHaveRestarted() }) {
+		// They were in no group, so that nothing has found out whether they did.
+		b.ConnectionLost.Set()
+	}
 }
 
 // putBack ends the evacuation of upstreams. The caller holds b.mu.
--- a/internal/route/catalog/evacuation_test.go
+++ b/internal/route/catalog/evacuation_test.go
@@ -101,3 +101,19 @@
 	is.True(u.Cold(now.Add(3*time.Second - 1)))
 	is.True(!u.Cold(now.Add(3 * time.Second)))
 }
+
+// Guards against an upstream that is held back for ever because the connection to it was lost, and
+// its failure domain evacuated before it was probed.
+func TestReturnedUpstreamIsProbed(t *testing.T) {
+	is := is.New(t)
+	b := &Upstreams{Timer: &timer.Manual{}}
+	b.SetServices(map[string]Service{"s": {ColdStart: 3 * time.Second, ColdRate: 4}})
+	b.Update([]Entry{newEntryIn("u", "a")}, nil)
+	u := b.Group("s").Upstreams[0]
+	u.ConnectionLost(b.Timer.Now())
+	b.SetEvacuated(map[string]bool{"a": true})
+	<-b.ConnectionLost.C() // there is nothing to probe
+	b.SetEvacuated(nil)
+	is.True(u.MayHaveRestarted())
+	is.Equal(len(b.ConnectionLost.C()), 1)
+}
