forward: refusals during an evacuation state its later time again

The merge of slow start and evacuation left a refusal without a gate that told callers to return after 500 ms, as if upstreams were about to be listed again.

--- a/internal/route/forward/cold.go
+++ b/internal/route/forward/cold.go
@@ -49,8 +49,7 @@
 		}
 		opening, held := d.f.SlowStart.NextOpening(d.service, d.group, now)
 		if !held || d.inFlight > 0 {
-			return nil, slowstart.Permit{}, problem.NoUpstream.Withf("none of the %d upstreams is usable", len(d.group.Upstreams)).
-				WithRetryAfter(retryAfterNoUpstream)
+			return nil, slowstart.Permit{}, d.noUpstream()
 		}
 		if !waiting {
 			waiting = true
--- a/internal/route/forward/evacuation_test.go
+++ b/internal/route/forward/evacuation_test.go
@@ -161,6 +161,19 @@
 	is.Equal(s.sent.Load(), int32(0))
 }
 
+// Guards against a refusal that tells its caller to return at once although the evacuation of all
+// upstreams lasts longer.
+func TestRefusalDuringEvacuationStatesLaterTime(t *testing.T) {
+	is := is.New(t)
+	s := &evacuatingSender{}
+	f, stop := evacuatingForwarder(s)
+	defer stop()
+	f.Upstreams.SetEvacuated(map[string]bool{"a": true, "b": true})
+	_, err := f.Do(context.Background(), Request{ID: "x", Route: patient(catalog.NonIdempotent)})
+	is.True(problem.Is(err, problem.NoUpstream))
+	is.Equal(problem.From(err).RetryAfter, retryAfterEvacuated)
+}
+
 // Guards against a queued request that is sent to the upstream that it would have had when it
 // was queued.
 func TestQueuedRequestChoosesAgain(t *testing.T) {
