slowstart: one round of probes lasts no longer than one timeout

A round probed all upstreams that were due, 16 at a time, and waited for them. The timeouts of a thousand unreachable upstreams so delayed the next round by a minute, in which upstreams that had only closed a connection were held back.

--- a/internal/route/slowstart/limiter_test.go
+++ b/internal/route/slowstart/limiter_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -242,6 +244,51 @@
 	is.True(!p.probeDue(context.Background()))
 }
 
+// unreachable is a HealthClient whose upstreams don't answer. It counts the probes by upstream.
+type unreachable struct {
+	mu     sync.Mutex
+	probes map[string]int
+}
+
+// Health implements HealthClient.
+func (h *unreachable) Health(_ context.Context, u *catalog.Upstream, _ string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.probes[u.ID]++
+	return errors.New("unreachable")
+}
+
+// Guards against a probe that comes only after the timeouts of many upstreams that are gone.
+func TestFirstProbesPrecedeRepeatedOnes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	in := f.start(0, 0)
+	var entries []catalog.Entry
+	for i := range 5 * maxProbes {
+		entries = append(entries, catalog.Entry{ID: fmt.Sprint("gone", i), Service: "s", Address: "a", Born: 1})
+	}
+	in.claims.Upstreams.Update(entries, nil)
+	h := &unreachable{probes: make(map[string]int)}
+	p := &Prober{Upstreams: in.claims.Upstreams, Limiter: in.claims.Limiter, Client: h, Timer: f.clock}
+	for _, u := range in.claims.Upstreams.Group("s").Upstreams {
+		if u.ID != "u" {
+			u.ConnectionLost(f.clock.Now())
+		}
+	}
+	p.probeDue(context.Background())
+	for range 10 {
+		f.clock.Advance(2 * maxProbeDelay)
+		p.probeDue(context.Background())
+	}
+	in.claims.Limiter.RecordLoss(in.u)
+	p.probeDue(context.Background())
+	f.clock.Advance(2 * maxProbeDelay)
+	clear(h.probes)
+	p.probeDue(context.Background())
+	is.Equal(h.probes["u"], 1)
+	is.Equal(len(h.probes), maxProbes)
+}
+
 // Guards against unusable figures in responses that end the coldness.
 func TestUnusableResponseIsAssumedCold(t *testing.T) {
 	is := is.New(t)
--- a/internal/route/slowstart/prober.go
+++ b/internal/route/slowstart/prober.go
@@ -1,8 +1,10 @@
 package slowstart
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,40 +67,45 @@
 	}
 }
 
-// probeDue probes the upstreams that are due, and reports whether there are any to probe later.
+// probeDue probes upstreams that are due, and reports whether there are any to probe later. It
+// probes at most maxProbes of them, those with the fewest failed probes first: the timeouts of
+// many upstreams that are gone must not hold up the probes of those that run.
 func (p *Prober) probeDue(ctx context.Context) bool {
 	now := p.Timer.Now()
 	next := make(map[*catalog.Upstream]probe)
-	limit := make(chan struct{}, maxProbes)
-	var wg sync.WaitGroup
+	var due []*catalog.Upstream
 	for service, g := range p.Upstreams.Groups() {
 		if _, ok := p.Limiter.Terms(service); !ok {
 			continue
 		}
-		path := p.Limiter.Config.Current().Services[service].HealthPath
 		for _, u := range g.Upstreams {
 			if !u.MayHaveRestarted() || u.Leaving() {
 				continue
 			}
 			pr, known := p.due[u]
-			switch {
-			case !known:
+			if !known {
 				pr = probe{at: now.Add(jitter(initialProbeDelay)), delay: initialProbeDelay}
-			case now >= pr.at:
-				limit <- struct{}{}
-				wg.Go(func() {
-					defer func() { <-limit }()
-					ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-					defer cancel()
-					// A failure is followed by the next probe.
-					_ = p.Client.Health(ctx, u, path)
-				})
-				pr.delay = min(2*pr.delay, maxProbeDelay)
-				pr.at = now.Add(jitter(pr.delay))
+			} else if now >= pr.at {
+				due = append(due, u)
 			}
 			next[u] = pr
 		}
 	}
+	slices.SortFunc(due, func(a, b *catalog.Upstream) int {
+		return cmp.Or(cmp.Compare(next[a].delay, next[b].delay), cmp.Compare(next[a].at, next[b].at))
+	})
+	cfg := p.Limiter.Config.Current()
+	var wg sync.WaitGroup
+	for _, u := range due[:min(len(due), maxProbes)] {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			// A failure is followed by the next probe.
+			_ = p.Client.Health(ctx, u, cfg.Services[u.Listed().Service].HealthPath)
+		})
+		delay := min(2*next[u].delay, maxProbeDelay)
+		next[u] = probe{at: now.Add(jitter(delay)), delay: delay}
+	}
 	wg.Wait()
 	p.due = next
 	return len(next) > 0
