--- a/internal/batch/runner/reward.go
+++ b/internal/batch/runner/reward.go
@@ -29,6 +29,10 @@
 	// regionRetryPause follows a call that no upstream in an allowed region can serve, which
 	// lasts until upstreams come back or the configuration changes.
 	regionRetryPause = time.Second
+	// maxColdRetryPause bounds the pause after a call that is refused because all upstreams are
+	// cold. Its refusal says when they take requests, but one may become warm or grant a share
+	// sooner. Each attempt writes two lines of the log.
+	maxColdRetryPause = time.Second
 )
 
 // RewardScorer scores texts by reward calls that it sends along the routes.
@@ -79,6 +83,9 @@
 			if len(s.Forwarder.Upstreams.EvacuatedFor(route)) > 0 {
 				pause = evacuatedRetryPause
 			}
+			if forward.AllCold(err) {
+				pause = min(max(pause, problem.From(err).RetryAfter), maxColdRetryPause)
+			}
 			if problem.Is(err, problem.RegionsEmpty) || problem.Is(err, problem.RegionUnavailable) {
 				pause = regionRetryPause
 			}
--- a/internal/batch/runner/reward_test.go
+++ b/internal/batch/runner/reward_test.go
@@ -1,8 +1,10 @@
 package runner
 
 import (
+	"bytes"
 	"context"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,11 +12,13 @@
 	"github.com/matryer/is"
 
 	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/admission"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/forward"
+	"github.com/egretbend/egretbend/internal/route/slowstart"
 )
 
 // refusingSender is a Sender that refuses this many sends and answers the others.
@@ -68,3 +72,49 @@
 	is.Equal(signature, "proof")
 	is.Equal(sender.sent.Load(), int32(21))
 }
+
+// Guards against reward calls that are repeated, and logged, ten times a second for as long as all
+// upstreams of their service are cold.
+func TestRewardCallPausesWhileUpstreamsAreCold(t *testing.T) {
+	is := is.New(t)
+	clock := &timer.Manual{}
+	clock.Advance(time.Hour)
+	services := map[string]catalog.Service{"s": {Name: "s", ColdStart: time.Minute, ColdRate: 4}}
+	holder := &catalog.Holder{}
+	holder.Update(catalog.Configuration{
+		Version:  1,
+		Services: services,
+		Routes: []catalog.Route{{
+			Host:    "h",
+			Prefix:  "/",
+			Kind:    catalog.Idempotent,
+			Split:   []catalog.WeightedService{{Service: "s", Weight: 1}},
+			Timeout: time.Second,
+		}},
+	}.WithIndex())
+	upstreams := &catalog.Upstreams{Timer: clock}
+	upstreams.SetServices(services)
+	upstreams.Update([]catalog.Entry{{ID: "u", Service: "s", Slots: 2, ColdFor: 30 * time.Second}}, nil)
+	upstreams.Group("s").Upstreams[0].DenyShare()
+	var lines bytes.Buffer
+	j, err := journal.Open(&lines, "info", "i")
+	is.NoErr(err)
+	limiter := &slowstart.Limiter{Config: holder, Timer: clock, Overage: 1.5, Slack: 5}
+	scorer := &RewardScorer{
+		Config: holder,
+		Forwarder: &forward.Forwarder{
+			Upstreams: upstreams,
+			Sender:    &refusingSender{},
+			Timer:     clock,
+			Journal:   j,
+			SlowStart: limiter,
+		},
+		Timer: clock,
+	}
+	defer clock.Run(10*time.Millisecond, 100*time.Microsecond)()
+	_, err = scorer.Score(context.Background(), &submission.Reward{ID: "r", Host: "h", Path: "/score"}, "", 0)
+	is.NoErr(err)
+	is.NoErr(j.Flush())
+	is.True(clock.Now().Sub(timer.Instant(time.Hour)) < 33*time.Second)
+	is.True(strings.Count(lines.String(), "\n") <= 2*31+2)
+}
--- a/internal/route/forward/cold.go
+++ b/internal/route/forward/cold.go
@@ -26,6 +26,9 @@
 // errAllCold means that all upstreams are held because they are cold.
 var errAllCold = errors.New("the upstreams have just started and take no more requests yet")
 
+// AllCold reports whether a request was refused because all upstreams are held as they are cold.
+func AllCold(err error) bool { return errors.Is(err, errAllCold) }
+
 // acquireUpstream chooses an upstream and takes the permit to send to it. If all upstreams are
 // held because they are cold, it waits for a permit that comes in time, unless another attempt is
 // in flight, and otherwise returns an error with the time of the next one.
