--- a/internal/route/wire/before_write_test.go
+++ b/internal/route/wire/before_write_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -66,3 +67,31 @@
 	}
 	is.Equal(opened.Load(), int32(2))
 }
+
+// Guards against the unnoticed end of a connection that was opened for a request which got another
+// one first.
+func TestEndOfUnusedConnectionIsNoticed(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	var c Client
+	c.once.Do(c.configureTransports)
+	lost := 0
+	ctx := WithOnIdleLost(context.Background(), func(time.Duration) { lost++ })
+	for _, closed := range []bool{true, false} {
+		nc, err := c.dial(ctx, "tcp", listener.Addr().String())
+		is.NoErr(err)
+		accepted, err := listener.Accept()
+		is.NoErr(err)
+		defer accepted.Close()
+		if closed {
+			is.NoErr(accepted.Close())
+		} else {
+			is.NoErr(nc.Close()) // by this side
+		}
+		_, err = nc.Read(make([]byte, 1))
+		is.True(err != nil)
+		is.Equal(lost, 1)
+	}
+}
--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -84,6 +84,10 @@
 		deliveryTimeout: deliveryTimeout,
 	}
 	opened.onClose = func() { c.open.Delete(opened) }
+	if onLost := idleLostOf(ctx); onLost != nil {
+		// The request may get another connection first, and this one is idle then.
+		opened.idle.user, opened.idle.since = &connTracker{onIdleLost: onLost}, time.Now()
+	}
 	c.open.Store(opened, address)
 	return opened, nil
 }
@@ -111,7 +115,7 @@
 		beforeWrite:     c.beforeWrite(req.Context()),
 		deliveryTimeout: deliveryTimeoutOf(req.Context()),
 	}
-	tracker.onIdleLost, _ = req.Context().Value(idleLostKey{}).(func(time.Duration))
+	tracker.onIdleLost = idleLostOf(req.Context())
 	trace := &httptrace.ClientTrace{
 		GotConn: tracker.gotConn,
 	}
@@ -173,6 +177,12 @@
 	return context.WithValue(ctx, idleLostKey{}, onLost)
 }
 
+// idleLostOf returns the function that was set by WithOnIdleLost, or nil.
+func idleLostOf(ctx context.Context) func(time.Duration) {
+	onLost, _ := ctx.Value(idleLostKey{}).(func(time.Duration))
+	return onLost
+}
+
 // deliveryTimeoutKey is the context key of WithDeliveryTimeout.
 type deliveryTimeoutKey struct{}
 
