--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/kernel/journal"
@@ -115,6 +116,9 @@
 	// Config is the configuration in force, by which the regions of a request are looked up;
 	// nil means that Request.Regions is up to date.
 	Config *catalog.Holder
+
+	// regionGates holds the regionGate of each gate of a part of a service, by its name.
+	regionGates sync.Map
 }
 
 // CrashReporter is told about attempts whose connection was lost before the answer was
--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/admission"
+	"github.com/egretbend/egretbend/internal/route/residency"
 	"github.com/egretbend/egretbend/internal/route/upstream"
 )
 
@@ -211,10 +212,22 @@
 // at the gates: those of a service without an upstream are refused.
 func (f *Forwarder) UpstreamsChanged() {
 	if f.Admission != nil {
-		f.Admission.Refresh(func(service string) *upstream.Set { return f.Upstreams.Group(service).Set })
+		f.Admission.Refresh(func(gate string) *upstream.Set {
+			if part, ok := f.regionGates.Load(gate); ok {
+				p := part.(regionGate)
+				return f.Upstreams.Group(p.service).In(p.regions).Set
+			}
+			return f.Upstreams.Group(gate).Set
+		})
 	}
 }
 
+// regionGate says which part of a service a gate belongs to.
+type regionGate struct {
+	service string
+	regions residency.Regions
+}
+
 func isRefusal(err error) bool {
 	if err == nil {
 		return false // the most frequent case, without the allocation below
@@ -244,8 +257,8 @@
 	return s.ReadCloser.Close()
 }
 
-// gateOf returns the gate of the part of a service that may serve the request, or nil if there is none or the service has no
-// upstreams, in which case there is nothing to wait for.
+// gateOf returns the gate of the part of a service that may serve the request, or nil if there
+// is none or the service has no upstreams, in which case there is nothing to wait for.
 func (f *Forwarder) gateOf(d *dispatch) *admission.Service {
 	if f.Admission == nil || len(d.group.Upstreams) == 0 {
 		return nil
@@ -253,6 +266,12 @@
 	name := d.service
 	if d.regions.Restricted() {
 		name += " in " + d.regions.String()
+		if _, ok := f.regionGates.Load(name); !ok {
+			f.regionGates.Store(name, regionGate{
+				service: d.service,
+				regions: d.regions,
+			})
+		}
 	}
 	return f.Admission.Service(name, d.group.Set)
 }
--- a/internal/route/forward/residency_test.go
+++ b/internal/route/forward/residency_test.go
@@ -160,3 +160,38 @@
 	cancel()
 	wg.Wait()
 }
+
+// Guards against a queued request that is refused for lack of upstreams when another failure
+// domain is evacuated, while those in its regions serve.
+func TestQueuedRequestStaysInItsRegionsDuringEvacuation(t *testing.T) {
+	is := is.New(t)
+	s := &sender{behaviours: []behaviour{hangs, answers}}
+	f, stop := newForwarder(s, 0)
+	defer stop()
+	addGates(f)
+	f.Upstreams.Update([]catalog.Entry{
+		{ID: "n", Service: "s", Address: "n", Slots: 1, Region: "north", FailureDomain: "a"},
+		{ID: "s", Service: "s", Address: "s", Slots: 1, Region: "south", FailureDomain: "b"},
+	}, nil)
+	north := residency.FromList([]string{"north"})
+	f.Config = &catalog.Holder{}
+	f.Config.Update(configurationFor(1, north, residency.Regions{}))
+	request := Request{ID: "x", Host: "h", Target: "/", Route: f.Config.Current().Routes[0]}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { _, _ = f.Do(ctx, request) })
+	gate := f.Admission.Service("s in north", f.Upstreams.Group("s").In(north).Set)
+	is.True(timer.Poll(timer.Real{}, time.Millisecond, 20*time.Second, nil, func() bool { return s.counted().sent == 1 }))
+	ended := make(chan error, 1)
+	wg.Go(func() {
+		_, err := f.Do(ctx, request)
+		ended <- err
+	})
+	is.True(timer.Poll(timer.Real{}, time.Millisecond, 20*time.Second, nil, func() bool { return gate.Waiting(admission.Interactive) == 1 }))
+	f.Upstreams.SetEvacuated(map[string]bool{"b": true})
+	f.UpstreamsChanged()
+	gate.Release(admission.Interactive, admission.Ended, admission.Timing{}, nil)
+	is.NoErr(<-ended)
+}
