--- a/internal/fleet/capacity/decision.go
+++ b/internal/fleet/capacity/decision.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 // slotsPerItem is the number of slots to provide for each item of the steps that trainers
@@ -18,13 +20,22 @@
 	// MaxPerDomain is the maximum number of engines of both kinds in a failure domain.
 	MaxPerDomain int
 	// Items is the number of items that may have to run at once.
+	Items int
+	// Restricted lists the part of Items that may run only in some regions.
+	Restricted []Work
+	Domains    []Domain
+}
+
+// Work is a number of items that may run in the same regions.
+type Work struct {
 	Items   int
-	Domains []Domain
+	Regions residency.Regions
 }
 
 // Domain describes the engines of a group in one failure domain.
 type Domain struct {
-	Name string
+	Name   string
+	Region string
 	// Price is the price of an on-demand engine, relative to other domains.
 	Price float64
 	// OnDemand and Reclaimable are the numbers of engines of each kind, without
@@ -49,22 +60,33 @@
 		return nil
 	}
 	targets := make([]Target, len(g.Domains))
-	needed := int(math.Ceil(float64(g.Items) * slotsPerItem / float64(g.Slots)))
+	// free holds the engines of each domain that are not needed for other items yet.
+	free := make([]int, len(g.Domains))
 	for i, d := range g.Domains {
 		targets[i].Domain = d.Name
-		needed -= d.OnDemand
+		free[i] = d.OnDemand
 		if d.OutOfCapacity {
 			// Keep the present engines; an order for more would be refused.
 			targets[i].Count = d.Reclaimable
-			needed -= d.Reclaimable
+			free[i] += d.Reclaimable
 		}
 	}
-	for ; needed > 0; needed-- {
-		i := nextDomain(g, targets)
-		if i < 0 {
-			break
+	for _, w := range g.work() {
+		needed := int(math.Ceil(float64(w.Items) * slotsPerItem / float64(g.Slots)))
+		for i, d := range g.Domains {
+			if w.Regions.Allows(d.Region) {
+				used := min(max(needed, 0), free[i])
+				free[i] -= used
+				needed -= used
+			}
+		}
+		for ; needed > 0; needed-- {
+			i := nextDomain(g, targets, w.Regions)
+			if i < 0 {
+				break
+			}
+			targets[i].Count++
 		}
-		targets[i].Count++
 	}
 	for i, d := range g.Domains {
 		if g.Items > 0 {
@@ -74,13 +96,36 @@
 	return targets
 }
 
-// nextDomain returns the index of the domain that gets one more engine, or -1 if none can
-// take one. It is the domain with the lowest target, and the cheapest of those, so that
+// work returns all items by their regions. Those that may run in the fewest domains come first,
+// as the others can use what is left.
+func (g Group) work() []Work {
+	list := slices.Clone(g.Restricted)
+	slices.SortStableFunc(list, func(a, b Work) int { return cmp.Compare(g.domainsIn(a.Regions), g.domainsIn(b.Regions)) })
+	unrestricted := g.Items
+	for _, w := range list {
+		unrestricted -= w.Items
+	}
+	return append(list, Work{Items: unrestricted})
+}
+
+// domainsIn returns the number of domains in the given regions.
+func (g Group) domainsIn(regions residency.Regions) int {
+	n := 0
+	for _, d := range g.Domains {
+		if regions.Allows(d.Region) {
+			n++
+		}
+	}
+	return n
+}
+
+// nextDomain returns the index of the domain in the given regions that gets one more engine, or
+// -1 if none can take one. It is the domain with the lowest target, and the cheapest of those, so that
 // the reclaim of one domain takes the smallest possible share of the engines.
-func nextDomain(g Group, targets []Target) int {
+func nextDomain(g Group, targets []Target, regions residency.Regions) int {
 	available := make([]int, 0, len(g.Domains))
 	for i, d := range g.Domains {
-		if !d.OutOfCapacity && d.OnDemand+targets[i].Count < g.MaxPerDomain {
+		if regions.Allows(d.Region) && !d.OutOfCapacity && d.OnDemand+targets[i].Count < g.MaxPerDomain {
 			available = append(available, i)
 		}
 	}
--- a/internal/fleet/capacity/decision_test.go
+++ b/internal/fleet/capacity/decision_test.go
@@ -12,6 +12,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/duty"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/residency"
 	"github.com/egretbend/egretbend/internal/standin/property"
 )
 
@@ -97,19 +98,90 @@
 	})
 }
 
+// Guards against engines for restricted items in domains where they may not run, and against too
+// few engines for any set of items while the domains where these may run have capacity.
+func TestTargetsRespectRegions(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		g := Group{
+			Slots:        rapid.IntRange(1, 16).Draw(t, "slots"),
+			MaxPerDomain: 2000,
+			Domains: []Domain{
+				{Name: "a", Region: "north", Price: 1, OnDemand: rapid.IntRange(0, 20).Draw(t, "a")},
+				{Name: "b", Region: "north", Price: 1, OnDemand: rapid.IntRange(0, 20).Draw(t, "b")},
+				{Name: "c", Region: "south", Price: 1, OnDemand: rapid.IntRange(0, 20).Draw(t, "c")},
+				{Name: "d", Price: 0.5},
+			},
+		}
+		north, south := rapid.IntRange(0, 300).Draw(t, "north"), rapid.IntRange(0, 300).Draw(t, "south")
+		anywhere, nowhere := rapid.IntRange(0, 300).Draw(t, "anywhere"), rapid.IntRange(0, 300).Draw(t, "nowhere")
+		g.Items = north + south + anywhere + nowhere
+		g.Restricted = []Work{
+			{Items: north, Regions: residency.FromList([]string{"north"})},
+			{Items: south, Regions: residency.FromList([]string{"south"})},
+			{Items: nowhere, Regions: residency.FromList([]string{"west"})},
+		}
+		targets := Targets(g)
+		engines := func(domains ...int) float64 {
+			n := 0
+			for _, i := range domains {
+				n += g.Domains[i].OnDemand + targets[i].Count
+			}
+			return float64(n * g.Slots)
+		}
+		if engines(0, 1) < float64(north)*slotsPerItem || engines(2) < float64(south)*slotsPerItem ||
+			engines(0, 1, 2, 3) < float64(north+south+anywhere)*slotsPerItem {
+			t.Fatalf("too few engines: %v", targets)
+		}
+		if anywhere == 0 && targets[3].Count > 0 {
+			t.Fatalf("engines that may run nothing: %v", targets)
+		}
+	})
+}
+
+// Guards against engines ordered in a domain where no route to their models allows them, also
+// after a change of the configuration, and if the origin of a step is not known.
+func TestOrdererStaysInRegionsOfSteps(t *testing.T) {
+	is := is.New(t)
+	for _, origin := range []Origin{{Host: "h", Path: "/x"}, {}} {
+		o, p, _, clock := newOrderer()
+		o.Regions = map[string]string{"a": "north", "b": "south"}
+		services := o.Config.Current().Services
+		allow := func(version uint64, region string) {
+			o.Config.Update(catalog.Configuration{
+				Version:  version,
+				Services: services,
+				Routes: []catalog.Route{{
+					Name: "r", Host: "h", Prefix: "/", Regions: residency.FromList([]string{region}),
+					Split: []catalog.WeightedService{{Service: "s", Weight: 1}},
+				}},
+			}.WithIndex())
+		}
+		o.Demand.RecordStep("m", origin, 64, clock.Now())
+		allow(2, "north")
+		is.Equal(reconcileFor(o, p, clock, 3), []Order{{Service: "s", Domain: "a", Count: 10, Reclaimable: true}})
+		allow(3, "south")
+		is.Equal(reconcileFor(o, p, clock, 3), []Order{{Service: "s", Domain: "b", Count: 10, Reclaimable: true}})
+	}
+}
+
 func TestDemandKeepsLargestRecentStep(t *testing.T) {
 	is := is.New(t)
 	var d Demand
 	at := timer.Instant(0).Add(time.Hour)
 	models := []string{"m", "n"}
-	is.Equal(d.Items(models, at), 0)
-	d.RecordStep("m", 100, at)
-	d.RecordStep("m", 80, at.Add(30*time.Second))
-	d.RecordStep("n", 50, at.Add(30*time.Second))
-	d.RecordStep("x", 999, at)
-	is.Equal(d.Items(models, at.Add(40*time.Second)), 150)
-	is.Equal(d.Items(models, at.Add(70*time.Second)), 130)
-	is.Equal(d.Items(models, at.Add(3*time.Minute)), 0)
+	count := func(at timer.Instant) int {
+		items, restricted := d.Work(models, func(Origin) residency.Regions { return residency.Regions{} }, at)
+		is.Equal(len(restricted), 0)
+		return items
+	}
+	is.Equal(count(at), 0)
+	d.RecordStep("m", Origin{}, 100, at)
+	d.RecordStep("m", Origin{}, 80, at.Add(30*time.Second))
+	d.RecordStep("n", Origin{}, 50, at.Add(30*time.Second))
+	d.RecordStep("x", Origin{}, 999, at)
+	is.Equal(count(at.Add(40*time.Second)), 150)
+	is.Equal(count(at.Add(70*time.Second)), 130)
+	is.Equal(count(at.Add(3*time.Minute)), 0)
 }
 
 // fakePlatform records orders, and refuses those to the domains in err.
@@ -207,7 +279,7 @@
 	is := is.New(t)
 	o, p, h, clock := newOrderer()
 	is.Equal(len(reconcileFor(o, p, clock, 3)), 0) // no steps are requested
-	o.Demand.RecordStep("m", 64, clock.Now())
+	o.Demand.RecordStep("m", Origin{}, 64, clock.Now())
 	first := reconcileFor(o, p, clock, 3)
 	is.Equal(first, []Order{
 		{Service: "s", Domain: "a", Count: 5, Reclaimable: true},
@@ -228,7 +300,7 @@
 func TestOrdererReplacesReclaimedEngines(t *testing.T) {
 	is := is.New(t)
 	o, p, _, clock := newOrderer()
-	o.Demand.RecordStep("m", 64, clock.Now())
+	o.Demand.RecordStep("m", Origin{}, 64, clock.Now())
 	reconcileFor(o, p, clock, 1)
 	setEngines(o, map[string]int{"a": 5, "b": 5})
 	reconcileFor(o, p, clock, 2)
@@ -248,7 +320,7 @@
 func TestOrdererRetriesUnconfirmedOrders(t *testing.T) {
 	is := is.New(t)
 	o, p, _, clock := newOrderer()
-	o.Demand.RecordStep("m", 8, clock.Now())
+	o.Demand.RecordStep("m", Origin{}, 8, clock.Now())
 	p.err["a"] = errors.New("lost")
 	is.Equal(len(reconcileFor(o, p, clock, 1)), 2)
 	is.Equal(len(reconcileFor(o, p, clock, 1)), 1)
@@ -262,7 +334,7 @@
 func TestOrdererCountsBootingEngines(t *testing.T) {
 	is := is.New(t)
 	o, p, _, clock := newOrderer()
-	o.Demand.RecordStep("m", 64, clock.Now())
+	o.Demand.RecordStep("m", Origin{}, 64, clock.Now())
 	p.err["a"] = ErrNoCapacity
 	is.Equal(reconcileFor(o, p, clock, 2), []Order{
 		{Service: "s", Domain: "a", Count: 5, Reclaimable: true},
@@ -280,7 +352,7 @@
 func TestOrdererLeavesEvacuatedDomainOut(t *testing.T) {
 	is := is.New(t)
 	o, p, _, clock := newOrderer()
-	o.Demand.RecordStep("m", 64, clock.Now())
+	o.Demand.RecordStep("m", Origin{}, 64, clock.Now())
 	reconcileFor(o, p, clock, 1)
 	setEngines(o, map[string]int{"a": 5, "b": 5})
 	o.Upstreams.SetEvacuated(map[string]bool{"a": true})
--- a/internal/fleet/capacity/orderer.go
+++ b/internal/fleet/capacity/orderer.go
@@ -15,6 +15,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 // Intervals and timeouts of orders.
@@ -64,8 +65,10 @@
 	Upstreams *catalog.Upstreams
 	Config    *catalog.Holder
 	Demand    *Demand
-	Timer     timer.Service
-	Journal   *journal.Journal
+	// Regions maps the failure domains to their regions.
+	Regions map[string]string
+	Timer   timer.Service
+	Journal *journal.Journal
 
 	fence  uint64
 	states map[domainKey]*domainState
@@ -157,8 +160,9 @@
 			continue
 		}
 		domains[name] = &Domain{
-			Name:  name,
-			Price: price,
+			Name:   name,
+			Region: o.Regions[name],
+			Price:  price,
 		}
 	}
 	for _, u := range o.Upstreams.Group(s.Name).Upstreams {
@@ -172,10 +176,12 @@
 			d.Reclaimable++
 		}
 	}
+	items, restricted := o.Demand.Work(s.Engine.Models, o.regionsOf(s.Name), now)
 	g := Group{
 		Slots:        s.Engine.Slots,
 		MaxPerDomain: s.Scaling.MaxPerDomain,
-		Items:        o.Demand.Items(s.Engine.Models, now),
+		Items:        items,
+		Restricted:   restricted,
 	}
 	for _, d := range domains {
 		st := o.domainState(s.Name, d.Name)
@@ -192,6 +198,22 @@
 	return g
 }
 
+// regionsOf returns a function that returns the regions in which steps may run on engines of a
+// service. For a step of unknown origin these are the regions of all routes to the service.
+func (o *Orderer) regionsOf(service string) func(Origin) residency.Regions {
+	cfg := o.Config.Current()
+	if !cfg.Restricted() {
+		return func(Origin) residency.Regions { return residency.Regions{} }
+	}
+	ofService := cfg.ServiceRegions(service)
+	return func(at Origin) residency.Regions {
+		if at == (Origin{}) {
+			return ofService
+		}
+		return cfg.RequestRegions(at.Host, at.Path, at.Organisation, ofService)
+	}
+}
+
 // observeCount records the present number of engines. If it falls to half of the peak or
 // less, the platform has reclaimed engines, and they are ordered again without waiting for
 // the boot time.
