--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -81,8 +81,8 @@
 	// Leaving reports whether this instance is stopping and takes no new batches.
 	Leaving func() bool
 	// OnAccepted is called for each batch that is accepted at any instance, with its
-	// number of items and the tokens that they are expected to generate. It may be
-	// nil.
+	// number of items and the tokens that they are expected to generate, and for batches
+	// that are refused because no engine is in their regions. It may be nil.
 	OnAccepted func(hint OwnerHint)
 	// Evacuated returns the failure domains whose evacuation leaves a route without engines, and
 	// nil if there are engines. It may be nil.
@@ -101,6 +101,8 @@
 	// pendingStores holds, by batch, the channel for the result of each store operation
 	// that is under way at this instance.
 	pendingStores map[string]chan error
+	// announced holds when the demand of each model was announced last, by model and regions.
+	announced map[string]timer.Instant
 	// finished caches batches that don't change any more.
 	finished recordCache
 	// loads are the listings of batches that are in progress.
@@ -114,8 +116,12 @@
 // reuses the home's connections to the engines.
 func (d *Coordinator) Submit(ctx context.Context, sub *submission.Submission, route catalog.Route) error {
 	sub.Bind(d.Config.Current())
-	if refusal := d.checkRegions(sub, route); refusal != nil {
-		return d.refuse(ctx, sub, refusal)
+	if refusal, wantsEngines := d.checkRegions(sub, route); refusal != nil {
+		err := d.refuse(ctx, sub, refusal)
+		if err != nil && wantsEngines {
+			d.announceDemand(sub)
+		}
+		return err
 	}
 	triedHome := false
 	for _, home := range Homes(d.membersFor(sub.Binding()), d.Registry.Self().Region, homeKey(sub)) {
@@ -284,6 +290,8 @@
 	// Binding determines the regions of the batch; it is left out while no route or
 	// organisation is restricted to regions.
 	Binding submission.Binding
+	// Refused says that the batch has no owner because no engine in its regions can run it.
+	Refused bool
 }
 
 // announceOwner tells all instances the owner of a batch, so that a read at any of
@@ -293,6 +301,11 @@
 		hint.Binding = submission.Binding{}
 	}
 	d.RecordOwner(hint)
+	d.sendHint(hint)
+}
+
+// sendHint sends a hint to all other instances.
+func (d *Coordinator) sendHint(hint OwnerHint) {
 	for _, m := range d.Registry.Members() {
 		if m.Name == d.Registry.Self().Name {
 			continue
@@ -311,12 +324,15 @@
 	}
 }
 
-// RecordOwner records the owner of a batch.
+// RecordOwner records the owner of a batch, if it has one, and the demand of a new batch.
 func (d *Coordinator) RecordOwner(hint OwnerHint) {
-	d.recordBinding(hint.Batch, hint.Binding)
 	if hint.Model != "" && d.OnAccepted != nil {
 		d.OnAccepted(hint)
 	}
+	if hint.Refused {
+		return
+	}
+	d.recordBinding(hint.Batch, hint.Binding)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.owners == nil {
--- a/internal/batch/coordinator/residency.go
+++ b/internal/batch/coordinator/residency.go
@@ -25,6 +25,9 @@
 	// allowed region can run at the moment.
 	regionsEmptyRetryAfter = 5 * time.Second
 	regionRetryAfter       = time.Second
+	// demandInterval is the time between two announcements of the demand of a model whose batches
+	// are refused. Trainers retry each second, and a demand counts for a minute.
+	demandInterval = 5 * time.Second
 	// firstConfigPause is the pause between two looks for the first configuration.
 	firstConfigPause = 100 * time.Millisecond
 )
@@ -48,11 +51,12 @@
 }
 
 // checkRegions returns an error if no eligible instance or no engine may run a batch. Such a
-// batch did not run, unless it was accepted before.
-func (d *Coordinator) checkRegions(sub *submission.Submission, route catalog.Route) *problem.Error {
+// batch did not run, unless it was accepted before. wantsEngines reports whether it could run if
+// there were engines in its regions.
+func (d *Coordinator) checkRegions(sub *submission.Submission, route catalog.Route) (refusal *problem.Error, wantsEngines bool) {
 	regions := d.Allowed(sub.Binding())
 	if !regions.Restricted() {
-		return nil
+		return nil, false
 	}
 	hasEngine := slices.ContainsFunc(route.Split, func(s catalog.WeightedService) bool {
 		return len(d.Runner.Upstreams.Group(s.Service).In(regions).Upstreams) > 0
@@ -60,14 +64,49 @@
 	switch {
 	case regions.Empty():
 		return problem.RegionsEmpty.Withf("route %s and the organisation allow no region in common", route.Name).
-			WithRetryAfter(regionsEmptyRetryAfter)
+			WithRetryAfter(regionsEmptyRetryAfter), false
 	case len(registry.Eligible(registry.InRegions(d.Registry.Members(), regions))) == 0:
-		return problem.RegionUnavailable.Withf("no instance is in an allowed region (%s)", regions).WithRetryAfter(regionRetryAfter)
+		return problem.RegionUnavailable.Withf("no instance is in an allowed region (%s)", regions).WithRetryAfter(regionRetryAfter), false
 	case !hasEngine:
 		return problem.RegionUnavailable.Withf("no engine of route %s is in an allowed region (%s)", route.Name, regions).
-			WithRetryAfter(regionRetryAfter)
+			WithRetryAfter(regionRetryAfter), true
 	}
-	return nil
+	return nil, false
+}
+
+// announceDemand tells all instances of a batch that was refused for lack of engines in its
+// regions, so that the holder of the duty orders some. Otherwise it would know of no demand there,
+// and the batch would never be accepted.
+func (d *Coordinator) announceDemand(sub *submission.Submission) {
+	now := d.Timer.Now()
+	key := sub.Model + "\x00" + d.Allowed(sub.Binding()).Key()
+	d.mu.Lock()
+	for k, at := range d.announced {
+		if now.Sub(at) >= demandInterval {
+			delete(d.announced, k)
+		}
+	}
+	_, recent := d.announced[key]
+	if d.announced == nil {
+		d.announced = make(map[string]timer.Instant)
+	}
+	if !recent {
+		d.announced[key] = now
+	}
+	d.mu.Unlock()
+	if recent || sub.Model == "" {
+		return
+	}
+	hint := OwnerHint{
+		Batch:   sub.ID,
+		Model:   sub.Model,
+		Items:   len(sub.Items),
+		Work:    sub.EstimatedTokens(),
+		Binding: sub.Binding(),
+		Refused: true,
+	}
+	d.RecordOwner(hint)
+	d.sendHint(hint)
 }
 
 // refuse returns the error for a batch that can't run in an allowed region. A batch that was
--- a/internal/batch/coordinator/residency_test.go
+++ b/internal/batch/coordinator/residency_test.go
@@ -386,3 +386,26 @@
 	is.Equal(home().member.Region, "north")
 	is.Equal(len(f.strays), 0)
 }
+
+// Guards against a restricted batch that is refused forever because nobody learns that its regions
+// need engines, and against a hint to all instances at each retry.
+func TestRefusedBatchCreatesDemand(t *testing.T) {
+	is := is.New(t)
+	f := newRegionFleet([]string{"north", "south"}, true)
+	defer f.stop()
+	f.config.Update(regionConfiguration(1, residency.FromList([]string{"north"}), residency.Regions{}))
+	var hints []OwnerHint
+	n := f.nodes[1]
+	n.OnAccepted = func(h OwnerHint) { hints = append(hints, h) }
+	n.Runner.Upstreams.Update(nil, []string{"i0"})
+	for _, id := range []string{"b", "b", "c"} {
+		err := n.Submit(context.Background(), testBatch(id), f.config.Current().Routes[0])
+		is.True(problem.Is(err, problem.RegionUnavailable))
+	}
+	is.Equal(len(hints), 1)
+	is.True(hints[0].Refused)
+	is.Equal(hints[0].Items, 1)
+	is.Equal(hints[0].Binding.Host, "h")
+	_, owned := n.hintedOwner("b")
+	is.True(!owned)
+}
