coordinator: an older configuration does not overrule the home's refusal

While a restriction spreads, the home may know it and the instance that a trainer is connected to may not. That one accepted the batch itself, in a region that is not allowed any more.

--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -146,6 +146,12 @@
 		if problem.Is(err, problem.NoUpstream) && !triedHome {
 			return err
 		}
+		if refusal := d.checkRefusal(err); refusal != nil {
+			if triedHome {
+				return withUnknownOutcome(refusal)
+			}
+			return refusal
+		}
 		// The next instance repeats the same transaction, which settles whether the
 		// batch was stored.
 		triedHome = true
--- a/internal/batch/coordinator/peers.go
+++ b/internal/batch/coordinator/peers.go
@@ -32,9 +32,12 @@
 	// NoUpstream means that the batch was refused because all failure domains with engines for
 	// it are evacuated.
 	NoUpstream bool
-	Page       runner.Page
-	Body       []byte
-	Found      bool
+	// NotAllowedBy is the version of the configuration by which the batch was refused because
+	// the instance is not in an allowed region, and 0 if it was not.
+	NotAllowedBy uint64
+	Page         runner.Page
+	Body         []byte
+	Found        bool
 }
 
 // Server serves the calls of other instances.
@@ -131,7 +134,10 @@
 	err := s.coordinator.Accept(ctx, sub, route)
 	r.Prepared = errors.Is(err, ErrPrepared)
 	r.NoUpstream = problem.Is(err, problem.NoUpstream)
-	if r.Prepared || r.NoUpstream {
+	if problem.Is(err, problem.RegionsEmpty) || problem.Is(err, problem.RegionUnavailable) {
+		r.NotAllowedBy = s.coordinator.Config.Current().Version
+	}
+	if r.Prepared || r.NoUpstream || r.NotAllowedBy > 0 {
 		return nil
 	}
 	return err
@@ -229,13 +235,23 @@
 func (p *PeerClient) Submit(ctx context.Context, address string, sub *submission.Submission) error {
 	var r Reply
 	err := p.Client.Call(ctx, address, serviceName+".Submit", sub, &r)
-	if err == nil && r.Prepared {
-		return ErrPrepared
+	if err != nil {
+		return err
 	}
-	if err == nil && r.NoUpstream {
+	return r.submitError()
+}
+
+// submitError returns the error that the reply to a Submit stands for.
+func (r *Reply) submitError() error {
+	switch {
+	case r.Prepared:
+		return ErrPrepared
+	case r.NoUpstream:
 		return noUpstreamProblem()
+	case r.NotAllowedBy > 0:
+		return &notAllowedError{version: r.NotAllowedBy}
 	}
-	return err
+	return nil
 }
 
 // Hint implements Peers.
--- a/internal/batch/coordinator/residency.go
+++ b/internal/batch/coordinator/residency.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -35,6 +36,28 @@
 // errNotAllowedHere means that a batch must not run or be stored in the region of this instance.
 var errNotAllowedHere = errors.New("the batch is not allowed in the region of this instance")
 
+// notAllowedError is the error of a home that must not run a batch.
+type notAllowedError struct {
+	// version is the version of the configuration that the home knows.
+	version uint64
+}
+
+// Error implements error.
+func (e *notAllowedError) Error() string {
+	return fmt.Sprintf("%v, by configuration %d", errNotAllowedHere, e.version)
+}
+
+// checkRefusal returns an error if a home refused a batch by a newer configuration than the one
+// known here. By the older one, a batch could be accepted in a region that is not allowed any
+// more. The trainer retries once the newer one is known.
+func (d *Coordinator) checkRefusal(err error) *problem.Error {
+	var refused *notAllowedError
+	if !errors.As(err, &refused) || refused.version <= d.Config.Current().Version {
+		return nil
+	}
+	return problem.RegionUnavailable.With(err).WithRetryAfter(regionRetryAfter)
+}
+
 // Allowed returns the regions in which a batch may run and be stored now.
 func (d *Coordinator) Allowed(b submission.Binding) residency.Regions {
 	return b.Allowed(d.Config.Current())
--- a/internal/batch/coordinator/residency_test.go
+++ b/internal/batch/coordinator/residency_test.go
@@ -96,13 +96,17 @@
 	return *new(T), errSilent
 }
 
-func (r regionPeers) Submit(ctx context.Context, address string, sub *submission.Submission) error {
+func (r regionPeers) Submit(_ context.Context, address string, sub *submission.Submission) error {
 	forwarded := *sub
-	_, err := callPeer(r.n, address, func(p *regionNode) (any, error) {
+	reply, err := callPeer(r.n, address, func(p *regionNode) (reply Reply, err error) {
 		p.sees("gets a batch")
-		return nil, p.Accept(ctx, &forwarded, r.n.fleet.config.Current().Routes[0])
+		err = (&Server{coordinator: p.Coordinator}).Submit(&forwarded, &reply)
+		return reply, err
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	return reply.submitError()
 }
 
 func (r regionPeers) Read(ctx context.Context, address, id string, after int, _ time.Duration) (runner.Page, error) {
@@ -409,3 +413,23 @@
 	_, owned := n.hintedOwner("b")
 	is.True(!owned)
 }
+
+// Guards against a batch that an instance with an older configuration accepts after its home has
+// refused it by a newer one.
+func TestOlderConfigurationDoesNotOverruleHome(t *testing.T) {
+	is := is.New(t)
+	f := newRegionFleet([]string{"north", "south", "south", "south"}, true)
+	defer f.stop()
+	homes := Homes(f.members, "south", "m")
+	i := slices.IndexFunc(f.nodes, func(n *regionNode) bool { return n.member.Region == "south" && !slices.Contains(homes, n.member) })
+	n := f.nodes[i]
+	older := &catalog.Holder{}
+	older.Update(regionConfiguration(1, residency.Regions{}, residency.Regions{}))
+	n.Config, n.Runner.Configuration = older, older
+	f.config.Update(regionConfiguration(2, residency.FromList([]string{"north"}), residency.Regions{}))
+	err := n.Submit(context.Background(), testBatch("b"), older.Current().Routes[0])
+	is.True(problem.Is(err, problem.RegionUnavailable))
+	is.Equal(problem.From(err).Kind.Outcome, problem.NotRun)
+	is.True(problem.From(err).RetryAfter > 0)
+	is.True(!n.Runner.Has("b"))
+}
