--- a/internal/entry/command/fleet.go
+++ b/internal/entry/command/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/egretbend/egretbend/internal/entry/caller"
 	"github.com/egretbend/egretbend/internal/entry/operator"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
+	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
 func (a *app) addressesCommand() *cobra.Command {
@@ -85,6 +86,15 @@
 		fmt.Fprintf(a.out, "evacuated %-19s for %s, revision %d, %d upstreams, %d requests still run there%s\n",
 			e.Domain, e.For().Round(time.Second), e.Revision, e.Upstreams, e.InFlight, note)
 	}
+	for _, g := range s.Groups {
+		fmt.Fprintf(a.out, "group    %-20s %-14s region %s, %d upstreams, %d cold\n", g.Service, g.FailureDomain, g.Region, g.Upstreams, g.Cold)
+	}
+	for _, q := range s.Queues {
+		fmt.Fprintf(a.out, "queue    %-20s %d waiting, %d in flight\n", q.Name, q.Waiting, q.InFlight)
+	}
+	for _, r := range s.Restrictions {
+		fmt.Fprintf(a.out, "allowed  %s %s: %s\n", r.Kind, r.Name, residency.FromList(r.Regions))
+	}
 	for _, l := range s.Limits {
 		fmt.Fprintf(a.out, "limit    %-20s in flight %d of %.1f published %s\n", l.Deployment, l.InFlight, l.Limit, l.Published)
 	}
--- a/internal/entry/operator/server.go
+++ b/internal/entry/operator/server.go
@@ -270,6 +270,36 @@
 	Buffers         budget.Usage      `json:"buffers"`
 	// Evacuated are the failure domains to which nothing may be sent.
 	Evacuated []evacuation.Status `json:"evacuated,omitempty"`
+	Groups    []GroupStatus       `json:"groups,omitempty"`
+	Queues    []QueueStatus       `json:"queues,omitempty"`
+	// Restrictions are the routes and organisations that are restricted to regions.
+	Restrictions []RestrictionStatus `json:"restrictions,omitempty"`
+}
+
+// GroupStatus is what an instance knows of the upstreams of a service in a failure domain.
+// Upstreams of evacuated domains are left out.
+type GroupStatus struct {
+	Service       string `json:"service"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	Upstreams     int    `json:"upstreams"`
+	// Cold is how many of them are cold.
+	Cold int `json:"cold"`
+}
+
+// QueueStatus is the queue of an instance for a service, or for its upstreams in some regions.
+type QueueStatus struct {
+	Name     string `json:"name"`
+	Waiting  int    `json:"waiting"`
+	InFlight int    `json:"in_flight"`
+}
+
+// RestrictionStatus is the list of allowed regions of a route or an organisation.
+type RestrictionStatus struct {
+	// Kind is "route" or "organisation".
+	Kind    string   `json:"kind"`
+	Name    string   `json:"name"`
+	Regions []string `json:"regions"`
 }
 
 func (s *Server) getStatus(w http.ResponseWriter, _ *http.Request) {
--- a/internal/route/admission/service.go
+++ b/internal/route/admission/service.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,6 +91,30 @@
 	}
 }
 
+// Load is how many requests of all classes wait at a gate, and how many are in flight.
+type Load struct {
+	Name     string
+	Waiting  int
+	InFlight int
+}
+
+// Loads returns the load of each gate, by name.
+func (g *Gates) Loads() []Load {
+	var list []Load
+	g.all(func(name string, s *Service) {
+		l := Load{
+			Name: name,
+		}
+		for _, class := range []Class{Interactive, Reward, Background} {
+			l.Waiting += s.Waiting(class)
+			l.InFlight += s.InFlight(class)
+		}
+		list = append(list, l)
+	})
+	slices.SortFunc(list, func(a, b Load) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
 // Refresh updates the slots of all services at once after a change of the upstreams, where
 // Service would do so with the next request. setOf returns the upstreams of a service. The
 // waiting requests of a service without any are refused.
