--- a/internal/batch/standby/copies_test.go
+++ b/internal/batch/standby/copies_test.go
@@ -364,3 +364,29 @@
 func (r copyReceivers) Send(_ context.Context, address string, h Heartbeat) error {
 	return r.copies[address].Apply(h, 0)
 }
+
+// Guards against the copy of a batch that is opened while a heartbeat is prepared, and that goes to
+// an instance where it may not be stored.
+func TestBatchOpenedMeanwhileIsNotSent(t *testing.T) {
+	is := is.New(t)
+	copies := map[string]*Copies{"south1": {}}
+	restrictions := map[string]residency.Regions{}
+	s := &Sender{
+		Self:             ownerA,
+		Lease:            func() uint64 { return 1 },
+		Work:             &fakeWork{texts: map[string][]string{"x": {"e1"}}},
+		HasUrgentWork:    func() bool { return false },
+		Successors:       func() []string { return []string{"south1"} },
+		Restrictions:     func() map[string]residency.Regions { return restrictions },
+		RegionSuccessors: func(residency.Regions) []string { return nil },
+		Peers:            copyReceivers{copies: copies},
+		Timer:            &timer.Manual{},
+	}
+	s.sendHeartbeats(context.Background(), true)
+	_, sent := copies["south1"].Find("b")
+	is.True(!sent)
+	restrictions["b"] = residency.Regions{}
+	s.sendHeartbeats(context.Background(), true)
+	_, sent = copies["south1"].Find("b")
+	is.True(sent)
+}
--- a/internal/batch/standby/plan.go
+++ b/internal/batch/standby/plan.go
@@ -11,7 +11,8 @@
 	// everywhere are the successors for batches that may be stored anywhere.
 	everywhere []string
 	// inRegions are the successors for batches that may be stored only in some regions, by the
-	// key of these, and restrictions the regions by batch.
+	// key of these, and restrictions the regions by batch. If it is not nil, it has all batches
+	// that were open when the plan was made.
 	inRegions    map[string][]string
 	restrictions map[string]residency.Regions
 }
@@ -28,7 +29,7 @@
 	p.restrictions = s.Restrictions()
 	p.inRegions = make(map[string][]string)
 	for _, regions := range p.restrictions {
-		if _, ok := p.inRegions[regions.Key()]; !ok {
+		if _, ok := p.inRegions[regions.Key()]; !ok && regions.Restricted() {
 			p.inRegions[regions.Key()] = s.RegionSuccessors(regions)
 		}
 	}
@@ -49,10 +50,15 @@
 }
 
 // receives reports whether a successor gets the copy of a batch. A former successor gets a last
-// heartbeat with the batches that may be stored anywhere.
+// heartbeat with the batches that may be stored anywhere. Nobody gets a batch that was opened
+// after the plan was made, as its regions are not known: the next heartbeat has it.
 func (p plan) receives(address, batch string) bool {
-	if regions, restricted := p.restrictions[batch]; restricted {
+	regions, known := p.restrictions[batch]
+	switch {
+	case regions.Restricted():
 		return slices.Contains(p.inRegions[regions.Key()], address)
+	case !known && p.restrictions != nil:
+		return false
 	}
 	return p.rank(address) == 0
 }
--- a/internal/batch/standby/sender.go
+++ b/internal/batch/standby/sender.go
@@ -47,8 +47,8 @@
 	HasUrgentWork func() bool
 	// Successors returns the peer addresses of the instances that would take over.
 	Successors func() []string
-	// Restrictions returns the regions in which open batches may be stored, by batch, without
-	// those that may be stored anywhere. Nil means that there are none.
+	// Restrictions returns the regions in which each open batch may be stored, by batch, or nil
+	// if all batches may be stored anywhere. Nil means that all may.
 	Restrictions func() map[string]residency.Regions
 	// RegionSuccessors returns the peer addresses of the instances that would take over batches
 	// which may be stored only in some regions.
