--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -260,8 +260,8 @@
 	return s.ReadCloser.Close()
 }
 
-// gateOf returns the gate of the part of a service that may serve the request, or nil if there is none or the service has no
-// upstreams, in which case there is nothing to wait for.
+// gateOf returns the gate of the part of a service that may serve the request, or nil if there
+// is none or the service has no upstreams, in which case there is nothing to wait for.
 func (f *Forwarder) gateOf(d *dispatch) *admission.Service {
 	if f.Admission == nil || len(d.group.Upstreams) == 0 {
 		return nil
