--- a/internal/route/upstream/upstream.go
+++ b/internal/route/upstream/upstream.go
@@ -194,41 +194,6 @@
 // have to wait before it sends to a cold one.
 func (u *Upstream) InService(now timer.Instant) bool { return !u.leaving.Load() && !u.Ejected(now) }
 
-// smoothPace adds a measurement, bounded to maxJump times the smoothed pace, to the smoothed
-// pace with the given weight. It reports false and does nothing if pace is not positive.
-func (u *Upstream) smoothPace(pace time.Duration, weight, maxJump float64) bool {
-	if pace <= 0 {
-		return false
-	}
-	old := u.Pace()
-	if old == 0 {
-		old = pace.Seconds()
-	}
-	bounded := min(pace.Seconds(), maxJump*old)
-	u.pace.Store(math.Float64bits(old + weight*(bounded-old)))
-	if u.Shared != nil {
-		u.Shared.paceChanges.Add(1)
-	}
-	return true
-}
-
-// RecordPace records a pace that was measured over many events of one request. Its weight is high
-// so that it counts at once: a stream that left a slow engine would otherwise return to it, as
-// the one with the most free slots.
-func (u *Upstream) RecordPace(pace time.Duration, now timer.Instant) {
-	if old := u.Pace(); old > 0 && pace > 0 {
-		noise := min(1, math.Abs(pace.Seconds()-old)/old)
-		u.paceNoise.Store(math.Float64bits(u.PaceNoise() + measuredPaceWeight*(noise-u.PaceNoise())))
-	}
-	if u.smoothPace(pace, measuredPaceWeight, math.Inf(1)) {
-		u.paceMeasuredAt.Store(int64(now))
-	}
-}
-
-// PaceNoise returns by how much measured paces differ from the smoothed pace, relative to it,
-// or zero if unknown.
-func (u *Upstream) PaceNoise() float64 { return math.Float64frombits(u.paceNoise.Load()) }
-
 const (
 	// measuredPaceWeight is the weight of a measurement over many events in the smoothed pace.
 	measuredPaceWeight = 0.4
@@ -239,17 +204,6 @@
 	paceHalfLife = 10 * time.Second
 )
 
-// RelativePace returns the ratio of the pace to usual, which is in seconds, or 1 if either is
-// unknown. The ratio decays towards 1 while the pace is not measured.
-func (u *Upstream) RelativePace(usual float64, now timer.Instant) float64 {
-	pace := u.Pace()
-	if usual <= 0 || pace <= 0 {
-		return 1
-	}
-	halfLives := float64(now.Sub(timer.Instant(u.paceMeasuredAt.Load()))) / float64(paceHalfLife)
-	return 1 + (pace/usual-1)*math.Exp2(-max(0, halfLives))
-}
-
 // maxEventGap is the longest time without an event of any stream for which an engine counts as
 // alive. It is above the pause between events while an engine processes prompts.
 const maxEventGap = 300 * time.Millisecond
@@ -389,19 +343,3 @@
 	share := max(minSlowStartShare, float64(age)/float64(SlowStart))
 	return factor / share
 }
-
-// Pace returns the smoothed time per unit of work in seconds, or zero if unknown.
-func (u *Upstream) Pace() float64 { return math.Float64frombits(u.pace.Load()) }
-
-// Slow reports whether the pace is above slowThreshold times the median of the set.
-func (u *Upstream) Slow() bool {
-	return math.Float64frombits(u.slowness.Load()) > slowThreshold
-}
-
-// updateSlowness stores the ratio of the upstream's pace to the median of its set.
-func (u *Upstream) updateSlowness(median float64) {
-	if median <= 0 || u.Pace() == 0 {
-		return
-	}
-	u.slowness.Store(math.Float64bits(u.Pace() / median))
-}
