registry: an entry whose write got no answer is not kept by the earlier lease

An instance that asks for a shorter lease and gets no answer to the write of its entry went on renewing the earlier lease; the entry could expire meanwhile, and another instance take over its duty. It asks for a new lease instead. MarkLeaving reads the lease without a race.

--- a/internal/fleet/registry/lease.go
+++ b/internal/fleet/registry/lease.go
@@ -69,6 +69,11 @@
 		return err
 	}
 	if err := r.writeSelf(ctx, leaseID); err != nil {
+		// The entry may be under the new lease, so that renewals of the earlier one would not
+		// keep it.
+		r.leaseLost = r.leaseLost || r.leaseID != 0
+		r.leaseID = 0
+		r.renewedAt.Store(0)
 		return err
 	}
 	r.leaseID = leaseID
--- a/internal/fleet/registry/lease_test.go
+++ b/internal/fleet/registry/lease_test.go
@@ -90,3 +90,41 @@
 	}
 	return s.Store.Commit(ctx, tx)
 }
+
+// Guards against an instance that renews its earlier lease after a write under a shorter one got
+// no answer but was done: its entry expires while it considers itself alive.
+func TestEntryUnderANewLeaseIsKept(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clock := &timer.Manual{}
+	var fault atomic.Int32
+	store := &memorystore.Store{
+		Timer: clock,
+		Fault: func(c memorystore.Operation) memorystore.Fault {
+			if c == memorystore.Commit {
+				return memorystore.Fault(fault.Load())
+			}
+			return memorystore.None
+		},
+	}
+	r := &Registry{
+		Store: store,
+		Timer: clock,
+	}
+	r.SetSelf(Member{
+		Name: "a",
+	})
+	is.NoErr(r.renew(ctx))
+	r.ttl.Store(int64(time.Hour)) // it has become eligible since
+	fault.Store(int32(memorystore.LostAfter))
+	is.True(r.renew(ctx) != nil)
+	is.True(!r.LeaseHeld())
+	fault.Store(int32(memorystore.None))
+	r.ttl.Store(0) // and is not any longer
+	for range 8 {
+		clock.Advance(renewPeriod)
+		is.NoErr(r.renew(ctx))
+	}
+	_, err := store.Get(ctx, InstanceKey("a"))
+	is.NoErr(err)
+}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -264,7 +264,7 @@
 	self.Leaving = true
 	r.self.Store(&self)
 	r.updateView()
-	return r.writeSelf(ctx, r.leaseID)
+	return r.writeSelf(ctx, r.currentLease.Load())
 }
 
 // RevokeLease revokes the lease. It must be called after Run has returned.
