--- a/internal/route/upstream/pace.go
+++ b/internal/route/upstream/pace.go
@@ -25,7 +25,7 @@
 	return true
 }
 
-// RecordPace records a pace that was measured over many events of one request. Its weight is high
+// RecordPace records a pace measured over many events of one request. Its weight is high
 // so that it counts at once: a stream that left a slow engine would otherwise return to it, as
 // the one with the most free slots.
 func (u *Upstream) RecordPace(pace time.Duration, now timer.Instant) {
