--- a/internal/batch/runner/confirm.go
+++ b/internal/batch/runner/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/apex/log"
@@ -72,6 +73,10 @@
 	return now.Sub(b.confirmation.at) < claimTrust
 }
 
+// errUnconfirmed withholds an item whose batch may have another owner by now. It says nothing about
+// the engine.
+var errUnconfirmed = fmt.Errorf("%w: the claim on its batch is not confirmed", engine.ErrWithdrawn)
+
 // withClaimCheck returns the context of an attempt, which is withheld if the claim is no longer
 // trusted when its connection is ready.
 func (r *Runner) withClaimCheck(b *Batch) context.Context {
@@ -80,7 +85,7 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		if b.over() || !b.claimTrusted(r.Timer.Now()) {
-			return engine.ErrWithdrawn
+			return errUnconfirmed
 		}
 		return nil
 	})
--- a/internal/batch/runner/confirm_test.go
+++ b/internal/batch/runner/confirm_test.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/upstream"
 	"github.com/egretbend/egretbend/internal/route/wire"
 	"github.com/egretbend/egretbend/internal/standin/memorystore"
 )
@@ -120,6 +121,11 @@
 	clock.Advance(claimTrust)
 	sent, err := send()
 	is.True(errors.Is(err, engine.ErrWithdrawn))
+	u := &catalog.Upstream{Upstream: &upstream.Upstream{}}
+	u.Begin()
+	r.recordOutcome(&task{}, u, err, false, clock.Now())
+	is.True(!u.BackingOff(clock.Now())) // the engine did nothing wrong
+	is.Equal(u.InFlight(), int64(0))
 	is.Equal(sent, false)
 }
 
--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -262,6 +262,8 @@
 	case t.moving:
 		u.RecordPaceSince(pace, start, now)
 		u.Cancelled()
+	case errors.Is(err, errUnconfirmed):
+		u.Cancelled()
 	case errors.Is(err, engine.ErrWithdrawn):
 		// The item must not be sent again in a loop while its engine may still be chosen.
 		u.RecordRefusal(now)
