watchrelay, platform: a refused request names the version it was judged by and its origin

Callers got a 404 for a route that the store had acknowledged 2 s before, and no line said by which version, from whom this instance had it, or how old it was. A refusal for want of a route had no line at all.

Each copied prefix has a Source now: who answered last, when, and when that one last heard from the service. Watchers that stop answering and the failover to the service are logged once each.

No logic is changed.

--- a/internal/fleet/watchrelay/poller.go
+++ b/internal/fleet/watchrelay/poller.go
@@ -166,9 +166,13 @@
 	if relay.NeedsConfirmation != nil && relay.NeedsConfirmation() {
 		q.WaitMS = eagerPollWait.Milliseconds()
 	}
-	for _, m := range relay.watchersToAsk() {
+	watchers := relay.watchersToAsk()
+	for _, m := range watchers {
 		reply, err := relay.poll(context.Background(), m, q)
+		relay.Metrics.countQuery(err)
+		relay.logAnswer(m.Name, err)
 		if err == nil {
+			relay.logFailover(false, len(watchers))
 			return reply, nil
 		}
 		if !errors.Is(err, errStale) {
@@ -177,5 +181,6 @@
 			q.WaitMS = 0
 		}
 	}
+	relay.logFailover(true, len(watchers))
 	return Reply{}, errNoWatcher
 }
--- a/internal/fleet/watchrelay/relay.go
+++ b/internal/fleet/watchrelay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/egretbend/egretbend/internal/fleet/member"
 	"github.com/egretbend/egretbend/internal/fleet/registry"
 	"github.com/egretbend/egretbend/internal/fleet/timeofday"
+	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
@@ -86,6 +87,9 @@
 	// Current holds the last confirmation of the watcher's copies by prefix. A
 	// prefix without a confirmation is absent.
 	Current map[string]Confirmation
+	// Heard holds, by prefix, the time from the arrival of the query to the instant at which
+	// the watcher last heard from the service about it. It is used like Confirmation.Lead.
+	Heard map[string]time.Duration
 }
 
 // Confirmation confirms that the newest item of a copy was current at some instant.
@@ -112,6 +116,8 @@
 	// service may be broken, or that it has not read the prefix yet.
 	Stale   bool
 	Listing keyvalue.Listing
+	// Heard is the value of Reply.Heard for the prefix.
+	Heard time.Duration
 }
 
 // Relay is a keyvalue.TransactionalStore whose watches and listings of copied prefixes go
@@ -134,9 +140,14 @@
 	// Watchers then answer its queries after eagerPollWait even if nothing changed. Nil
 	// means never.
 	NeedsConfirmation func() bool
+	Journal           *journal.Journal
+	// Metrics counts the queries; nil counts nothing.
+	Metrics *Metrics
 
-	copies map[string]*Copy
-	poller watcherPoller
+	copies  map[string]*Copy
+	poller  watcherPoller
+	sources sources
+	answers answerLog
 	// asked is the result of watchersToAsk for the last view.
 	asked atomic.Pointer[askedWatchers]
 }
@@ -242,7 +253,7 @@
 		return r.TransactionalStore.Watch(ctx, prefix, after, wait)
 	}
 	if len(r.watchersToAsk()) == 0 {
-		changes, revision, err := r.TransactionalStore.Watch(ctx, prefix, after, wait)
+		changes, revision, err := r.watchService(ctx, prefix, after, wait)
 		if err == nil {
 			r.poller.recordRevision(prefix, revision)
 		}
@@ -250,7 +261,8 @@
 	}
 	polled, err := r.poller.next(ctx, r, prefix, after)
 	if errors.Is(err, errNoWatcher) {
-		return r.TransactionalStore.Watch(ctx, prefix, after, min(wait, pollWait))
+		r.Metrics.countService()
+		return r.watchService(ctx, prefix, after, min(wait, pollWait))
 	}
 	if err == nil && polled.Behind {
 		err = keyvalue.ErrCompacted
@@ -258,15 +270,26 @@
 	return polled.Changes, polled.Revision, err
 }
 
+// watchService watches the service itself.
+func (r *Relay) watchService(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
+	changes, revision, err := r.TransactionalStore.Watch(ctx, prefix, after, wait)
+	if err == nil {
+		r.noteService(prefix)
+	}
+	return changes, revision, err
+}
+
 // Range implements keyvalue.TransactionalStore.
 func (r *Relay) Range(ctx context.Context, prefix string, consistency keyvalue.Consistency) (keyvalue.Listing, error) {
 	if r.copies[prefix] != nil {
 		for _, m := range r.watchersToAsk() {
 			callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+			sent := r.Timer.Now()
 			reply, err := r.Peers.List(callCtx, m.PeerAddress, prefix)
 			cancel()
 			if err == nil && !reply.Stale && reply.Listing.Revision >= r.poller.lastRevision(prefix) {
 				r.poller.recordRevision(prefix, reply.Listing.Revision)
+				r.noteWatcher(m.Name, sent, map[string]time.Duration{prefix: reply.Heard})
 				return reply.Listing, nil
 			}
 		}
@@ -274,6 +297,7 @@
 	listing, err := r.TransactionalStore.Range(ctx, prefix, consistency)
 	if err == nil && r.copies[prefix] != nil {
 		r.poller.recordRevision(prefix, listing.Revision)
+		r.noteService(prefix)
 	}
 	return listing, err
 }
@@ -293,6 +317,7 @@
 	if reply.Stale {
 		return reply, errStale
 	}
+	r.noteWatcher(m.Name, sent, reply.Heard)
 	if r.Clock != nil {
 		r.Clock.Adopt(reply.Time, sent)
 	}
--- a/internal/fleet/watchrelay/server.go
+++ b/internal/fleet/watchrelay/server.go
@@ -48,11 +48,13 @@
 	}
 	reply.News = changes
 	reply.Current = s.relay.confirmationsFor(q, arrived)
+	reply.Heard = s.relay.heardLeads(q.After, arrived)
 	return nil
 }
 
 // List answers with the listing of a prefix.
 func (s *Server) List(prefix *string, reply *ListReply) error {
+	arrived := s.relay.Timer.Now()
 	c := s.relay.copies[*prefix]
 	if c == nil || !s.relay.canAnswer() {
 		reply.Stale = true
@@ -61,6 +63,7 @@
 	var ok bool
 	reply.Listing, ok = c.listing()
 	reply.Stale = !ok
+	reply.Heard = s.relay.Source(*prefix).HeardAt.Sub(arrived)
 	return nil
 }
 
--- a/internal/route/forward/dispatch.go
+++ b/internal/route/forward/dispatch.go
@@ -266,6 +266,12 @@
 	if err != nil {
 		outcome = problem.From(err).Kind.Code
 		fields["error"] = err.Error()
+		if d.f.ConfigFields != nil {
+			maps.Copy(fields, d.f.ConfigFields())
+		}
+	}
+	if d.req.ConfigVersion != 0 {
+		fields["version"] = d.req.ConfigVersion
 	}
 	if d.regions.Restricted() {
 		fields["regions"] = d.regions.String()
--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
@@ -48,6 +50,8 @@
 	// RegionOrganisation is the organisation whose regions apply to a request that is not made
 	// on its behalf; empty means Organisation.
 	RegionOrganisation string
+	// ConfigVersion is the version of the configuration that Route is from.
+	ConfigVersion uint64
 }
 
 // digest returns the digest that identifies the request when it is sent again.
@@ -119,6 +123,9 @@
 	// Config is the configuration in force, by which the regions of a request are looked up;
 	// nil means that Request.Regions is up to date.
 	Config *catalog.Holder
+	// ConfigFields returns what is known of the configuration in force, for the log lines of
+	// requests without an answer. Nil adds nothing.
+	ConfigFields func() log.Fields
 
 	// gatedParts holds the gatedPart of each gate of a part of a service, by the name of the gate.
 	gatedParts sync.Map
