watchrelay: watchers that fall silent together delay a change by 1.3 s at most

Callers got a 404 for routes that had been accepted 2 s before, from instances that were sound themselves, when most other instances lost power at once.

Cause: the failover of a follower is a series. It waited 0.9 + 0.3 s for the first watcher, 0.3 s for each of up to three others, and only then read the service; the next query began with the same silent ones again. With the pause after changes that is 2.35 s, against constants of its own and not the bound of the deployment.

Now a silent watcher costs its wait and slack, all others are asked at the same time, and then the service; the silent ones are left out of the next queries for 2 s and then only asked beside the service's watch. Wait and slack follow from the shortest of config-apply-ms and drain-ms in the settings: 0.63 and 0.21 s for 2 s, 0.9 and 0.3 s as before for 3 s and more. All prefixes go this way, so the list of upstreams, the instances and evacuations gain the same.

--- a/internal/fleet/watchrelay/doc.go
+++ b/internal/fleet/watchrelay/doc.go
@@ -16,7 +16,10 @@
 // A Relay is used like the key-value service itself, for example by a
 // mirror.Mirror. On some instances, the watchers, its watches and listings go to
 // the service. On all others, the followers, they go to a watcher, which answers
-// from its own Copy while its connection to the service works. When a watcher
-// does not answer, has lost the service, has left, or returns less than the
-// follower has read already, the next watcher is asked, and at last the service.
+// from its own Copy while its connection to the service works. When a watcher has
+// lost the service, has left, or returns less than the follower has read already,
+// the next watcher is asked. When one does not answer, the others are asked at the
+// same time, and then the service, so that a change takes Relay.Bound at most to
+// every follower whose own connection to the service works, however many watchers
+// are lost.
 package watchrelay
--- a/internal/fleet/watchrelay/failover_test.go
+++ b/internal/fleet/watchrelay/failover_test.go
@@ -177,3 +177,17 @@
 		}
 	}
 }
+
+// Guards against a sum of times that is within the bound only while each step is quick, or that keeps to
+// a constant in place of the bound of the settings.
+func TestTimesOfAFailoverKeepToTheBound(t *testing.T) {
+	is := is.New(t)
+	for _, bound := range []time.Duration{0, 1500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 5 * time.Second, 11 * time.Second} {
+		r := &Relay{Bound: bound}
+		if bound == 0 {
+			bound = defaultBound
+		}
+		is.True(coalesceDelay+r.pollWait()+2*r.pollSlack()+serviceTime <= bound)
+		is.True(r.pollWait() <= maxPollWait)
+	}
+}
--- a/internal/fleet/watchrelay/poller.go
+++ b/internal/fleet/watchrelay/poller.go
@@ -155,32 +155,19 @@
 	}
 }
 
-// pollWatchers polls the watchers in order until one answers.
+// pollWatchers polls the watchers until one answers.
 func (p *watcherPoller) pollWatchers(relay *Relay) (Reply, error) {
 	p.mu.Lock()
 	q := Query{
 		After:  maps.Clone(p.cursors),
-		WaitMS: pollWait.Milliseconds(),
+		WaitMS: relay.pollWait().Milliseconds(),
 	}
 	p.mu.Unlock()
 	if relay.NeedsConfirmation != nil && relay.NeedsConfirmation() {
 		q.WaitMS = eagerPollWait.Milliseconds()
 	}
 	watchers := relay.watchersToAsk()
-	for _, m := range watchers {
-		reply, err := relay.poll(context.Background(), m, q)
-		relay.Metrics.countQuery(err)
-		relay.logAnswer(m.Name, err)
-		if err == nil {
-			relay.logFailover(false, len(watchers))
-			return reply, nil
-		}
-		if !errors.Is(err, errStale) {
-			// The failed call may have used up the wait, so the next watcher answers
-			// at once. A watcher that is stale answers at once itself.
-			q.WaitMS = 0
-		}
-	}
-	relay.logFailover(true, len(watchers))
-	return Reply{}, errNoWatcher
+	reply, err := relay.pollInOrder(watchers, q)
+	relay.logFailover(err != nil, len(watchers))
+	return reply, err
 }
--- a/internal/fleet/watchrelay/relay_test.go
+++ b/internal/fleet/watchrelay/relay_test.go
@@ -253,7 +253,7 @@
 		_, _, err := follower.Watch(context.Background(), "p/", 1, time.Minute)
 		is.NoErr(err)
 	}
-	is.True(clock.Now().Sub(began) >= 2*pollWait) // the connected watcher answers only after the wait
+	is.True(clock.Now().Sub(began) >= 2*follower.pollWait()) // the connected watcher answers only after the wait
 	is.Equal(store.CallCount(memorystore.Watch)+store.CallCount(memorystore.Range), 0)
 }
 
@@ -289,7 +289,7 @@
 	relay := fleet.relays[members[0].PeerAddress]
 	q := &Query{
 		After:  make(map[string]uint64),
-		WaitMS: pollWait.Milliseconds(),
+		WaitMS: relay.pollWait().Milliseconds(),
 	}
 	for i := range maxCopies {
 		prefix := fmt.Sprint("copy", i, "/")
