watchrelay: a listing reaches the service though watchers are silent

A listing asked up to four watchers for 0.8 s each, and the mirrors allow it 3 s: with four silent ones the service was never asked, and an instance that had to list again, after a watch that failed, knew nothing new until the leases of the lost ones ended.

The first silent watcher is now the last one to be asked, or the second one for an instance that has read nothing yet and serves nobody.

TestListingReachesTheServiceThoughWatchersAreSilent failed before: the service was asked after the 2 s that a change may take, with 170 instances.

--- a/internal/fleet/watchrelay/failover_test.go
+++ b/internal/fleet/watchrelay/failover_test.go
@@ -191,3 +191,23 @@
 		is.True(r.pollWait() <= maxPollWait)
 	}
 }
+
+// Guards against a listing that never reaches the service, because the watchers that are asked before
+// it are silent and use up the time of the caller.
+func TestListingReachesTheServiceThoughWatchersAreSilent(t *testing.T) {
+	for _, instances := range []int{17, 170} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newLossyFleet(instances)
+			f.silence(len(f.asked))
+			key := f.commit(is)
+			ctx, cancel := context.WithTimeout(context.Background(), changeBound)
+			defer cancel()
+			listing, err := f.follower.Range(ctx, "p/", keyvalue.Fresh)
+			is.NoErr(err)
+			is.NoErr(ctx.Err()) // the service was asked in time
+			is.Equal(len(listing.Items), 1)
+			is.Equal(listing.Items[0].Key, key)
+		})
+	}
+}
--- a/internal/fleet/watchrelay/relay.go
+++ b/internal/fleet/watchrelay/relay.go
@@ -300,16 +300,8 @@
 // Range implements keyvalue.TransactionalStore.
 func (r *Relay) Range(ctx context.Context, prefix string, consistency keyvalue.Consistency) (keyvalue.Listing, error) {
 	if r.copies[prefix] != nil {
-		for _, m := range r.watchersToAsk() {
-			callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-			sent := r.Timer.Now()
-			reply, err := r.Peers.List(callCtx, m.PeerAddress, prefix)
-			cancel()
-			if err == nil && !reply.Stale && reply.Listing.Revision >= r.poller.lastRevision(prefix) {
-				r.poller.recordRevision(prefix, reply.Listing.Revision)
-				r.noteWatcher(m.Name, sent, map[string]time.Duration{prefix: reply.Heard})
-				return reply.Listing, nil
-			}
+		if listing, ok := r.listFromWatcher(ctx, prefix); ok {
+			return listing, nil
 		}
 	}
 	listing, err := r.TransactionalStore.Range(ctx, prefix, consistency)
@@ -320,6 +312,39 @@
 	return listing, err
 }
 
+// listFromWatcher returns the listing of the first watcher that has a current one. It stops at the
+// first one that does not answer, as the bound has room for one only; an instance that has read nothing
+// yet serves nobody, and asks one more, since the service can't bear the listings of a whole fleet.
+func (r *Relay) listFromWatcher(ctx context.Context, prefix string) (keyvalue.Listing, bool) {
+	silentAllowed := 0
+	if r.poller.lastRevision(prefix) == 0 {
+		silentAllowed = 1
+	}
+	sound, _ := r.health.split(r.watchersToAsk(), r.Timer.Now())
+	for _, m := range sound {
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		sent := r.Timer.Now()
+		reply, err := r.Peers.List(callCtx, m.PeerAddress, prefix)
+		cancel()
+		if err == nil && reply.Stale {
+			err = errStale
+		}
+		r.noteAnswer(m.Name, err)
+		if err != nil && !errors.Is(err, errStale) {
+			if silentAllowed == 0 {
+				break
+			}
+			silentAllowed--
+		}
+		if err == nil && reply.Listing.Revision >= r.poller.lastRevision(prefix) {
+			r.poller.recordRevision(prefix, reply.Listing.Revision)
+			r.noteWatcher(m.Name, sent, map[string]time.Duration{prefix: reply.Heard})
+			return reply.Listing, true
+		}
+	}
+	return keyvalue.Listing{}, false
+}
+
 var errStale = errors.New("the watcher has no confirmed connection to the key-value service")
 
 // pollTime returns the time for the waits and the slacks of both polls.
