confirmation, platform: every instance knows how old its configuration is, and reads it in time

What callers would see: routing by an old configuration for up to 28 s, at an instance whose watch stays open and hears nothing, or at all instances that ask such a one. A watch waits 28 s; whether an instance may answer others was judged by its other calls; and only deployments that revoke keys asked whether the configuration in force is the newest one.

An instance that others ask reads the changes of the configuration when its last confirmation is a quarter of config-apply-ms old, any other when the one that it was told is 0.7 of it old; both apply what they find, and pass it on. The thresholds follow the settings in place of 1.2 and 2.5 s, and a follower pauses for the bound at most after a confirmation that failed, in place of 4 s.

--- a/internal/fleet/confirmation/confirmer.go
+++ b/internal/fleet/confirmation/confirmer.go
@@ -16,27 +16,33 @@
 
 // Timing of confirmations.
 const (
-	// checkInterval is the time between checks of the age of the confirmation.
-	checkInterval = 500 * time.Millisecond
+	// checkInterval and minCheckInterval bound the time between checks of the age of the
+	// confirmation.
+	checkInterval    = 500 * time.Millisecond
+	minCheckInterval = 50 * time.Millisecond
+	// overdueCheckInterval is the time between checks while confirmations fail.
+	overdueCheckInterval = 300 * time.Millisecond
 	// startupCheckInterval is the time between checks before the first confirmation.
 	// Until then all requests with keys are refused.
 	startupCheckInterval = 150 * time.Millisecond
-	// relayConfirmAge is the age of its confirmation at which an instance that relays
-	// confirmations confirms again.
-	relayConfirmAge = 1200 * time.Millisecond
-	// followerConfirmAge is the age at which any other instance confirms by itself. The
-	// confirmations that are relayed to it are about two seconds old at most.
-	followerConfirmAge = 2500 * time.Millisecond
+	// relayAgeShare is the share of Confirmer.Bound that the last confirmation may be old at an
+	// instance that relays confirmations, before it confirms again.
+	relayAgeShare = 0.25
+	// followerAgeShare is the share at any other instance. It gets newer confirmations from an
+	// instance that relays them, and confirms by itself if that fails; the rest of the bound is
+	// for its call.
+	followerAgeShare = 0.7
+	// defaultBound is used while Confirmer.Bound is zero.
+	defaultBound = 2 * time.Second
 	// firstConfirmDelay is how long a starting instance waits for a relayed
 	// confirmation before it confirms by itself, as all instances may start at the same
 	// moment.
 	firstConfirmDelay = time.Second
 	// confirmTimeout bounds one confirmation.
 	confirmTimeout = time.Second
-	// minBackoff and maxBackoff bound the pause of a follower after a failed
-	// confirmation. Calls are counted even while the service is down.
+	// minBackoff is the shortest pause of a follower after a failed confirmation; the longest is
+	// Confirmer.Bound. Calls are counted even while the service is down.
 	minBackoff = time.Second
-	maxBackoff = 4 * time.Second
 	// minRefreshInterval is the minimum time between confirmations caused by requests
 	// with unknown keys. Without it a flood of such requests would flood the key-value
 	// service.
@@ -62,6 +68,9 @@
 	Key string
 	// HeldRevision returns the revision of the configuration in force.
 	HeldRevision func() uint64
+	// Bound is the time within which a configuration must be in force after it was accepted;
+	// zero means 2 s.
+	Bound time.Duration
 	// Apply puts newer configurations in force.
 	Apply func([]keyvalue.Change)
 	// Needed reports whether anything depends on confirmations.
@@ -97,20 +106,44 @@
 		now := c.Timer.Now()
 		if c.due(now) && now >= b.until {
 			err := c.Confirm(ctx)
-			b = b.next(err, c.Timer.Now(), c.IsRelay())
+			b = b.next(err, c.Timer.Now(), c.IsRelay(), c.bound())
 		}
 	}
 	return nil
 }
 
+// bound returns Bound or its default.
+func (c *Confirmer) bound() time.Duration {
+	if c.Bound == 0 {
+		return defaultBound
+	}
+	return c.Bound
+}
+
+// dueAge returns the age of the last confirmation at which this instance confirms by itself.
+func (c *Confirmer) dueAge() time.Duration {
+	share := followerAgeShare
+	if c.IsRelay() {
+		share = relayAgeShare
+	}
+	return time.Duration(share * float64(c.bound()))
+}
+
 // checkDelay returns the time until the next check. It is short before the first
 // confirmation if one is or may become needed.
 func (c *Confirmer) checkDelay() time.Duration {
-	_, confirmed := c.Record.Age(c.Timer.Now())
-	if !confirmed && (c.HeldRevision() == 0 || c.Needed()) {
+	age, confirmed := c.Record.Age(c.Timer.Now())
+	switch {
+	case !confirmed && (c.HeldRevision() == 0 || c.Needed()):
 		return startupCheckInterval
+	case !c.Needed():
+		return checkInterval
+	}
+	left := c.dueAge() - age
+	if left <= 0 {
+		return overdueCheckInterval
 	}
-	return checkInterval
+	return max(minCheckInterval, min(checkInterval, left))
 }
 
 // backoff is the pause after failed confirmations. The zero value is no pause.
@@ -122,11 +155,11 @@
 // next returns the pause after a confirmation with the result err. An instance that
 // relays confirmations does not pause: the others learn from it that the service is
 // back.
-func (b backoff) next(err error, now timer.Instant, relays bool) backoff {
+func (b backoff) next(err error, now timer.Instant, relays bool, longest time.Duration) backoff {
 	if err == nil || relays {
 		return backoff{}
 	}
-	delay := min(max(minBackoff, 2*b.delay), maxBackoff)
+	delay := min(max(minBackoff, 2*b.delay), max(minBackoff, longest))
 	return backoff{
 		delay: delay,
 		until: now.Add(delay),
@@ -147,10 +180,8 @@
 		return now.Sub(c.heldSince) >= firstConfirmDelay
 	case !ok:
 		return true
-	case c.IsRelay():
-		return age >= relayConfirmAge
 	}
-	return age >= followerConfirmAge
+	return age >= c.dueAge()
 }
 
 // Confirm confirms the configuration with the key-value service now.
--- a/internal/fleet/confirmation/confirmer_test.go
+++ b/internal/fleet/confirmation/confirmer_test.go
@@ -130,13 +130,13 @@
 		now := timer.Instant(0).Add(time.Duration(second) * time.Second)
 		if now >= b.until {
 			asked++
-			b = b.next(errNotApplied, now, false)
+			b = b.next(errNotApplied, now, false, 4*time.Second)
 		}
 	}
 	is.Equal(asked, 5) // after 0, 1, 3, 7 and 11 seconds
-	is.Equal(b.next(nil, 0, false), backoff{})
+	is.Equal(b.next(nil, 0, false, 4*time.Second), backoff{})
 	// A relay does not pause: other instances depend on it.
-	is.Equal(backoff{}.next(errNotApplied, 9, true).until, timer.Instant(0))
+	is.Equal(backoff{}.next(errNotApplied, 9, true, 4*time.Second).until, timer.Instant(0))
 }
 
 // Guards against requests with keys that are still refused long after all instances
--- a/internal/fleet/watchrelay/copy.go
+++ b/internal/fleet/watchrelay/copy.go
@@ -60,6 +60,7 @@
 		return
 	}
 	c.dropped, c.reloading = false, false
+	changes = slices.DeleteFunc(slices.Clone(changes), c.known)
 	c.applyToItems(changes)
 	if !c.loaded {
 		c.loaded = true
@@ -108,6 +109,13 @@
 	}
 }
 
+// known reports whether the copy holds the value that a change set, or a later one. c.mu must be
+// held.
+func (c *Copy) known(change keyvalue.Change) bool {
+	item, ok := c.items[change.Key]
+	return !change.Removed && ok && item.Revision >= change.Revision
+}
+
 // superseded reports whether a change set a value that a later change replaced. A removal is
 // never superseded: what a key stood for has ended, even if the key was written again. c.mu must
 // be held.
--- a/internal/fleet/watchrelay/relay.go
+++ b/internal/fleet/watchrelay/relay.go
@@ -292,7 +292,7 @@
 func (r *Relay) watchService(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
 	changes, revision, err := r.TransactionalStore.Watch(ctx, prefix, after, wait)
 	if err == nil {
-		r.noteService(prefix)
+		r.NoteService(prefix)
 	}
 	return changes, revision, err
 }
@@ -307,7 +307,7 @@
 	listing, err := r.TransactionalStore.Range(ctx, prefix, consistency)
 	if err == nil && r.copies[prefix] != nil {
 		r.poller.recordRevision(prefix, listing.Revision)
-		r.noteService(prefix)
+		r.NoteService(prefix)
 	}
 	return listing, err
 }
--- a/internal/fleet/watchrelay/source.go
+++ b/internal/fleet/watchrelay/source.go
@@ -48,8 +48,8 @@
 // Source returns from whom this instance last read a copied prefix.
 func (r *Relay) Source(prefix string) Source { return r.sources.of(prefix) }
 
-// noteService records that the service itself answered just now.
-func (r *Relay) noteService(prefix string) {
+// NoteService records that the service itself answered just now.
+func (r *Relay) NoteService(prefix string) {
 	now := r.Timer.Now()
 	r.sources.record(prefix, Source{
 		Name:       ServiceName,
--- a/internal/fleet/watchrelay/source_test.go
+++ b/internal/fleet/watchrelay/source_test.go
@@ -21,7 +21,7 @@
 	f, members := newFleet(clock, store, 20)
 	follower, asked := f.findFollower(members)
 	watcher := f.relays[asked[0].Name]
-	watcher.noteService("p/")
+	watcher.NoteService("p/")
 	heard := clock.Now()
 	clock.Advance(time.Second)
 	watcher.copies["p/"].Apply(putChange("p/a", 7), 7)
