watchrelay: watchers are in different failure domains

What callers would see: after the loss of one failure domain all sound instances read the service themselves, since both of the two watchers of 17 instances, or all four that an instance asks, may have been in it: a hash chose them without regard to domains. Found while adding up the times of a failover.

The first of each domain by the same hash is chosen, then the second of each; the four that an instance asks are in different domains while there are as many. IsWatcher goes by the cached choice, as confirmations ask it some times a second.

TestWatchersAreInDifferentFailureDomains failed before (17 instances, 7 + 4 + 4 + 2 in four domains).

--- a/internal/fleet/watchrelay/copy_test.go
+++ b/internal/fleet/watchrelay/copy_test.go
@@ -1,10 +1,12 @@
 package watchrelay
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/egretbend/egretbend/internal/fleet/registry"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
@@ -122,3 +124,51 @@
 	is.Equal(len(c.items), 10)
 	is.True(!c.NeedsReload())
 }
+
+// Guards against watchers that are all in one failure domain, whose loss leaves no follower a watcher,
+// although those in other domains work.
+func TestWatchersAreInDifferentFailureDomains(t *testing.T) {
+	is := is.New(t)
+	domains := []int{7, 4, 4, 2}
+	for fleet := range 50 {
+		var members []registry.Member
+		for d, count := range domains {
+			for i := range count {
+				members = append(members, registry.Member{
+					Name:          fmt.Sprintf("f%d-%d-%d", fleet, d, i),
+					FailureDomain: fmt.Sprint(d),
+				})
+			}
+		}
+		for i := range members {
+			r := &Relay{Registry: &view{members: members, self: members[i]}}
+			asked := r.watchersToAsk()
+			if len(asked) == 0 {
+				continue
+			}
+			is.Equal(len(asked), 2)
+			is.True(asked[0].FailureDomain != asked[1].FailureDomain)
+		}
+	}
+	// With more watchers than domains, each domain has its share of them, and the first ones that
+	// a follower asks are in different ones.
+	members := make([]registry.Member, 170)
+	for i := range members {
+		members[i] = registry.Member{Name: fmt.Sprint("i", i), FailureDomain: fmt.Sprint(i % 4)}
+	}
+	byDomain := make(map[string]int)
+	for _, m := range Watchers(members) {
+		byDomain[m.FailureDomain]++
+	}
+	for _, n := range byDomain {
+		is.True(n == 2 || n == 3)
+	}
+	for i := range members {
+		r := &Relay{Registry: &view{members: members, self: members[i]}}
+		seen := make(map[string]bool)
+		for _, m := range r.watchersToAsk() {
+			is.True(!seen[m.FailureDomain])
+			seen[m.FailureDomain] = true
+		}
+	}
+}
--- a/internal/fleet/watchrelay/relay.go
+++ b/internal/fleet/watchrelay/relay.go
@@ -201,8 +201,8 @@
 }
 
 // Watchers returns those of the given instances that watch the service. They are
-// chosen by a rendezvous hash, so that instances with slightly different views
-// agree on nearly all of them, and only from the instances eligible for batches: these
+// chosen by a rendezvous hash within each failure domain, so that instances with
+// slightly different views agree on nearly all of them, and only from the instances eligible for batches: these
 // renew their registration more often and have the processor and the link for many
 // followers.
 func Watchers(members []registry.Member) []registry.Member {
@@ -214,7 +214,26 @@
 	}
 	eligible := registry.Eligible(members)
 	n := (staying+followersPerWatcher-1)/followersPerWatcher + spareWatchers
-	return rank(eligible, "watch")[:min(n, len(eligible))]
+	return spread(rank(eligible, "watch"), min(n, len(eligible)))
+}
+
+// spread returns n of the given members, which are ordered by rank: the first one of each failure
+// domain, then the second one of each, and so on. The loss of a domain leaves the others.
+func spread(ranked []registry.Member, n int) []registry.Member {
+	list := make([]registry.Member, 0, n)
+	picked := make([]bool, len(ranked))
+	for round := 1; len(list) < n; round++ {
+		byDomain := make(map[string]int)
+		for i := range ranked {
+			domain := ranked[i].FailureDomain
+			byDomain[domain]++
+			if !picked[i] && byDomain[domain] == round && len(list) < n {
+				picked[i] = true
+				list = append(list, ranked[i])
+			}
+		}
+	}
+	return list
 }
 
 // rank orders members by their rendezvous hash for a key.
@@ -236,9 +255,7 @@
 }
 
 // IsWatcher reports whether this instance is a watcher.
-func (r *Relay) IsWatcher() bool {
-	return contains(Watchers(r.Registry.Members()), r.Registry.Self().Name)
-}
+func (r *Relay) IsWatcher() bool { return len(r.watchersToAsk()) == 0 }
 
 func contains(members []registry.Member, name string) bool {
 	return slices.ContainsFunc(members, func(m registry.Member) bool { return m.Name == name })
@@ -257,8 +274,7 @@
 		view: view,
 	}
 	if watchers := Watchers(view); !contains(watchers, self) {
-		list := rank(watchers, self)
-		asked.watchers = list[:min(maxWatchersAsked, len(list))]
+		asked.watchers = spread(rank(watchers, self), min(maxWatchersAsked, len(watchers)))
 	}
 	r.health.forget(asked.watchers)
 	r.asked.Store(asked)
