--- a/internal/fleet/confirmation/confirmer.go
+++ b/internal/fleet/confirmation/confirmer.go
@@ -106,14 +106,14 @@
 		now := c.Timer.Now()
 		if c.due(now) && now >= b.until {
 			err := c.Confirm(ctx)
-			b = b.next(err, c.Timer.Now(), c.IsRelay(), c.bound())
+			b = b.next(err, c.Timer.Now(), c.IsRelay(), c.ChangeBound())
 		}
 	}
 	return nil
 }
 
-// bound returns Bound or its default.
-func (c *Confirmer) bound() time.Duration {
+// ChangeBound returns Bound or its default.
+func (c *Confirmer) ChangeBound() time.Duration {
 	if c.Bound == 0 {
 		return defaultBound
 	}
@@ -126,7 +126,7 @@
 	if c.IsRelay() {
 		share = relayAgeShare
 	}
-	return time.Duration(share * float64(c.bound()))
+	return time.Duration(share * float64(c.ChangeBound()))
 }
 
 // checkDelay returns the time until the next check. It is short before the first
--- a/internal/kernel/problem/kind.go
+++ b/internal/kernel/problem/kind.go
@@ -66,7 +66,7 @@
 	NotReady = newKind("not_ready", http.StatusServiceUnavailable, NotRun,
 		"ask another instance; this one has no configuration yet")
 	Unconfirmed = newKind("unconfirmed", http.StatusServiceUnavailable, NotRun,
-		"ask another instance; this one can't tell at the moment which keys still hold")
+		"ask another instance; this one can't tell at the moment whether its configuration is the newest one")
 	DeadlineBeforeRun = newKind("deadline_before_run", http.StatusGatewayTimeout, NotRun,
 		"ask again with a longer Egretbend-Deadline-Ms")
 	UpstreamRefused = newKind("upstream_refused", http.StatusServiceUnavailable, NotRun,
