--- a/cmd/egretplay/soak.go
+++ b/cmd/egretplay/soak.go
@@ -50,6 +50,7 @@
 	flags := cmd.Flags()
 	flags.Uint64Var(&plan.Seed, "seed", 1, "seed of the faults")
 	flags.IntVar(&seeds, "seeds", 0, "number of fresh seeds to run instead")
+	flags.BoolVar(&plan.UnboundedRevocation, "unbounded-revocation", false, "set no time within which a revoked key must stop working, as in deployments without keys")
 	flags.StringVar(&folder, "folder", "", "folder for a plot of each run; none if empty")
 	flags.StringVar(&defect, "defect", "", "defect to simulate, to verify that a check detects it")
 	return cmd
--- a/internal/load/faultplan/plan.go
+++ b/internal/load/faultplan/plan.go
@@ -50,13 +50,15 @@
 	Configure
 	// Reload signals an instance to reload its settings.
 	Reload
+	// FreezeMost pauses the processes of three quarters of the instances, but not of the target.
+	FreezeMost
 	kindCount
 )
 
 var kindNames = [kindCount]string{
 	"kill", "stop", "freeze", "service_down", "service_slow", "service_loses", "service_late", "service_forgets", "lease_ends",
 	"service_shuts", "service_silent", "service_reset", "engine_silent", "engine_slow", "engine_reset", "clients_reset",
-	"configure", "reload",
+	"configure", "reload", "freeze_most",
 }
 
 // String returns the name of the kind in snake case.
@@ -102,6 +104,10 @@
 	maxDuration = 2500 * time.Millisecond
 	minDuration = 300 * time.Millisecond
 	startWindow = 1500 * time.Millisecond
+	// A FreezeMost lasts from minFreezeMost to maxFreezeMost, longer than a change of the
+	// configuration may take.
+	maxFreezeMost = 4500 * time.Millisecond
+	minFreezeMost = 3 * time.Second
 	// RecoveryTime is the time after a burst within which everything must recover.
 	RecoveryTime = 6 * time.Second
 	// maxFaults is the highest number of faults in a burst.
@@ -120,6 +126,10 @@
 				Start:    burstStart + time.Duration(rng.Int64N(int64(startWindow))),
 				Duration: minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration))),
 			}
+			if f.Kind == FreezeMost {
+				f.Duration = minFreezeMost + time.Duration(rng.Int64N(int64(maxFreezeMost-minFreezeMost)))
+				f.Duration = min(f.Duration, length-RecoveryTime-f.Start)
+			}
 			f.Target = rng.IntN(instances)
 			if f.Kind.targetsEngine() {
 				f.Target = rng.IntN(engines)
