watchrelay, confirmation: a confirmation ends the waits of queries, and half as many are made

They learn at once now, so that each 0.9 s is enough for a bound of 2 s: 0.45 of it, after which 0.25 of it is left until a follower reads the service itself.

TestConfirmationReachesWaitingFollowers failed before: the query ended with its wait, 0.53 s later.

--- a/internal/fleet/confirmation/confirmer.go
+++ b/internal/fleet/confirmation/confirmer.go
@@ -27,7 +27,7 @@
 	startupCheckInterval = 150 * time.Millisecond
 	// relayAgeShare is the share of Confirmer.Bound that the last confirmation may be old at an
 	// instance that relays confirmations, before it confirms again.
-	relayAgeShare = 0.25
+	relayAgeShare = 0.45
 	// followerAgeShare is the share at any other instance. It gets newer confirmations from an
 	// instance that relays them, and confirms by itself if that fails; the rest of the bound is
 	// for its call.
--- a/internal/fleet/watchrelay/copy.go
+++ b/internal/fleet/watchrelay/copy.go
@@ -135,13 +135,15 @@
 	return l, c.loaded
 }
 
-// Confirm records that the newest item had the given revision at the given instant.
+// Confirm records that the newest item had the given revision at the given instant, and ends the
+// waits of all queries: followers confirm by themselves if they don't learn of it soon.
 func (c *Copy) Confirm(at timer.Instant, revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at > c.confirmedAt {
 		c.confirmedRevision = revision
 		c.confirmedAt = at
+		c.wake()
 	}
 }
 
--- a/internal/fleet/watchrelay/relay_test.go
+++ b/internal/fleet/watchrelay/relay_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -312,3 +313,29 @@
 		q.After[prefix] = 2
 	}
 }
+
+// Guards against followers that read the service themselves although their watcher has confirmed its
+// copy just now, because its answer comes at the end of their wait.
+func TestConfirmationReachesWaitingFollowers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := bubbleClock{}
+		fleet, members := newFleet(clock, &memorystore.Store{Timer: clock}, 20)
+		follower, asked := fleet.findFollower(members)
+		var confirmedAt timer.Instant
+		follower.OnConfirmed = func(_ string, _ uint64, at timer.Instant) { confirmedAt = at }
+		ended := make(chan time.Time)
+		go func() {
+			_, _, err := follower.Watch(context.Background(), "p/", 1, time.Minute)
+			is.NoErr(err)
+			ended <- time.Now()
+		}()
+		time.Sleep(100 * time.Millisecond)
+		confirmed := clock.Now()
+		fleet.relays[asked[0].Name].copies["p/"].Confirm(confirmed, 1)
+		is.Equal((<-ended).UnixNano(), int64(confirmed))
+		time.Sleep(time.Minute) // the query in progress ends
+		synctest.Wait()
+		is.Equal(confirmedAt, confirmed)
+	})
+}
