confirmation: a confirmation does not depend on what it checks

Cause: a confirmation read the changes since the last one, by a watch without a wait. A store whose watches are deaf does not answer that either. The instance took its path to the store for broken, sent its followers away, and these asked the store the same.

Reading the changes may take 250 ms now and then is no verdict on the path; the item itself is read next.

--- a/internal/fleet/confirmation/confirmer.go
+++ b/internal/fleet/confirmation/confirmer.go
@@ -38,8 +38,9 @@
 	// confirmation before it confirms by itself, as all instances may start at the same
 	// moment.
 	firstConfirmDelay = time.Second
-	// confirmTimeout bounds one confirmation.
+	// confirmTimeout bounds one confirmation, and changesTimeout reading the changes in it.
 	confirmTimeout = time.Second
+	changesTimeout = 250 * time.Millisecond
 	// minBackoff is the shortest pause of a follower after a failed confirmation; the longest is
 	// Confirmer.Bound. Calls are counted even while the service is down.
 	minBackoff = time.Second
@@ -201,12 +202,13 @@
 	defer cancel()
 	c.checkedRevision = max(c.checkedRevision, c.HeldRevision())
 	started := c.Timer.Now()
-	changes, checkedRevision, err := c.Source.ChangesSince(ctx, c.Key, c.checkedRevision)
-	if errors.Is(err, keyvalue.ErrCompacted) {
-		changes, checkedRevision, err = c.readCurrent(ctx)
-	}
+	changes, checkedRevision, err := c.readChanges(ctx)
 	if err != nil {
-		return err
+		// Reading the item depends neither on the history of the service nor on its watches.
+		var readErr error
+		if changes, checkedRevision, readErr = c.readCurrent(ctx); readErr != nil {
+			return errors.Join(err, readErr)
+		}
 	}
 	if len(changes) > 0 {
 		c.Apply(changes)
@@ -227,13 +229,24 @@
 
 var errNotApplied = errors.New("the newest configuration could not be put in force; the log shows the cause")
 
+// readChanges reads the changes since the last confirmation. They take much less than the
+// configuration itself.
+func (c *Confirmer) readChanges(ctx context.Context) ([]keyvalue.Change, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
+	defer cancel()
+	return c.Source.ChangesSince(ctx, c.Key, c.checkedRevision)
+}
+
 // readCurrent reads the configuration itself when the service no longer has the
-// changes.
+// changes, or does not return them in time.
 func (c *Confirmer) readCurrent(ctx context.Context) ([]keyvalue.Change, uint64, error) {
 	item, err := c.Source.Get(ctx, c.Key)
 	if err != nil {
 		return nil, 0, err
 	}
+	if item.Revision <= c.HeldRevision() {
+		return nil, item.Revision, nil
+	}
 	return []keyvalue.Change{{Item: item}}, item.Revision, nil
 }
 
