confirmation: a slow service does not make every instance confirm by itself

They confirm at 0.35 of the bound in place of 0.45, and reading the changes may take 450 ms in place of 250.

--- a/internal/fleet/confirmation/confirmer.go
+++ b/internal/fleet/confirmation/confirmer.go
@@ -27,7 +27,7 @@
 	startupCheckInterval = 150 * time.Millisecond
 	// relayAgeShare is the share of Confirmer.Bound that the last confirmation may be old at an
 	// instance that relays confirmations, before it confirms again.
-	relayAgeShare = 0.45
+	relayAgeShare = 0.35
 	// followerAgeShare is the share at any other instance. It gets newer confirmations from an
 	// instance that relays them, and confirms by itself if that fails; the rest of the bound is
 	// for its call.
@@ -40,7 +40,7 @@
 	firstConfirmDelay = time.Second
 	// confirmTimeout bounds one confirmation, and changesTimeout reading the changes in it.
 	confirmTimeout = time.Second
-	changesTimeout = 250 * time.Millisecond
+	changesTimeout = 450 * time.Millisecond
 	// minBackoff is the shortest pause of a follower after a failed confirmation; the longest is
 	// Confirmer.Bound. Calls are counted even while the service is down.
 	minBackoff = time.Second
