watchrelay: a listing that takes too long does not make its watcher an avoided one

A list of thousands of upstreams may take longer than 0.8 s on a small link. The follower then left the watcher out of its queries for 2 s and read the service in its place.

--- a/internal/fleet/watchrelay/relay.go
+++ b/internal/fleet/watchrelay/relay.go
@@ -210,7 +210,8 @@
 		if err == nil && reply.Stale {
 			err = errStale
 		}
-		r.noteAnswer(m.Name, err)
+		// A long list that does not arrive in time is no reason to avoid the watcher.
+		r.Metrics.countQuery(err)
 		if err != nil && !errors.Is(err, errStale) {
 			if silentAllowed == 0 {
 				break
