--- a/internal/fleet/confirmation/confirmer.go
+++ b/internal/fleet/confirmation/confirmer.go
@@ -74,7 +74,7 @@
 	Bound time.Duration
 	// Apply puts newer configurations in force.
 	Apply func([]keyvalue.Change)
-	// Needed reports whether anything depends on confirmations.
+	// Needed reports whether anything depends on confirmations. Nil means that it always does.
 	Needed func() bool
 	// IsRelay reports whether other instances get their confirmations from this one.
 	IsRelay func() bool
@@ -113,6 +113,9 @@
 	return nil
 }
 
+// needed reports whether anything depends on confirmations.
+func (c *Confirmer) needed() bool { return c.Needed == nil || c.Needed() }
+
 // ChangeBound returns Bound or its default.
 func (c *Confirmer) ChangeBound() time.Duration {
 	if c.Bound == 0 {
@@ -135,9 +138,9 @@
 func (c *Confirmer) checkDelay() time.Duration {
 	age, confirmed := c.Record.Age(c.Timer.Now())
 	switch {
-	case !confirmed && (c.HeldRevision() == 0 || c.Needed()):
+	case !confirmed && (c.HeldRevision() == 0 || c.needed()):
 		return startupCheckInterval
-	case !c.Needed():
+	case !c.needed():
 		return checkInterval
 	}
 	left := c.dueAge() - age
@@ -169,7 +172,7 @@
 
 // due reports whether this instance should confirm by itself now.
 func (c *Confirmer) due(now timer.Instant) bool {
-	if !c.Needed() || c.HeldRevision() == 0 {
+	if !c.needed() || c.HeldRevision() == 0 {
 		return false
 	}
 	if c.heldSince == 0 {
