--- a/review/_standin/case_versions.go
+++ b/review/_standin/case_versions.go
@@ -8,7 +8,8 @@
 )
 
 var cases = map[string]func(d *deployment, trouble bool) error{
-	"versions": runVersions,
+	"versions":    runVersions,
+	"descriptors": runDescriptors,
 }
 
 // configuration returns the operator's configuration; rollout holds further fields of the route for
--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
@@ -54,6 +55,8 @@
 	samplers []*sampler
 	lastIP   int
 	stopped  chan struct{}
+	// batch is the batch that was accepted last.
+	batch atomic.Pointer[string]
 }
 
 // machine is a machine that runs one process of the product.
--- a/review/_standin/sampler.go
+++ b/review/_standin/sampler.go
@@ -20,6 +20,8 @@
 	engine  bool
 	// eventTime is the time between two events.
 	eventTime time.Duration
+	// work is the time that a plain request takes.
+	work time.Duration
 
 	server *http.Server
 	addr   string
@@ -58,6 +60,7 @@
 		slots:     slots,
 		engine:    engine,
 		eventTime: 20 * time.Millisecond,
+		work:      30 * time.Millisecond,
 		conns:     make(map[net.Conn]bool),
 		version:   version,
 		born:      time.Now().UnixMilli(),
@@ -199,11 +202,11 @@
 	}()
 	if !s.engine {
 		s.d.record.line("sampler %s runs %s %s %s", s.id, r.Method, r.URL.Path, id)
-		if !wait(r, 30*time.Millisecond) {
+		if !wait(r, s.work) {
 			return
 		}
 		w.Header().Set(names["stamp"], "stamp."+id)
-		_, _ = fmt.Fprintf(w, "answer.%s", id)
+		_, _ = fmt.Fprintf(w, "answer.%s.%s", id, s.id)
 		return
 	}
 	s.stream(w, r, id, version)
