--- a/review/_standin/case_versions.go
+++ b/review/_standin/case_versions.go
@@ -10,6 +10,7 @@
 var cases = map[string]func(d *deployment, trouble bool) error{
 	"versions":    runVersions,
 	"descriptors": runDescriptors,
+	"public":      runPublic,
 }
 
 // configuration returns the operator's configuration; rollout holds further fields of the route for
