--- a/review/_standin/case_descriptors.go
+++ b/review/_standin/case_descriptors.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,10 +24,14 @@
 	pressTime = 11500 * time.Millisecond
 	// configApply is the bound config-apply-ms.
 	configApply = 2 * time.Second
+	// rolled is how many other machines are stopped and started in turn, and rollGap the time
+	// between two of them.
+	rolled  = 4
+	rollGap = 1300 * time.Millisecond
 )
 
-// runDescriptors lets many clients keep connections to one machine for some seconds, while another
-// one is stopped and started. Long after that the operator moves a route to another service. It
+// runDescriptors lets many clients keep connections to one machine for some seconds, while others are
+// stopped and started in turn. Long after that the operator moves a route to another service. It
 // checks the rule CONFIG.
 func runDescriptors(d *deployment, trouble bool) error {
 	d.put(names["config"], movedConfiguration(2, "desks"))
@@ -57,14 +62,21 @@
 	if pressed == nil {
 		return errNotServed
 	}
-	other := d.machines[0]
-	if other == pressed {
-		other = d.machines[1]
+	var others []*machine
+	for _, m := range d.machines {
+		if m != pressed && len(others) < rolled {
+			others = append(others, m)
+		}
 	}
 	if trouble {
 		var wg sync.WaitGroup
 		wg.Go(func() { d.press(pressed) })
-		wg.Go(func() { d.stopAndStart(other) })
+		for i, m := range others {
+			wg.Go(func() {
+				time.Sleep(2*time.Second + time.Duration(i)*rollGap)
+				d.stopAndStart(m)
+			})
+		}
 		wg.Wait()
 		d.record.line("the press has ended")
 	}
@@ -76,7 +88,7 @@
 	time.Sleep(configApply + 500*time.Millisecond)
 	for time.Since(acked) < 12*time.Second {
 		for _, m := range d.machines {
-			if m == other {
+			if slices.Contains(others, m) {
 				continue // it was stopped a moment ago
 			}
 			for _, server := range d.probe("after", m, 2) {
