--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 set -uo pipefail
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
-exec target/review-standin public "$folder"
+exec target/review-standin streams "$folder"
--- a/review/_standin/case_descriptors.go
+++ b/review/_standin/case_descriptors.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -164,14 +163,6 @@
 	wg.Wait()
 }
 
-// stopAndStart stops the process on a machine as the platform does, and starts it again.
-func (d *deployment) stopAndStart(m *machine) {
-	d.record.line("SIGTERM to the process on %s", m.name)
-	_ = m.process.Process.Signal(syscall.SIGTERM)
-	_ = m.process.Wait()
-	d.restart(m)
-}
-
 // probe sends requests to a machine and returns the samplers that ran them.
 func (d *deployment) probe(when string, m *machine, n int) []string {
 	var servers []string
--- a/review/_standin/case_public.go
+++ b/review/_standin/case_public.go
@@ -14,16 +14,24 @@
 const tenantBounds = `revoke-strict = true
 revoke-ms = 5000`
 
-// tenantConfiguration returns a configuration with a tenant. Its route for batches is public or not.
-func tenantConfiguration(version int, public bool) map[string]any {
-	c := configuration(map[string]any{"public": public})
+// tenantConfiguration returns a configuration with a tenant, and with a second route for batches that
+// is public if added is set.
+func tenantConfiguration(version int, added bool) map[string]any {
+	c := configuration(nil)
 	c["version"] = version
 	c["tenants"] = []any{map[string]any{"name": "saddlers", "api-keys": []string{key}, "priority": 1}}
+	if added {
+		c["routes"] = append(c["routes"].([]any), map[string]any{
+			"name": "r-sketches", "host": host, "prefix": "/sketches/", "kind": "rollout", "timeout-ms": 10000, "target-latency-ms": 400,
+			"priority": 1, "service": "engines", "max-attempts": 3, "result-deadline-ms": 7500, "item-ttl-s": 40, "public": true,
+		})
+	}
 	return c
 }
 
-// runPublic submits batches with the key of a tenant, and reads them with it, before and after the
-// operator makes their route public. It checks the rule LOST for accepted batches.
+// runPublic submits batches with the key of a tenant and reads them with it, before and after the
+// operator adds a public route for batches, to which the later ones go. It checks the rule LOST for
+// accepted batches.
 func runPublic(d *deployment, trouble bool) error {
 	d.put(names["config"], tenantConfiguration(2, false))
 	for range 4 {
@@ -39,32 +47,34 @@
 	}
 	time.Sleep(4 * time.Second)
 	for n := range 3 {
-		if err := d.submitAndRead(n); err != nil {
+		if err := d.submitAndRead(n, "/drafts/"); err != nil {
 			return err
 		}
 	}
+	prefix := "/drafts/"
 	if trouble {
 		d.put(names["config"], tenantConfiguration(4, true))
-		d.record.line("version 4 is acknowledged: the route for batches is public")
+		d.record.line("version 4 is acknowledged: it adds the public route /sketches/ for batches")
+		prefix = "/sketches/"
 	}
 	time.Sleep(5 * time.Second)
 	for n := range 6 {
-		if err := d.submitAndRead(10 + n); err != nil {
+		if err := d.submitAndRead(10+n, prefix); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// submitAndRead submits a batch with the key of the tenant, and reads it at several machines from
+// submitAndRead submits a batch to a route with the key of the tenant, and reads it at several machines from
 // 1.5 s after the 202 on, which is later than settle-ms.
-func (d *deployment) submitAndRead(n int) error {
-	id := fmt.Sprintf("public%04d", n)
+func (d *deployment) submitAndRead(n int, prefix string) error {
+	id := fmt.Sprintf("batch%04d", n)
 	var items []map[string]any
 	for i := range 4 {
 		item := fmt.Sprintf("%sx%d", id, i)
 		items = append(items, map[string]any{
-			"id": item, "path": "/drafts/x", "body": []byte("sketch"), "tokens": 1200, "group": "g",
+			"id": item, "path": prefix + "x", "body": []byte("sketch"), "tokens": 1200, "group": "g",
 			"headers": map[string]string{"Model": model, "Token-Count": "1016,184"},
 			"scorer":  map[string]any{"id": "reward" + item, "host": host, "path": "/orders/x", "body": []byte("text")},
 		})
@@ -77,7 +87,7 @@
 	accepted := false
 	for range 5 {
 		m := d.anyMachine()
-		status, answer, err := d.call(m, http.MethodPost, "/drafts/"+id, id, body, header)
+		status, answer, err := d.call(m, http.MethodPost, prefix+id, id, body, header)
 		d.record.line("batch %s sent to %s: %d %v %s", id, m.name, status, err, answer)
 		if accepted = status == http.StatusAccepted; accepted {
 			break
--- a/review/_standin/case_versions.go
+++ b/review/_standin/case_versions.go
@@ -11,6 +11,7 @@
 	"versions":    runVersions,
 	"descriptors": runDescriptors,
 	"public":      runPublic,
+	"streams":     runStreams,
 }
 
 // configuration returns the operator's configuration; rollout holds further fields of the route for
--- a/review/_standin/sampler.go
+++ b/review/_standin/sampler.go
@@ -20,6 +20,8 @@
 	engine  bool
 	// eventTime is the time between two events.
 	eventTime time.Duration
+	// events is the number of events of each stream; 0 means eventCount.
+	events int
 	// work is the time that a plain request takes.
 	work time.Duration
 
@@ -234,7 +236,11 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Keep-Alive", "timeout=10")
 	out := http.NewResponseController(w)
-	for n := after + 1; n <= eventCount(item); n++ {
+	events := s.events
+	if events == 0 {
+		events = eventCount(item)
+	}
+	for n := after + 1; n <= events; n++ {
 		if !wait(r, s.eventTime) {
 			return
 		}
