--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -55,6 +55,10 @@
 	samplers []*sampler
 	lastIP   int
 	stopped  chan struct{}
+	// closed is set once no process is to be started any more.
+	closed atomic.Bool
+	// starting is held while a process is started.
+	starting sync.Mutex
 	// batch is the batch that was accepted last.
 	batch atomic.Pointer[string]
 }
@@ -260,6 +264,11 @@
 // start starts the process of a machine with the command of the deploy file. Its log lies in the
 // temporary folder.
 func (d *deployment) start(m *machine) error {
+	d.starting.Lock()
+	defer d.starting.Unlock()
+	if d.closed.Load() {
+		return errNotServed
+	}
 	log, err := os.OpenFile(filepath.Join(d.folder, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -323,7 +332,12 @@
 
 // close ends all processes that were started.
 func (d *deployment) close() {
+	if !d.closed.CompareAndSwap(false, true) {
+		return
+	}
 	close(d.stopped)
+	d.starting.Lock()
+	defer d.starting.Unlock()
 	for _, m := range d.machines {
 		if m.process != nil {
 			_ = m.process.Process.Kill()
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -12,9 +12,12 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -51,6 +54,9 @@
 	}
 }
 
+// running is the deployment of the case, once there is one.
+var running atomic.Pointer[deployment]
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil || json.Unmarshal(namesJSON, &names) != nil {
 		fmt.Println("usage: standin CASE FOLDER")
@@ -66,8 +72,20 @@
 		began: time.Now(),
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
+	go func() {
+		// The processes that were started end with this one.
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+		<-signals
+		r.line("stopped by a signal")
+		if d := running.Load(); d != nil {
+			d.close()
+		}
+		os.Exit(2)
+	}()
 	r.line("case %s, trouble %t", os.Args[1], trouble)
 	d, err := newDeployment(r)
+	running.Store(d)
 	if err == nil {
 		err = cases[os.Args[1]](d, trouble)
 	}
