--- a/review/_standin/case_streams.go
+++ b/review/_standin/case_streams.go
@@ -20,7 +20,7 @@
 	streamEvents = 42
 	streamPause  = 100 * time.Millisecond
 	// streamClients is the number of clients, each with one stream at a time.
-	streamClients = 100
+	streamClients = 130
 	// excused is how long after a SIGTERM a request was sent at most that may be broken off at the
 	// end of the grace period (3 s, and 0.1 s for the signal), and graceTime that period.
 	excused   = 3100 * time.Millisecond
