--- a/review/_standin/case_streams.go
+++ b/review/_standin/case_streams.go
@@ -130,7 +130,7 @@
 func (d *deployment) resolve() ([]string, time.Duration) {
 	for range 3 {
 		m := d.anyMachine()
-		res, err := d.client.Get(fmt.Sprintf("http://%s:%d/api/resolve?name=%s&region=be-flanders&zone=%s", m.ip, directoryPort, url.QueryEscape(host), zones[rand.IntN(len(zones))]))
+		res, err := d.client.Get(fmt.Sprintf("http://%s:%d%s?name=%s&region=be-flanders&zone=%s", m.ip, directoryPort, names["resolve"], url.QueryEscape(host), zones[rand.IntN(len(zones))]))
 		if err != nil {
 			continue
 		}
