--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -1,10 +1,11 @@
 // Command _standin holds the stand-ins that the scripts of the review start: clients, a trainer,
 // samplers and the platform's store. It starts the product as separate processes.
 //
-//	standin CASE FOLDER
+//	standin CASE RECORD
 //
-// It writes record.txt in FOLDER and exits with 1 if the rule was broken, 0 if it held, and 2 if
-// the case could not run. With TROUBLE=0 in the environment it leaves the disruption out.
+// It writes what was sent, answered and run to the file RECORD, which is record.txt in the folder of
+// the case. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+// With TROUBLE=0 in the environment it leaves the disruption out.
 package main
 
 import (
@@ -13,7 +14,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -59,10 +59,10 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil || json.Unmarshal(namesJSON, &names) != nil {
-		fmt.Println("usage: standin CASE FOLDER")
+		fmt.Println("usage: standin CASE RECORD")
 		os.Exit(2)
 	}
-	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	file, err := os.Create(os.Args[2])
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(2)
