review: two rolls in the case of streams

Cause: run again on another machine, one roll of the case broke off only two streams. It counts those that begin from 3.1 to 4 s after a SIGTERM at a machine that is gone from the directory by then, some four a roll, so that one run in thirty would show none.

Change: all machines are stopped in turn twice. Times of streams are taken from the last SIGTERM of their machine before them.

--- a/review/_standin/case_streams.go
+++ b/review/_standin/case_streams.go
@@ -25,8 +25,10 @@
 	// end of the grace period (3 s, and 0.1 s for the signal), and graceTime that period.
 	excused   = 3100 * time.Millisecond
 	graceTime = 8 * time.Second
-	// streamRollGap is the time between two stops.
+	// streamRollGap is the time between two stops, and streamRolls how often all machines are stopped
+	// in turn.
 	streamRollGap = 2 * time.Second
+	streamRolls   = 2
 )
 
 // streamRoute is the configuration of the route for streams.
@@ -64,9 +66,9 @@
 	time.Sleep(5 * time.Second)
 	var mu sync.Mutex
 	var streams []*sentStream
-	stopped := make(map[*machine]time.Time)
+	stopped := make(map[*machine][]time.Time)
 	var wg sync.WaitGroup
-	end := time.Now().Add(42 * time.Second)
+	end := time.Now().Add(62 * time.Second)
 	for i := range streamClients {
 		wg.Go(func() {
 			time.Sleep(time.Duration(rand.Float64() * float64(streamEvents) * float64(streamPause)))
@@ -97,12 +99,14 @@
 	}
 	if trouble {
 		time.Sleep(6 * time.Second)
-		for _, m := range d.machines {
-			mu.Lock()
-			stopped[m] = time.Now()
-			mu.Unlock()
-			wg.Go(func() { d.stopAndStart(m) })
-			time.Sleep(streamRollGap)
+		for range streamRolls {
+			for _, m := range d.machines {
+				mu.Lock()
+				stopped[m] = append(stopped[m], time.Now())
+				mu.Unlock()
+				wg.Go(func() { d.stopAndStart(m) })
+				time.Sleep(streamRollGap)
+			}
 		}
 	}
 	wg.Wait()
@@ -113,7 +117,7 @@
 			served++
 			continue
 		}
-		at, known := stopped[s.machine]
+		at, known := lastBefore(stopped[s.machine], s.sent)
 		after := s.sent.Sub(at)
 		if s.begun && known && after > excused && s.ended.Sub(at) <= graceTime+time.Second {
 			d.record.breach("a stream sent to %s %.2f s after its SIGTERM broke off %.2f s after it: %s", s.machine.name, after.Seconds(), s.ended.Sub(at).Seconds(), s.why)
@@ -126,6 +130,16 @@
 	return nil
 }
 
+// lastBefore returns the last of some times that is before t, and whether there is one.
+func lastBefore(times []time.Time, t time.Time) (last time.Time, ok bool) {
+	for _, at := range times {
+		if at.Before(t) {
+			last, ok = at, true
+		}
+	}
+	return last, ok
+}
+
 // resolve asks a directory which addresses to use, and for how long.
 func (d *deployment) resolve() ([]string, time.Duration) {
 	for range 3 {
