--- a/internal/batch/standby/sender.go
+++ b/internal/batch/standby/sender.go
@@ -160,6 +160,10 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, ErrGap):
+		s.Journal.Debug("successor lacks events", log.Fields{
+			"successor": address,
+			"batches":   len(open),
+		})
 		after = nil
 	default:
 		s.Journal.Debug("copy not sent", log.Fields{
