batch/standby: a copy holds one text with its versions

Cause: an owner tells its successors what has changed since a mark, and the mark was a number of events. On a route with a single version the text of an item is dropped when its engine is lost and the next one has other weights. If it was made again as far as the mark before the next heartbeat, only the events after the mark went out, with the versions of the new text, behind the first events of the old one. A successor that took the batch over then listed that text, or went on with it.

Each text has a random number now, which the delta and the mark carry: a mark of another text counts as nothing, and a receiver joins events only to those of the same text. That holds for any order of heartbeats, also lost, late and doubled ones, and if an owner loses a batch and gets it back while its successor still has marks of before. Releases read each other's deltas: a text that replaces another one is sent from its start, and a delta of an earlier release has no number.

TestCopyFollowsItsOwner didn't see it, as a heartbeat followed each of its actions; several may come between two now.

--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -265,6 +265,7 @@
 		}
 		t := &task{
 			item:   item,
+			text:   newText(),
 			tokens: max(item.Estimate(), minTokens[item.ID]),
 		}
 		if _, ok := minTokens[item.ID]; ok {
--- a/internal/batch/runner/changes.go
+++ b/internal/batch/runner/changes.go
@@ -60,7 +60,7 @@
 
 // changesSince returns what has changed since the given marks, and the marks of a
 // receiver that has these changes. The caller holds b.mu.
-func (b *Batch) changesSince(since map[string]int) (standby.BatchDelta, map[string]int) {
+func (b *Batch) changesSince(since map[string]standby.Mark) (standby.BatchDelta, map[string]standby.Mark) {
 	d := standby.BatchDelta{
 		Batch: b.sub.ID,
 		Whole: since == nil,
@@ -68,26 +68,31 @@
 	if d.Whole {
 		d.Binding = b.sub.Binding()
 	}
-	marks := make(map[string]int, len(b.tasks))
+	marks := make(map[string]standby.Mark, len(b.tasks))
 	for id, t := range b.tasks {
-		mark, known := since[id]
+		was := since[id]
+		mark := was.Of(t.text)
 		switch {
 		case t.phase == finished:
-			marks[id] = standby.ResultReceived
-			if mark != standby.ResultReceived && !t.stored {
-				d.Pieces = append(d.Pieces, t.resultPiece(mark))
+			marks[id] = standby.Mark{
+				Text:   t.text,
+				Result: true,
 			}
-		case t.lastEvent > 0 || t.failures > 0 || known && mark > 0:
-			if mark > t.lastEvent || mark < 0 {
-				// The item was started again: all of its events are sent.
-				mark = 0
+			if !mark.Result && !t.stored {
+				d.Pieces = append(d.Pieces, t.resultPiece(mark.Events))
 			}
-			marks[id] = t.lastEvent
-			if mark < t.lastEvent || since[id] > t.lastEvent || t.failures > 0 {
+		case t.lastEvent > 0 || t.failures > 0 || was.Events > 0:
+			marks[id] = standby.Mark{
+				Text:   t.text,
+				Events: t.lastEvent,
+			}
+			// A text that was dropped is replaced even if nothing of the next one is there.
+			if mark.Events < t.lastEvent || t.failures > 0 || was.Events > 0 && was.Text != t.text {
 				d.Pieces = append(d.Pieces, standby.ItemDelta{
 					Item:     id,
-					From:     mark,
-					Events:   slices.Clone(t.events[mark:]),
+					Text:     t.text,
+					From:     mark.Events,
+					Events:   slices.Clone(t.events[mark.Events:]),
 					Versions: slices.Clone(t.versions),
 					Failures: t.failures,
 				})
@@ -98,12 +103,13 @@
 }
 
 // resultPiece returns the result of a finished item for a receiver that has the
-// first mark events of it. Where the events are known here, those that the
+// first mark events of its text. Where the events are known here, those that the
 // receiver lacks are sent in place of the text.
 func (t *task) resultPiece(mark int) standby.ItemDelta {
 	end := *t.final
 	p := standby.ItemDelta{
 		Item:   t.item.ID,
+		Text:   t.text,
 		Result: &end,
 	}
 	if len(t.events) > 0 && end.State == submission.Completed {
--- a/internal/batch/runner/changes_test.go
+++ b/internal/batch/runner/changes_test.go
@@ -86,7 +86,7 @@
 	is.Equal(len(d.Pieces), 1)
 	is.Equal(d.Pieces[0].Result.Text, "e1\ne2")
 	is.Equal(len(d.Pieces[0].Events), 0)
-	is.Equal(marks["x"], standby.ResultReceived)
+	is.True(marks["x"].Result)
 }
 
 // Guards against the loss of all texts of a batch whose owner stops while the
--- a/internal/batch/runner/task.go
+++ b/internal/batch/runner/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -55,6 +56,8 @@
 	// tokens is the expected length of the text; 0 if unknown.
 	tokens int
 	phase  phase
+	// text identifies the text at successors; see standby.ItemDelta.
+	text   uint64
 	events []string
 	// lastEvent is the number of the last event; 0 if there is none.
 	lastEvent int
@@ -161,10 +164,15 @@
 	return true
 }
 
+// newText returns a random number that identifies a text. Texts of one item need other numbers also
+// if this process loses its batch and gets it back.
+func newText() uint64 { return rand.Uint64() }
+
 // discardEvents drops all events, so that the text is generated again from its
 // start.
 func (t *task) discardEvents() {
 	t.timings.regenerated += t.lastEvent
+	t.text = newText()
 	t.events = nil
 	t.lastEvent = 0
 	t.versions = nil
--- a/internal/batch/standby/copies.go
+++ b/internal/batch/standby/copies.go
@@ -54,7 +54,14 @@
 	// refused says that the batch must not be stored here, so that nothing of it is kept.
 	refused  bool
 	results  map[string]submission.Result
-	progress map[string]submission.Progress
+	progress map[string]textCopy
+}
+
+// textCopy is the copy of an unfinished text.
+type textCopy struct {
+	// text identifies the text, as in ItemDelta.
+	text     uint64
+	progress submission.Progress
 }
 
 // Apply applies a heartbeat. It returns ErrGap if events before it are missing.
@@ -80,7 +87,7 @@
 				binding:  d.Binding,
 				refused:  !c.allows(d.Binding),
 				results:  make(map[string]submission.Result),
-				progress: make(map[string]submission.Progress),
+				progress: make(map[string]textCopy),
 			}
 			c.batches[d.Batch] = held
 		}
@@ -155,19 +162,26 @@
 	}
 }
 
-// apply applies the changes of one item. It returns false if events before them are missing.
+// apply applies the changes of one item. It returns false if events before them are missing. Events
+// of another text of the item, which its owner has dropped, count as missing.
 func (c *batchCopy) apply(p ItemDelta) bool {
-	old := c.progress[p.Item].Events
+	var old []string
+	if held := c.progress[p.Item]; held.text == p.Text {
+		old = held.progress.Events
+	}
 	if p.From > len(old) {
 		return false
 	}
 	events := append(old[:p.From:p.From], p.Events...)
 	if p.Result == nil {
-		c.progress[p.Item] = submission.Progress{
-			Item:     p.Item,
-			Events:   events,
-			Versions: p.Versions,
-			Failures: p.Failures,
+		c.progress[p.Item] = textCopy{
+			text: p.Text,
+			progress: submission.Progress{
+				Item:     p.Item,
+				Events:   events,
+				Versions: p.Versions,
+				Failures: p.Failures,
+			},
 		}
 		return true
 	}
@@ -192,8 +206,8 @@
 	for _, r := range held.results {
 		found.Results = append(found.Results, r)
 	}
-	for _, p := range held.progress {
-		found.Progress = append(found.Progress, p)
+	for _, t := range held.progress {
+		found.Progress = append(found.Progress, t.progress)
 	}
 	return found, true
 }
--- a/internal/batch/standby/copies_test.go
+++ b/internal/batch/standby/copies_test.go
@@ -1,7 +1,9 @@
 package standby
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"errors"
 	"fmt"
 	"maps"
@@ -26,9 +28,11 @@
 
 // fakeWork is the work of an owner: one batch of some items.
 type fakeWork struct {
-	texts   map[string][]string
-	results map[string]submission.Result
-	idle    bool
+	texts map[string][]string
+	// restarts counts how often each item was started again.
+	restarts map[string]uint64
+	results  map[string]submission.Result
+	idle     bool
 }
 
 // Busy implements Work.
@@ -43,35 +47,29 @@
 		Batch: "b",
 		Whole: since["b"] == nil,
 	}
-	marks := make(map[string]int)
+	marks := make(map[string]Mark)
 	for id, text := range b.texts {
 		end, done := b.results[id]
-		mark := since["b"][id]
-		switch {
-		case done:
-			marks[id] = ResultReceived
-			if mark != ResultReceived {
-				from := min(max(0, mark), len(text))
-				end.Text = ""
-				d.Pieces = append(d.Pieces, ItemDelta{
-					Item:   id,
-					From:   from,
-					Events: slices.Clone(text[from:]),
-					Result: &end,
-				})
-			}
-		default:
-			marks[id] = len(text)
-			from := mark
-			if mark > len(text) {
-				from = 0
-			}
-			d.Pieces = append(d.Pieces, ItemDelta{
-				Item:   id,
-				From:   from,
-				Events: slices.Clone(text[from:]),
-			})
+		mark := since["b"][id].Of(b.restarts[id])
+		marks[id] = Mark{
+			Text:   b.restarts[id],
+			Events: len(text),
+			Result: done,
+		}
+		p := ItemDelta{
+			Item:   id,
+			Text:   b.restarts[id],
+			From:   mark.Events,
+			Events: slices.Clone(text[mark.Events:]),
+		}
+		if done && mark.Result {
+			continue
 		}
+		if done {
+			end.Text = ""
+			p.Result = &end
+		}
+		d.Pieces = append(d.Pieces, p)
 	}
 	return []string{"b"}, []BatchDelta{d}, Marks{"b": marks}
 }
@@ -86,6 +84,7 @@
 		b.texts[id] = append(b.texts[id], fmt.Sprint(n))
 	case "restart":
 		b.texts[id] = nil
+		b.restarts[id]++
 	case "end":
 		b.results[id] = submission.Result{
 			Item: id,
@@ -132,8 +131,9 @@
 		hidesLoss: hidesLoss,
 	}
 	work := &fakeWork{
-		texts:   map[string][]string{"x": nil, "y": nil, "z": nil},
-		results: map[string]submission.Result{},
+		texts:    map[string][]string{"x": nil, "y": nil, "z": nil},
+		restarts: map[string]uint64{},
+		results:  map[string]submission.Result{},
 	}
 	s := &Sender{
 		Self:          ownerA,
@@ -154,6 +154,9 @@
 		} else {
 			work.change(id, action, n)
 		}
+		if !rapid.Bool().Draw(t, "heartbeat") {
+			continue
+		}
 		l.fault = rapid.SampledFrom([]string{"", "", "lost", "unanswered"}).Draw(t, "path")
 		clock.Advance(busyInterval)
 		s.sendHeartbeats(context.Background(), true)
@@ -390,3 +393,46 @@
 	_, sent = copies["south1"].Find("b")
 	is.True(sent)
 }
+
+// earlierDelta is ItemDelta as releases without identified texts have it.
+type earlierDelta struct {
+	Item     string
+	From     int
+	Events   []string
+	Versions []uint64
+	Failures int
+	Result   *submission.Result
+}
+
+// recode sends in over the wire to a release that has it as out.
+func recode(is *is.I, in, out any) {
+	var wire bytes.Buffer
+	is.NoErr(gob.NewEncoder(&wire).Encode(in))
+	is.NoErr(gob.NewDecoder(&wire).Decode(out))
+}
+
+// Guards against copies that are lost or wrong while instances of two releases run side by side.
+func TestDeltasOfBothReleasesAreRead(t *testing.T) {
+	is := is.New(t)
+	var c Copies
+	for _, d := range []earlierDelta{
+		{Item: "x", Events: []string{"e1", "e2"}},
+		{Item: "x", From: 2, Events: []string{"e3"}},
+	} {
+		var read ItemDelta
+		recode(is, d, &read)
+		is.NoErr(c.Apply(Heartbeat{
+			Owner:  ownerA,
+			Open:   []string{"b"},
+			Deltas: []BatchDelta{{Batch: "b", Whole: d.From == 0, Pieces: []ItemDelta{read}}},
+		}, 1))
+	}
+	found, _ := c.Find("b")
+	is.Equal(found.Progress[0].Events, []string{"e1", "e2", "e3"})
+
+	// A text that replaces another one is sent from its start, which earlier releases understand.
+	var read earlierDelta
+	recode(is, ItemDelta{Item: "x", Text: 7, Events: []string{"f1"}}, &read)
+	is.Equal(read.From, 0)
+	is.Equal(read.Events, []string{"f1"})
+}
--- a/internal/batch/standby/heartbeat.go
+++ b/internal/batch/standby/heartbeat.go
@@ -10,7 +10,10 @@
 // ItemDelta holds the changes of one item.
 type ItemDelta struct {
 	Item string
-	// From is how many events the receiver has already; Events follow them.
+	// Text identifies the text among all that its owner has generated: an item that is started
+	// again has another one. It is 0 from owners of earlier releases.
+	Text uint64
+	// From is how many events of this text the receiver has already; Events follow them.
 	From   int
 	Events []string
 	// Versions are the weight versions that have generated the text so far.
@@ -52,8 +55,24 @@
 	SuccessorRank int
 }
 
-// ResultReceived is the mark of an item whose result the receiver has.
-const ResultReceived = -1
+// Mark is what a receiver has of an item. Its zero value is nothing.
+type Mark struct {
+	// Text is the text, as in ItemDelta.
+	Text uint64
+	// Events is how many events of the text the receiver has.
+	Events int
+	// Result says that the receiver has the result.
+	Result bool
+}
+
+// Of returns the mark if it is of the given text, and otherwise the zero mark: events of one text
+// say nothing about another one.
+func (m Mark) Of(text uint64) Mark {
+	if m.Text != text {
+		return Mark{}
+	}
+	return m
+}
 
-// Marks is what a receiver has: by batch and item, the number of events, or ResultReceived.
-type Marks map[string]map[string]int
+// Marks is what a receiver has, by batch and item.
+type Marks map[string]map[string]Mark
