batch/runner: a new owner drops texts of several versions if the route allows only one

A route may be restricted to a single version while a batch on it runs. Its next owner went on with texts of two versions that it found in a copy or in the ledger, and listed results from a copy with two, as only weights older than the batch allows were looked for.

TestRestoredTextsHaveSingleVersion failed before: versions [4 5] for [5]. The error of a second version has its own text, as the weights are not too old for the batch.

--- a/internal/batch/runner/dispatch.go
+++ b/internal/batch/runner/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -143,7 +142,13 @@
 
 // errSecondVersion ends an attempt at an item of a route with a single version, if its engine
 // has other weights than those that generated the text so far.
-var errSecondVersion = fmt.Errorf("%w, whose texts have a single version", errStaleWeights)
+var errSecondVersion = errors.New("the engine's weights are not those of the text, which must have a single version")
+
+// isUnfitVersion reports whether an attempt ended because the text can't go on with the engine's
+// weights.
+func isUnfitVersion(err error) bool {
+	return errors.Is(err, errStaleWeights) || errors.Is(err, errSecondVersion)
+}
 
 // errOutOfOrder ends an attempt whose events are not numbered consecutively.
 var errOutOfOrder = errors.New("event number out of order")
@@ -224,7 +229,7 @@
 		if t.failures >= max(1, b.route.Attempts) {
 			r.markDead(b, t, "attempts", now)
 		}
-	case errors.Is(err, errStaleWeights):
+	case isUnfitVersion(err):
 		r.discardText(b, t, u, err)
 	case errors.As(err, new(*engine.RefusedError)):
 		r.itemRefused(b, t, now)
@@ -272,7 +277,7 @@
 	case errors.As(err, &refused) && tooLarge:
 		// The refusal says nothing about the engine, which takes other items.
 		u.Cancelled()
-	case errors.As(err, &refused), errors.Is(err, errStaleWeights):
+	case errors.As(err, &refused), isUnfitVersion(err):
 		u.RecordRefusal(now)
 		u.Cancelled()
 	case t.moving && t.stalled && !u.Alive(now):
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -170,6 +171,11 @@
 	route, _ := cfg.Find(rec.Submission.Host, rec.Submission.Path)
 	claim.Chunks = rec.Chunks
 	c := <-copied
+	if route.SingleVersion {
+		c.Results = slices.DeleteFunc(c.Results, func(res submission.Result) bool { return len(res.Versions) > 1 })
+		c.Progress = slices.DeleteFunc(c.Progress, ofSeveralVersions)
+		rec.Progress = slices.DeleteFunc(rec.Progress, ofSeveralVersions)
+	}
 	b := newBatch(rec.Submission, claim, rec.Results, mergeProgress(rec.Progress, c.Progress), r.earlierTokens(rec.Submission))
 	b.mu.Lock()
 	// The end was looked for in the ledger after began.
@@ -180,6 +186,9 @@
 	return nil
 }
 
+// ofSeveralVersions reports whether several weight versions generated a text.
+func ofSeveralVersions(p submission.Progress) bool { return len(p.Versions) > 1 }
+
 // findCopy looks for the copy of a batch in the background.
 func (r *Runner) findCopy(ctx context.Context, id string) <-chan standby.Copy {
 	found := make(chan standby.Copy, 1)
