entry/identity: a key on a public route tells whose request it is

Cause: a public route made the key optional and Identify then ignored one that was there, so the batch got a name without an organisation. Calls about batches name no route, take the key and look under the organisation's name.

So a plain request with a key on a public route now reaches the upstream with its Tenant, counts to its usage and has its priority, and one with an unknown key gets 401. Without a key nothing changes.

--- a/internal/entry/identity/authenticator.go
+++ b/internal/entry/identity/authenticator.go
@@ -42,7 +42,7 @@
 type Call struct {
 	RequestID string
 	Header    http.Header
-	// Public is set if the request's route needs no key.
+	// Public is set if the request may come without a key.
 	Public bool
 }
 
@@ -72,22 +72,19 @@
 	return !a.NeedsConfirmation() || a.Record.Within(a.Timer.Now(), a.Bound)
 }
 
-// Identify returns the organisation on whose behalf a request is made. For a public
-// route, and while no organisations are configured, it returns the zero Organisation. If
-// it returns an error, the request must not run.
+// Identify returns the organisation on whose behalf a request is made. It returns the zero
+// Organisation for a public request without a key, and while no organisations are
+// configured. If it returns an error, the request must not run.
 func (a *Authenticator) Identify(ctx context.Context, c Call) (organisation.Organisation, error) {
 	key, keyErr := organisation.KeyOf(c.Header)
 	e, org := a.gatherEvidence(key, keyErr, c.Public)
-	if !e.KeyOptional && keyErr == nil && !e.KeyKnown && a.Refresh != nil {
+	if !e.Open && keyErr == nil && !e.KeyKnown && a.Refresh != nil {
 		a.Refresh(ctx)
 		e, org = a.gatherEvidence(key, keyErr, c.Public)
 	}
 	verdict := Decide(e)
 	a.Metrics.countVerdict(verdict)
-	switch {
-	case verdict == Allowed && e.KeyOptional:
-		return organisation.Organisation{}, nil
-	case verdict == Allowed:
+	if verdict == Allowed {
 		return org, nil
 	}
 	a.logRefusal(c, e, org, verdict)
--- a/internal/entry/identity/decision.go
+++ b/internal/entry/identity/decision.go
@@ -1,6 +1,7 @@
 package identity
 
 import (
+	"errors"
 	"time"
 
 	"github.com/egretbend/egretbend/internal/route/organisation"
@@ -13,9 +14,10 @@
 
 // Evidence holds the facts on which Decide bases its verdict.
 type Evidence struct {
-	// KeyOptional is set if no key is needed: the route is public, or no organisation is
-	// configured.
-	KeyOptional bool
+	// Open is set if no organisation is configured, so that keys mean nothing.
+	Open bool
+	// Public is set if the route of the request needs no key.
+	Public bool
 	// KeyErr tells why no key could be read from the request; nil if one was read.
 	KeyErr error
 	// KeyKnown is set if the configuration in force has the key.
@@ -43,10 +45,11 @@
 	Unconfirmed Verdict = "unconfirmed"
 )
 
-// Decide returns the verdict that follows from the evidence.
+// Decide returns the verdict that follows from the evidence. A public route only spares callers the
+// key: one that is sent all the same must be valid, as it tells whose request it is.
 func Decide(e Evidence) Verdict {
 	switch {
-	case e.KeyOptional:
+	case e.Open, e.Public && errors.Is(e.KeyErr, organisation.ErrNoKey):
 		return Allowed
 	case e.KeyErr != nil:
 		return UnknownKey
@@ -65,6 +68,7 @@
 // confirmed.
 func (a *Authenticator) gatherEvidence(key string, keyErr error, public bool) (Evidence, organisation.Organisation) {
 	e := Evidence{
+		Public: public,
 		KeyErr: keyErr,
 		Bound:  a.Bound,
 	}
@@ -73,7 +77,7 @@
 	if cfg == nil {
 		return e, organisation.Organisation{}
 	}
-	e.KeyOptional = public || cfg.Organisations.Empty()
+	e.Open = cfg.Organisations.Empty()
 	org, known := cfg.Organisations.Find(key)
 	e.KeyKnown = known
 	return e, org
--- a/internal/entry/identity/decision_test.go
+++ b/internal/entry/identity/decision_test.go
@@ -16,7 +16,12 @@
 		e    Evidence
 		want Verdict
 	}{
-		"public":                  {Evidence{KeyOptional: true, KeyErr: organisation.ErrNoKey}, Allowed},
+		"no organisations":        {Evidence{Open: true, KeyErr: organisation.ErrMalformed}, Allowed},
+		"public":                  {Evidence{Public: true, KeyErr: organisation.ErrNoKey, Bound: bound}, Allowed},
+		"public, known key":       {Evidence{Public: true, KeyKnown: true, Confirmed: true, Bound: bound}, Allowed},
+		"public, known too long":  {Evidence{Public: true, KeyKnown: true, Confirmed: true, Age: bound, Bound: bound}, Unconfirmed},
+		"public, unknown key":     {Evidence{Public: true, Confirmed: true, Bound: bound}, UnknownKey},
+		"public, malformed key":   {Evidence{Public: true, KeyErr: organisation.ErrMalformed}, UnknownKey},
 		"without a key":           {Evidence{KeyErr: organisation.ErrNoKey, Confirmed: true, Bound: bound}, UnknownKey},
 		"known and fresh":         {Evidence{KeyKnown: true, Confirmed: true, Age: bound - 1, Bound: bound}, Allowed},
 		"known and too old":       {Evidence{KeyKnown: true, Confirmed: true, Age: bound, Bound: bound}, Unconfirmed},
