--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -297,7 +297,7 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, ledger.ErrUnknown):
-		return problem.NotFound.Withf("no batch %s", id)
+		return problem.NotFound.Withf("batch %s: %w", id, err)
 	}
 	return problem.PlatformDown.Withf("end of batch %s: %w", id, err).WithRetryAfter(unavailableRetryAfter)
 }
--- a/internal/batch/coordinator/read.go
+++ b/internal/batch/coordinator/read.go
@@ -152,7 +152,7 @@
 	defer cancel()
 	rec, err := d.Ledger.Load(ctx, id)
 	if errors.Is(err, ledger.ErrUnknown) {
-		return nil, problem.NotFound.Withf("no batch %s", id)
+		return nil, problem.NotFound.Withf("batch %s: %w", id, err)
 	}
 	if err != nil {
 		return nil, problem.PlatformDown.Withf("batch %s: %w", id, err).WithRetryAfter(readRetryAfter)
--- a/internal/batch/ledger/ledger.go
+++ b/internal/batch/ledger/ledger.go
@@ -283,6 +283,27 @@
 	return rec, err
 }
 
+// FindScoped returns the name of the batch that an organisation calls id, or ErrUnknown if there is
+// none or several organisations have one.
+func (l *Ledger) FindScoped(ctx context.Context, id string) (string, error) {
+	listing, err := l.Store.Range(ctx, batchPrefix+submission.ScopedPrefix(id), keyvalue.Fresh)
+	if err != nil {
+		return "", err
+	}
+	var found string
+	for _, item := range listing.Items {
+		name, _, _ := strings.Cut(strings.TrimPrefix(item.Key, batchPrefix), "/")
+		if found != "" && name != found {
+			return "", ErrUnknown
+		}
+		found = name
+	}
+	if found == "" {
+		return "", ErrUnknown
+	}
+	return found, nil
+}
+
 // Delete removes everything that is stored of a batch, once nobody may ask for it any
 // more. The key that lists the batch as ended is removed last, so that a removal that
 // failed halfway is found and repeated.
--- a/internal/batch/submission/submission.go
+++ b/internal/batch/submission/submission.go
@@ -73,9 +73,12 @@
 	if organisation == "" {
 		return id
 	}
-	return url.QueryEscape(id) + "@" + url.QueryEscape(organisation)
+	return ScopedPrefix(id) + url.QueryEscape(organisation)
 }
 
+// ScopedPrefix returns what the names of the batches that organisations call id begin with.
+func ScopedPrefix(id string) string { return url.QueryEscape(id) + "@" }
+
 // EstimatedTokens returns the number of tokens that the batch is expected to generate.
 func (s *Submission) EstimatedTokens() int64 {
 	tokens := int64(0)
