entry/departure: a leaving instance refuses what can't end before it

Cause: a leaving instance took every request for 4 s, and later ones while it handed its batches over, and ended 1 s before its grace period did, whatever was open. Nothing compared the time that a request may take with what was left. Evidence: all 35 broken streams ended 7.0 s after the signal at the instance that got it, with status 200 and less than 42 events; none elsewhere.

A request is now taken only if its time limit ends before the answers of the instance do. In the first 2.5 s, in which the platform excuses it, it is also taken if at most a tenth of the latest requests of its route took longer than is left: a refusal costs a client one way to another instance. A refused one gets 503 with a short Retry-After and has not run. All times follow from the grace period of the settings; for 4 s the old ones ended requests before the last sixth of it, and for 3 s after it.

TestLateRequestEndsBeforeTheInstance and TestLeavingInstanceRefusesWhatCannotEnd fail without the comparison (200 for 503).

--- /dev/null
+++ b/internal/entry/departure/departure.go
@@ -0,0 +1,113 @@
+package departure
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/egretbend/egretbend/internal/kernel/journal"
+	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+)
+
+// RetryAfter is the time after which a client should repeat a request that was refused. It is short,
+// as another instance can serve it.
+const RetryAfter = 20 * time.Millisecond
+
+// Departure is the departure of an instance. A nil *Departure is one of an instance that never leaves.
+type Departure struct {
+	timetable Timetable
+	timer     timer.Service
+	journal   *journal.Journal
+	durations durations
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	// began is when the instance was told to stop; 0 before.
+	began atomic.Int64
+	once  sync.Once
+}
+
+// New returns the departure of an instance that was not told to stop yet.
+func New(t Timetable, svc timer.Service, j *journal.Journal) *Departure {
+	d := &Departure{
+		timetable: t,
+		timer:     svc,
+		journal:   j,
+	}
+	d.ctx, d.cancel = context.WithCancelCause(context.Background())
+	return d
+}
+
+// Begin starts the departure. It may be called again.
+func (d *Departure) Begin() {
+	d.once.Do(func() {
+		d.began.Store(max(1, int64(d.timer.Now())))
+		go func() {
+			timer.Wait(d.timer, d.timetable.Answer, nil)
+			d.cancel(problem.Leaving.Withf("the request did not end in time").WithRetryAfter(RetryAfter))
+		}()
+	})
+}
+
+// Began returns when the instance was told to stop, and whether it was.
+func (d *Departure) Began() (timer.Instant, bool) {
+	if d == nil {
+		return 0, false
+	}
+	at := timer.Instant(d.began.Load())
+	return at, at != 0
+}
+
+// Timetable returns the timetable.
+func (d *Departure) Timetable() Timetable { return d.timetable }
+
+// Context returns the context of all requests. It ends when they get their final answer; its cause
+// is then a problem of kind problem.Leaving.
+func (d *Departure) Context() context.Context { return d.ctx }
+
+// Request is a request that was read to its end.
+type Request struct {
+	ID    string
+	Route string
+	// Limit is the longest time that it may take from now on.
+	Limit time.Duration
+}
+
+// Admit returns an error if the instance is leaving and the request would probably be cut off. The
+// request must not run then.
+func (d *Departure) Admit(r Request) error {
+	began, leaving := d.Began()
+	if !leaving {
+		return nil
+	}
+	at := d.timer.Now().Sub(began)
+	left := d.timetable.Answer - at
+	c := Certainty{
+		Limit:       r.Limit,
+		LongerShare: d.durations.longerShare(r.Route, left),
+	}
+	if d.timetable.Takes(at, c) {
+		return nil
+	}
+	d.journal.Decision("refuse", log.Fields{
+		"request_id":   r.ID,
+		"route":        r.Route,
+		"reason":       "leaving",
+		"leaving_ms":   at.Milliseconds(),
+		"left_ms":      left.Milliseconds(),
+		"limit_ms":     r.Limit.Milliseconds(),
+		"longer_share": c.LongerShare,
+	})
+	return problem.Leaving.Withf("the request may take %s and %s are left", r.Limit, left).WithRetryAfter(RetryAfter)
+}
+
+// Finished records how long a request of a route took that could have taken limit.
+func (d *Departure) Finished(route string, limit, took time.Duration) {
+	if d == nil || limit <= d.timetable.Answer-d.timetable.Listen {
+		return // such requests are always taken
+	}
+	d.durations.add(route, took)
+}
--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -170,7 +170,7 @@
 		f:        f,
 		req:      req,
 		started:  now,
-		deadline: now.Add(timeoutFor(req, time.Now())),
+		deadline: now.Add(req.TimeLimit(time.Now())),
 		results:  make(chan attemptResult, policy.MaxTried),
 		regions:  req.Regions,
 	}
@@ -186,12 +186,12 @@
 	return answer, err
 }
 
-// timeoutFor returns how long a request may take: until the route's timeout or the
+// TimeLimit returns how long the request may take: until the route's timeout or the
 // caller's deadline, whichever is earlier.
-func timeoutFor(req Request, now time.Time) time.Duration {
-	limit := req.Route.Timeout
-	if !req.Deadline.IsZero() {
-		left := req.Deadline.Sub(now)
+func (r *Request) TimeLimit(now time.Time) time.Duration {
+	limit := r.Route.Timeout
+	if !r.Deadline.IsZero() {
+		left := r.Deadline.Sub(now)
 		if limit == 0 || left < limit {
 			limit = left
 		}
