platform: requests in progress get a final answer before the instance ends

A plain request that was still at its upstream when a leaving instance ended lost its connection without an answer, and so did one that waited at a gate and had not run at all, and a read that needed a long listing.

Who waited gets 503, not run, with Retry-After; who was at an upstream gets 504.

--- a/internal/entry/httpserver/server.go
+++ b/internal/entry/httpserver/server.go
@@ -34,6 +34,9 @@
 	// Budget bounds what connections hold, and cuts those whose clients stop reading.
 	// Nil means no bound.
 	Budget *budget.Budget
+	// BaseContext is the context that those of all requests derive from. Nil means
+	// context.Background().
+	BaseContext context.Context
 
 	mu      sync.Mutex
 	limits  catalog.Limits
@@ -103,6 +106,9 @@
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 	}
+	if s.BaseContext != nil {
+		server.BaseContext = func(net.Listener) context.Context { return s.BaseContext }
+	}
 	if server.ReadHeaderTimeout <= 0 {
 		server.ReadHeaderTimeout = HeaderTimeout
 	}
--- a/internal/entry/httpserver/server_test.go
+++ b/internal/entry/httpserver/server_test.go
@@ -79,3 +79,37 @@
 	is.NoErr(server.Shutdown(context.Background()))
 	is.True(errors.Is(<-serveErr, http.ErrServerClosed))
 }
+
+// Guards against a request that is still in progress when the server closes its connections, and whose
+// client gets no answer at all.
+func TestRequestsInProgressAreAnsweredBeforeClose(t *testing.T) {
+	is := is.New(t)
+	ctx, end := context.WithCancel(context.Background())
+	arrived := make(chan struct{})
+	server := &Server{
+		Config:      &catalog.Holder{},
+		BaseContext: ctx,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			close(arrived)
+			<-r.Context().Done()
+			w.WriteHeader(http.StatusGatewayTimeout)
+		}),
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = server.Serve(ln) }()
+	status := make(chan int, 1)
+	go func() {
+		res, err := http.Get("http://" + ln.Addr().String())
+		if err != nil {
+			status <- 0
+			return
+		}
+		_ = res.Body.Close()
+		status <- res.StatusCode
+	}()
+	<-arrived
+	end()
+	is.NoErr(server.Shutdown(context.Background()))
+	is.Equal(<-status, http.StatusGatewayTimeout)
+}
--- a/internal/route/forward/cold.go
+++ b/internal/route/forward/cold.go
@@ -66,7 +66,7 @@
 			return nil, slowstart.Permit{}, d.refuseCold(opening, now)
 		}
 		if !timer.Wait(d.f.Timer, pause, ctx.Done()) {
-			return nil, slowstart.Permit{}, problem.UpstreamTimeout.Withf("the caller cancelled the request: %w", ctx.Err()).WithOutcome(problem.NotRun)
+			return nil, slowstart.Permit{}, cancelledBeforeRun(ctx)
 		}
 		if err := d.checkRegions(); err != nil {
 			return nil, slowstart.Permit{}, err
--- a/internal/route/forward/dispatch.go
+++ b/internal/route/forward/dispatch.go
@@ -105,7 +105,7 @@
 			return nil, d.timeoutError()
 		case <-ctx.Done():
 			d.possiblyRun = true
-			return nil, problem.UpstreamTimeout.Withf("the caller cancelled the request: %w", ctx.Err())
+			return nil, problem.UpstreamTimeout.Withf("the request was cancelled: %w", context.Cause(ctx))
 		}
 	}
 }
@@ -216,6 +216,16 @@
 	d.f.Metrics.attempt(r)
 }
 
+// cancelledBeforeRun returns the error for a request that was cancelled before an upstream may have
+// run it: its caller is gone, or this instance ends and the cause of ctx tells when to come again.
+func cancelledBeforeRun(ctx context.Context) error {
+	var leaving *problem.Error
+	if errors.As(context.Cause(ctx), &leaving) {
+		return leaving
+	}
+	return problem.UpstreamTimeout.Withf("the caller cancelled the request: %w", ctx.Err()).WithOutcome(problem.NotRun)
+}
+
 // mayHaveRun reports whether an attempt that failed with err may have run.
 func mayHaveRun(err error) bool {
 	var refused *engine.RefusedError
--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -120,7 +120,7 @@
 	for d.gate != nil {
 		err := d.gate.Acquire(ctx, r)
 		if err != nil && !errors.Is(err, admission.ErrWithdrawn) {
-			return d.notAdmitted(err)
+			return d.notAdmitted(ctx, err)
 		}
 		d.applyConfiguration()
 		if err == nil && !d.regionsChanged {
@@ -142,10 +142,10 @@
 
 // notAdmitted returns the error for the caller of a request that the gate did not admit, and
 // logs it if the gate refused it.
-func (d *dispatch) notAdmitted(err error) error {
+func (d *dispatch) notAdmitted(ctx context.Context, err error) error {
 	var refusal *admission.RefusalError
 	if !errors.As(err, &refusal) {
-		return problem.UpstreamTimeout.Withf("the caller cancelled the request: %w", err).WithOutcome(problem.NotRun)
+		return cancelledBeforeRun(ctx)
 	}
 	d.f.Journal.Decision("refuse", log.Fields{
 		"request_id":       d.req.ID,
