route/forward: requests that waited are judged again before they are sent, if the instance leaves

The check stands before each attempt now, with what is left then. Whether a request may be cut off at all is judged by when it was read. How long requests of a route take is counted from the attempt that was answered, so that a wait doesn't pass for work. The package moves to route/, as the forwarder calls it.

TestWaitingRequestIsRefusedIfTheInstanceEndsBeforeIt fails without the check (sent once).

--- a/internal/entry/departure/departure.go
+++ b/internal/route/departure/departure.go
@@ -72,12 +72,14 @@
 type Request struct {
 	ID    string
 	Route string
+	// ReadAt is when it was read.
+	ReadAt timer.Instant
 	// Limit is the longest time that it may take from now on.
 	Limit time.Duration
 }
 
 // Admit returns an error if the instance is leaving and the request would probably be cut off. The
-// request must not run then.
+// request must not be sent to an upstream then. Admit is called again for one that has waited.
 func (d *Departure) Admit(r Request) error {
 	began, leaving := d.Began()
 	if !leaving {
@@ -89,7 +91,7 @@
 		Limit:       r.Limit,
 		LongerShare: d.durations.longerShare(r.Route, left),
 	}
-	if d.timetable.Takes(at, c) {
+	if d.timetable.Takes(r.ReadAt.Sub(began), at, c) {
 		return nil
 	}
 	d.journal.Decision("refuse", log.Fields{
@@ -104,10 +106,11 @@
 	return problem.Leaving.Withf("the request may take %s and %s are left", r.Limit, left).WithRetryAfter(RetryAfter)
 }
 
-// Finished records how long a request of a route took that could have taken limit.
-func (d *Departure) Finished(route string, limit, took time.Duration) {
+// Finished records that a request of a route has ended now, which was sent to an upstream at an
+// instant and could have taken limit.
+func (d *Departure) Finished(route string, limit time.Duration, sentAt timer.Instant) {
 	if d == nil || limit <= d.timetable.Answer-d.timetable.Listen {
 		return // such requests are always taken
 	}
-	d.durations.add(route, took)
+	d.durations.add(route, d.timer.Now().Sub(sentAt))
 }
--- a/internal/entry/departure/doc.go
+++ b/internal/route/departure/doc.go
@@ -3,7 +3,7 @@
 //
 //	d := departure.New(departure.NewTimetable(gracePeriod, addressLifetime), clock, journal)
 //	server := &httpserver.Server{BaseContext: d.Context(), ...}
-//	if err := d.Admit(departure.Request{...}); err != nil { ... } // for each request, once it was read
+//	if err := d.Admit(departure.Request{...}); err != nil { ... } // before each attempt at a request
 //	d.Finished(route, limit, took)                                // for each answered request
 //	d.Begin()                                                     // when told to stop
 //
--- a/internal/entry/departure/timetable.go
+++ b/internal/route/departure/timetable.go
@@ -51,7 +51,7 @@
 
 // Certainty is what is known of how long a request takes.
 type Certainty struct {
-	// Limit is the longest time that it may take.
+	// Limit is the longest time that it may take from now on.
 	Limit time.Duration
 	// LongerShare is the share of the latest requests of its route that took longer than is left, 0
 	// if there were none.
@@ -62,10 +62,12 @@
 // about ten times as much as going to another instance.
 const maxLongerShare = 0.1
 
-// Takes reports whether a request is taken that was read at a time, counted as in Timetable.
-func (t Timetable) Takes(at time.Duration, c Certainty) bool {
-	if c.Limit <= t.Answer-at {
+// Takes reports whether a request that was read at a time is sent to an upstream now. Both times are
+// counted as in Timetable; a request that was read before the instance was told to stop has a time
+// below 0.
+func (t Timetable) Takes(read, now time.Duration, c Certainty) bool {
+	if c.Limit <= t.Answer-now {
 		return true
 	}
-	return at < t.Uncertain && c.LongerShare <= maxLongerShare
+	return read < t.Uncertain && c.LongerShare <= maxLongerShare
 }
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -8,7 +8,9 @@
 
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/outside/engine"
+	"github.com/egretbend/egretbend/internal/route/admission"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/departure"
 	"github.com/egretbend/egretbend/internal/route/policy"
 	"github.com/egretbend/egretbend/internal/route/upstream"
 	"github.com/egretbend/egretbend/internal/route/wire"
@@ -20,6 +22,9 @@
 	if err := d.checkRegions(); err != nil {
 		return err
 	}
+	if err := d.checkDeparture(); err != nil {
+		return err
+	}
 	chosen, permit, err := d.acquireUpstream(ctx)
 	if err != nil {
 		return err
@@ -48,6 +53,20 @@
 	return nil
 }
 
+// checkDeparture returns an error if this instance is leaving and the request would probably be cut
+// off when it ends. Reward calls are not checked: their batch goes on at another instance.
+func (d *dispatch) checkDeparture() error {
+	if d.f.Departure == nil || d.req.Class == admission.Reward {
+		return nil
+	}
+	return d.f.Departure.Admit(departure.Request{
+		ID:     d.req.ID,
+		Route:  d.req.Route.Name,
+		ReadAt: d.started,
+		Limit:  d.timeLeft(),
+	})
+}
+
 // noUpstream returns the error for a request for which there is no usable upstream. An evacuation
 // lasts longer than a gap in the list of upstreams, so its refusals state a later time.
 func (d *dispatch) noUpstream() error {
--- a/internal/route/forward/dispatch.go
+++ b/internal/route/forward/dispatch.go
@@ -123,6 +123,7 @@
 	if r.answer != nil {
 		r.answer.Upstream = r.u.ID
 		r.answer.Attempts = d.sent
+		r.answer.SentAt = d.f.Timer.Now().Add(-r.took)
 	}
 	if r.err == nil && !d.retriable(r.answer.Status) {
 		d.winner = r.u
--- a/internal/route/forward/forward.go
+++ b/internal/route/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/route/admission"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/crash"
+	"github.com/egretbend/egretbend/internal/route/departure"
 	"github.com/egretbend/egretbend/internal/route/fingerprint"
 	"github.com/egretbend/egretbend/internal/route/poison"
 	"github.com/egretbend/egretbend/internal/route/policy"
@@ -83,6 +84,8 @@
 	Load     *engine.LoadReport
 	Upstream string
 	Attempts int
+	// SentAt is when the attempt began that was answered.
+	SentAt timer.Instant
 	// Failures is how many upstreams answered with status 500; running out of time
 	// does not count as a failure.
 	Failures int
@@ -127,6 +130,10 @@
 	// requests without an answer. Nil adds nothing.
 	ConfigFields func() log.Fields
 
+	// Departure tells which requests are not sent any more because this instance is leaving; nil
+	// sends all.
+	Departure Departure
+
 	// gatedParts holds the gatedPart of each gate of a part of a service, by the name of the gate.
 	gatedParts sync.Map
 }
@@ -156,6 +163,12 @@
 	Publish(ctx context.Context, req poison.ClaimRequest)
 }
 
+// Departure tells which requests a leaving instance still sends to upstreams.
+type Departure interface {
+	// Admit returns an error if a request must not be sent.
+	Admit(r departure.Request) error
+}
+
 // UsageCounter counts requests by organisation.
 type UsageCounter interface {
 	// RequestStarted counts a request that is sent to an upstream; undo reverts the count.
--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -22,6 +22,9 @@
 
 // startFirst starts the first attempt once the gate of the service admits it.
 func (d *dispatch) startFirst(ctx context.Context) error {
+	if err := d.checkDeparture(); err != nil {
+		return err
+	}
 	if err := d.passGate(ctx); err != nil {
 		return err
 	}
--- a/internal/route/forward/leaving_test.go
+++ b/internal/route/forward/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/route/admission"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/departure"
 )
 
 // Guards against requests that are cut off without an answer when their instance ends, and against one
@@ -49,3 +51,44 @@
 	is.Equal(refused.RetryAfter, time.Millisecond)
 	is.Equal(s.counted().sent, 1)
 }
+
+// refusingDeparture refuses requests once refuse is set.
+type refusingDeparture struct{ refuse atomic.Bool }
+
+// Admit implements Departure.
+func (d *refusingDeparture) Admit(departure.Request) error {
+	if d.refuse.Load() {
+		return problem.Leaving.Withf("no time")
+	}
+	return nil
+}
+
+// Guards against a stream that waits at the gate while its instance is told to stop, and is sent only to be
+// broken off.
+func TestWaitingRequestIsRefusedIfTheInstanceEndsBeforeIt(t *testing.T) {
+	is := is.New(t)
+	s := &sender{behaviours: []behaviour{answers}}
+	f, stop := newForwarder(s, 6)
+	defer stop()
+	addGates(f)
+	leaving := &refusingDeparture{}
+	f.Departure = leaving
+	g := f.testGate()
+	for range 24 { // all slots
+		is.NoErr(g.Acquire(context.Background(), admission.Request{Class: admission.Interactive}))
+	}
+	answered := make(chan error, 1)
+	go func() {
+		_, err := f.Do(context.Background(), Request{ID: "x", Route: patient(catalog.NonIdempotent)})
+		answered <- err
+	}()
+	is.True(timer.Poll(timer.Real{}, time.Millisecond, 20*time.Second, nil, func() bool { return g.Waiting(admission.Interactive) == 1 }))
+	leaving.refuse.Store(true)
+	g.Release(admission.Interactive, admission.Answered, admission.Timing{}, nil)
+	err := <-answered
+	is.True(problem.Is(err, problem.Leaving))
+	is.Equal(problem.From(err).Kind.Outcome, problem.NotRun)
+	is.Equal(s.counted().sent, 0)
+	_, err = f.Do(context.Background(), Request{ID: "y", Route: patient(catalog.NonIdempotent)})
+	is.True(problem.Is(err, problem.Leaving)) // at once, without waiting
+}
