--- a/internal/entry/budget/budget_test.go
+++ b/internal/entry/budget/budget_test.go
@@ -313,8 +313,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	results := make(chan error)
-	for range 12 {
-		l := mustOpen(t, b, "r")
+	// All are open before the first one reads: while the responses fill the memory, new work is refused.
+	var leases [12]*Lease
+	for i := range leases {
+		leases[i] = mustOpen(t, b, "r")
+	}
+	for _, l := range leases {
 		go func() {
 			// A reader that returns single bytes lets the responses grow together.
 			body, err := l.ReadResponse(ctx, iotest.OneByteReader(bytes.NewReader(make([]byte, size))), -1)
@@ -326,7 +330,7 @@
 			results <- err
 		}()
 	}
-	for range 12 {
+	for range leases {
 		is.NoErr(<-results)
 	}
 	is.Equal(b.Usage().HeldBytes, int64(0))
