fleet/peer: running out of descriptors does not end the process's parts

Cause: the server for calls of other instances ended with any error of Accept, EMFILE too, and the tomb of the process ended all other parts with it. Failed accepts are repeated after a pause that doubles up to a second, with a log line.

TestServerOutlivesExhaustedDescriptors failed before.

--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -5,8 +5,20 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
+	"github.com/apex/log"
 	"gopkg.in/tomb.v2"
+
+	"github.com/egretbend/egretbend/internal/kernel/journal"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
+)
+
+// The pause after a connection that could not be accepted, for example because the process ran out of
+// descriptors. It doubles with each failure in a row.
+const (
+	minAcceptPause = 20 * time.Millisecond
+	maxAcceptPause = time.Second
 )
 
 // Server answers calls of other instances. Its zero value is ready to use;
@@ -14,6 +26,8 @@
 type Server struct {
 	// Bytes counts the bytes sent and received; nil counts nothing.
 	Bytes *Counter
+	// Journal gets a line for each connection that could not be accepted.
+	Journal *journal.Journal
 
 	rpc   rpc.Server
 	mu    sync.Mutex
@@ -33,14 +47,21 @@
 		s.closeAll()
 		return nil
 	})
+	pause := minAcceptPause
 	for {
 		nc, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return err
+			s.Journal.Warn("connection of another instance not accepted", err, log.Fields{
+				"pause_ms": pause.Milliseconds(),
+			})
+			timer.Wait(timer.Real{}, pause, t.Dying())
+			pause = min(2*pause, maxAcceptPause)
+			continue
 		}
+		pause = minAcceptPause
 		s.track(nc)
 		t.Go(func() error {
 			defer s.untrack(nc)
