kernel/descriptor: a press of clients leaves other connections their descriptors

A process whose clients took all descriptors couldn't open connections to upstreams, other instances or the store, nor accept calls of other instances: it was out of touch as long as the press lasted. Nothing but the process's limit bounded them together.

Metrics tell what is open and what was refused.

--- a/internal/entry/httpserver/server.go
+++ b/internal/entry/httpserver/server.go
@@ -8,7 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/egretbend/egretbend/internal/entry/budget"
+	"github.com/egretbend/egretbend/internal/kernel/descriptor"
+	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
@@ -21,8 +25,12 @@
 	// IdleTimeout is how long a connection may be idle. It is longer than any idle time
 	// that clients are allowed.
 	IdleTimeout = 90 * time.Second
-	// acceptRetryDelay is the pause before the next Accept after one that failed.
-	acceptRetryDelay = 20 * time.Millisecond
+	// minAcceptPause is the pause before the next Accept after one that failed. It doubles with
+	// each failure in a row, up to maxAcceptPause.
+	minAcceptPause = 20 * time.Millisecond
+	maxAcceptPause = time.Second
+	// refusalLogPeriod is how often refused connections are logged.
+	refusalLogPeriod = time.Second
 )
 
 // Server is an HTTP server that applies the limits of the configuration in force to
@@ -37,12 +45,23 @@
 	// BaseContext is the context that those of all requests derive from. Nil means
 	// context.Background().
 	BaseContext context.Context
+	// Descriptors bounds the connections. Beyond it, the one that is idle for the longest time is
+	// closed for a new one, or the new one if none is idle. Nil means no bound.
+	Descriptors *descriptor.Budget
+	// Journal gets a line for connections that were not accepted.
+	Journal *journal.Journal
 
 	mu      sync.Mutex
 	limits  catalog.Limits
 	current *connListener
 	servers []*http.Server
 	ln      net.Listener
+	// idle holds since when each idle connection is idle, and evicted those that were closed for
+	// another one and have not ended yet; their descriptors are counted as returned.
+	idle    map[net.Conn]time.Time
+	evicted map[net.Conn]bool
+	// refusalLoggedAt is when a refused connection was last logged.
+	refusalLoggedAt time.Time
 }
 
 // Serve accepts connections until Shutdown is called.
@@ -50,20 +69,77 @@
 	s.mu.Lock()
 	s.ln = ln
 	s.mu.Unlock()
+	pause := minAcceptPause
 	for {
 		c, err := ln.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
+		if errors.Is(err, net.ErrClosed) {
 			return http.ErrServerClosed
-		case err != nil:
+		}
+		if err != nil {
 			// The process ran out of file descriptors. Some are soon free again.
-			timer.Wait(timer.Real{}, acceptRetryDelay, nil)
-		default:
+			s.Journal.Warn("connection of a client not accepted", err, log.Fields{
+				"pause_ms": pause.Milliseconds(),
+			})
+			timer.Wait(timer.Real{}, pause, nil)
+			pause = min(2*pause, maxAcceptPause)
+			continue
+		}
+		pause = minAcceptPause
+		if s.takeDescriptor() {
 			s.dispatch(c)
+			continue
 		}
+		s.refuse(c)
 	}
 }
 
+// takeDescriptor counts a new connection, for which it may close one that is idle. It reports false if
+// there is no room.
+func (s *Server) takeDescriptor() bool {
+	return s.Descriptors.Take(descriptor.Callers) || s.closeLongestIdle() && s.Descriptors.Take(descriptor.Callers)
+}
+
+// closeLongestIdle closes the connection that is idle for the longest time, and reports false if none
+// is idle. Its client sends the next request over another one.
+func (s *Server) closeLongestIdle() bool {
+	s.mu.Lock()
+	var longest net.Conn
+	for c, since := range s.idle {
+		if longest == nil || since.Before(s.idle[longest]) {
+			longest = c
+		}
+	}
+	if longest != nil {
+		delete(s.idle, longest)
+		if s.evicted == nil {
+			s.evicted = make(map[net.Conn]bool)
+		}
+		s.evicted[longest] = true
+	}
+	s.mu.Unlock()
+	if longest == nil {
+		return false
+	}
+	_ = longest.Close()
+	s.Descriptors.Return(descriptor.Callers)
+	return true
+}
+
+// refuse closes a connection of which nothing was read, so that its client turns to another instance
+// at once.
+func (s *Server) refuse(c net.Conn) {
+	_ = c.Close()
+	if now := time.Now(); now.Sub(s.refusalLoggedAt) > refusalLogPeriod {
+		s.refusalLoggedAt = now
+		s.Journal.Warn("connection of a client refused", errNoDescriptor, log.Fields{
+			"open":    s.Descriptors.Held(descriptor.Callers),
+			"refused": s.Descriptors.Refused(descriptor.Callers),
+		})
+	}
+}
+
+var errNoDescriptor = errors.New("too few descriptors")
+
 // Shutdown stops accepting connections and waits for the requests in progress to finish.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
@@ -94,6 +170,7 @@
 	case l.conns <- s.Budget.Wrap(c):
 	case <-l.done:
 		_ = c.Close()
+		s.Descriptors.Return(descriptor.Callers)
 	}
 }
 
@@ -102,6 +179,7 @@
 	server := &http.Server{
 		Handler:           s.Handler,
 		ConnContext:       budget.ConnContext,
+		ConnState:         s.trackState,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
@@ -124,6 +202,30 @@
 	return l
 }
 
+// trackState follows which connections are idle, and counts those that end.
+func (s *Server) trackState(c net.Conn, state http.ConnState) {
+	if s.Descriptors == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateIdle:
+		if s.idle == nil {
+			s.idle = make(map[net.Conn]time.Time)
+		}
+		s.idle[c] = time.Now()
+	case http.StateActive:
+		delete(s.idle, c)
+	case http.StateClosed, http.StateHijacked:
+		delete(s.idle, c)
+		if !s.evicted[c] {
+			s.Descriptors.Return(descriptor.Callers)
+		}
+		delete(s.evicted, c)
+	}
+}
+
 // connListener is a net.Listener for connections that Server has accepted.
 type connListener struct {
 	conns     chan net.Conn
--- a/internal/entry/httpserver/server_test.go
+++ b/internal/entry/httpserver/server_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/egretbend/egretbend/internal/kernel/descriptor"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 )
 
@@ -113,3 +115,81 @@
 	is.NoErr(server.Shutdown(context.Background()))
 	is.Equal(<-status, http.StatusGatewayTimeout)
 }
+
+// Guards against a press of clients that takes the descriptors of the connections to upstreams, the store and
+// other instances, and against connections that are held open idle while new clients are refused.
+func TestConnectionsOfClientsAreBounded(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	server := &Server{
+		Config:      &catalog.Holder{},
+		Descriptors: descriptor.New(64),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				<-release
+			}
+			w.WriteHeader(http.StatusOK)
+		}),
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = server.Serve(ln) }()
+	send := func(path string) net.Conn {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		is.NoErr(err)
+		is.NoErr(c.SetDeadline(time.Now().Add(20 * time.Second)))
+		_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+		return c
+	}
+	status := func(c net.Conn) int {
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			return 0
+		}
+		return res.StatusCode
+	}
+	bound := 0
+	for server.Descriptors.Take(descriptor.Callers) {
+		bound++
+	}
+	for range bound {
+		server.Descriptors.Return(descriptor.Callers)
+	}
+	for range 2 * bound {
+		c := send("/")
+		defer c.Close()
+		is.Equal(status(c), http.StatusOK) // an idle one makes room
+	}
+	var slow []net.Conn
+	for range bound {
+		slow = append(slow, send("/slow"))
+	}
+	held := func(n int) {
+		t.Helper()
+		is.True(timer.Poll(timer.Real{}, time.Millisecond, 20*time.Second, nil, func() bool { return server.Descriptors.Held(descriptor.Callers) == n }))
+	}
+	held(bound)
+	is.True(timer.Poll(timer.Real{}, time.Millisecond, 20*time.Second, nil, func() bool {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		return len(server.idle) == 0
+	}))
+	refused := send("/")
+	is.Equal(status(refused), 0) // closed at once
+	close(release)
+	for _, c := range slow {
+		is.Equal(status(c), http.StatusOK)
+		_ = c.Close()
+	}
+	held(0)
+	c := send("/")
+	is.Equal(status(c), http.StatusOK)
+	_ = c.Close()
+	is.NoErr(server.Shutdown(context.Background()))
+	held(0)
+	is.True(timer.Poll(timer.Real{}, time.Millisecond, 20*time.Second, nil, func() bool {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		return len(server.idle)+len(server.evicted) == 0
+	}))
+}
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"gopkg.in/tomb.v2"
 
+	"github.com/egretbend/egretbend/internal/kernel/descriptor"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 )
@@ -28,6 +29,8 @@
 	Bytes *Counter
 	// Journal gets a line for each connection that could not be accepted.
 	Journal *journal.Journal
+	// Descriptors bounds the connections; a new one beyond it is closed. Nil means no bound.
+	Descriptors *descriptor.Budget
 
 	rpc   rpc.Server
 	mu    sync.Mutex
@@ -62,8 +65,13 @@
 			continue
 		}
 		pause = minAcceptPause
+		if !s.Descriptors.Take(descriptor.Peers) {
+			_ = nc.Close()
+			continue
+		}
 		s.track(nc)
 		t.Go(func() error {
+			defer s.Descriptors.Return(descriptor.Peers)
 			defer s.untrack(nc)
 			s.rpc.ServeConn(s.Bytes.wrap(nc))
 			return nil
--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"time"
 
+	"github.com/egretbend/egretbend/internal/kernel/descriptor"
 	"github.com/egretbend/egretbend/internal/kernel/dial"
 )
 
@@ -32,6 +34,9 @@
 	// BeforeWrite is called like the function of WithBeforeWrite, before it and for every
 	// request. It may be nil.
 	BeforeWrite func() error
+	// Descriptors bounds the connections; nil does not. When it is reached, idle connections are
+	// closed first.
+	Descriptors *descriptor.Budget
 
 	once   sync.Once
 	dialer dial.Dialer
@@ -73,17 +78,40 @@
 	c.fresh.DisableKeepAlives = true
 }
 
+// ErrNoDescriptor means that a request was not sent because the process has no descriptor left for
+// another connection to an upstream.
+var ErrNoDescriptor = errors.New("no descriptor is left for a connection to an upstream")
+
+// takeDescriptor counts a new connection, for which it may close the idle ones.
+func (c *Client) takeDescriptor() error {
+	if c.Descriptors.Take(descriptor.Upstreams) {
+		return nil
+	}
+	c.CloseIdle()
+	if c.Descriptors.Take(descriptor.Upstreams) {
+		return nil
+	}
+	return ErrNoDescriptor
+}
+
 // dial opens a connection whose written bytes are counted.
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if err := c.takeDescriptor(); err != nil {
+		return nil, err
+	}
 	nc, err := c.dialer.DialContext(ctx, network, address)
 	if err != nil {
+		c.Descriptors.Return(descriptor.Upstreams)
 		return nil, err
 	}
 	opened := &conn{
 		Conn:            nc,
 		deliveryTimeout: deliveryTimeout,
 	}
-	opened.onClose = func() { c.open.Delete(opened) }
+	opened.onClose = sync.OnceFunc(func() {
+		c.open.Delete(opened)
+		c.Descriptors.Return(descriptor.Upstreams)
+	})
 	if onLost := idleLostOf(ctx); onLost != nil {
 		// The request may get another connection first, and this one is idle then.
 		opened.idle.user, opened.idle.since = &connTracker{onIdleLost: onLost}, time.Now()
