fleet/watchrelay: that a watcher was behind is not lost between two polls

A follower could miss changes until their keys changed again: if a watcher's copy didn't reach back to what the follower had, the answer said so, and a second poll before the follower asked again replaced it by one that didn't. The follower then never listed the prefix.

The mark stays until the caller has listed.

--- a/internal/fleet/watchrelay/poller.go
+++ b/internal/fleet/watchrelay/poller.go
@@ -45,25 +45,10 @@
 func (p *watcherPoller) next(ctx context.Context, relay *Relay, prefix string, after uint64) (PrefixChanges, error) {
 	for {
 		p.mu.Lock()
-		if p.cursors == nil {
-			p.cursors = make(map[string]uint64)
-			p.buffered = make(map[string]PrefixChanges)
-		}
-		if after > p.cursors[prefix] {
-			// The caller has listed the prefix at a newer revision than the watcher's.
-			p.cursors[prefix] = after
-			p.dropUpTo(prefix, after)
-		}
-		if polled, ok := p.buffered[prefix]; ok {
-			delete(p.buffered, prefix)
+		if polled, ok := p.take(prefix, after); ok {
 			p.mu.Unlock()
 			return polled, nil
 		}
-		if after < p.cursors[prefix] {
-			// The changes in between went to an earlier call and are no longer
-			// buffered: poll for them again.
-			p.cursors[prefix] = after
-		}
 		if !p.running {
 			p.running = true
 			p.pollDone = make(chan struct{})
@@ -92,6 +77,27 @@
 	}
 }
 
+// take returns the buffered changes of a prefix after a revision, if there are any, and has the next
+// poll ask for those that are missing. p.mu must be held.
+func (p *watcherPoller) take(prefix string, after uint64) (PrefixChanges, bool) {
+	if p.cursors == nil {
+		p.cursors = make(map[string]uint64)
+		p.buffered = make(map[string]PrefixChanges)
+	}
+	if after > p.cursors[prefix] {
+		// The caller has listed the prefix at a newer revision than the watcher's.
+		p.cursors[prefix] = after
+		p.dropUpTo(prefix, after)
+	}
+	if polled, ok := p.buffered[prefix]; ok {
+		delete(p.buffered, prefix)
+		return polled, true
+	}
+	// If the changes in between went to an earlier call, they are no longer buffered.
+	p.cursors[prefix] = min(p.cursors[prefix], after)
+	return PrefixChanges{}, false
+}
+
 // recordRevision records the revision up to which a prefix was read.
 func (p *watcherPoller) recordRevision(prefix string, revision uint64) {
 	p.mu.Lock()
@@ -134,11 +140,7 @@
 	for {
 		reply, err := p.pollWatchers(relay)
 		p.mu.Lock()
-		for prefix, polled := range reply.News {
-			polled.Changes = append(p.buffered[prefix].Changes, polled.Changes...)
-			p.buffered[prefix] = polled
-			p.cursors[prefix] = max(p.cursors[prefix], polled.Revision)
-		}
+		p.buffer(reply.News)
 		p.err = err
 		close(p.pollDone)
 		p.pollDone = make(chan struct{})
@@ -155,6 +157,19 @@
 	}
 }
 
+// buffer adds what a poll returned to what earlier ones did. That a watcher was behind stays until the
+// caller has listed the prefix, as the changes in between are missing in all later answers. p.mu must
+// be held.
+func (p *watcherPoller) buffer(news map[string]PrefixChanges) {
+	for prefix, polled := range news {
+		earlier := p.buffered[prefix]
+		polled.Behind = polled.Behind || earlier.Behind
+		polled.Changes = append(earlier.Changes, polled.Changes...)
+		p.buffered[prefix] = polled
+		p.cursors[prefix] = max(p.cursors[prefix], polled.Revision)
+	}
+}
+
 // pollWatchers polls the watchers until one answers.
 func (p *watcherPoller) pollWatchers(relay *Relay) (Reply, error) {
 	p.mu.Lock()
