fleet/watchrelay: a copy that was read in pages tells followers what later pages held

A follower could miss a change until its key changed again: a watcher that reads a prefix in several pages knows it as of the first one, and what a later page held with a later revision was not among the changes that it told. The service then told it again, but by then the watcher knew it.

These entries are kept among the changes, in order, also with changes that the service tells later and that came before them; an older removal no longer deletes a newer entry of the copy.

The property TestFollowerMissesNoChange, over any order of changes, polls, restarts of the watcher and reads of the service, failed before after 13 histories, and once more for the removal.

--- a/internal/fleet/watchrelay/copy.go
+++ b/internal/fleet/watchrelay/copy.go
@@ -1,6 +1,7 @@
 package watchrelay
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
@@ -65,9 +66,15 @@
 	if !c.loaded {
 		c.loaded = true
 		c.completeAfter = revision
-		changes = nil
+		// Pages after the first one may hold later changes. A follower that has the revision of the
+		// first one lacks them, and they are known here when the service tells them again.
+		changes = slices.DeleteFunc(changes, func(change keyvalue.Change) bool { return change.Revision <= revision })
 	}
 	c.changes = append(c.changes, changes...)
+	if !slices.IsSortedFunc(c.changes, byRevision) {
+		// The service tells what came before the changes of later pages.
+		slices.SortStableFunc(c.changes, byRevision)
+	}
 	kept := max(maxKeptChanges, len(c.items)/keptShare)
 	if over := len(c.changes) - kept; over > 0 {
 		c.completeAfter = c.changes[over-1].Revision
@@ -102,13 +109,19 @@
 	}
 	for _, change := range changes {
 		if change.Removed {
-			delete(c.items, change.Key)
+			// A later page may have held the key as it was written again.
+			if c.items[change.Key].Revision <= change.Revision {
+				delete(c.items, change.Key)
+			}
 			continue
 		}
 		c.items[change.Key] = change.Item
 	}
 }
 
+// byRevision orders changes as they were made.
+func byRevision(x, y keyvalue.Change) int { return cmp.Compare(x.Revision, y.Revision) }
+
 // known reports whether the copy holds the value that a change set, or a later one. c.mu must be
 // held.
 func (c *Copy) known(change keyvalue.Change) bool {
