--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -95,9 +95,9 @@
 	// waiting is set while batches of this instance may wait for an instance that may run them.
 	waiting atomic.Bool
 	mu      sync.Mutex
-	owners  map[string]ledger.Owner
+	owners  recent[ledger.Owner]
 	// bindings holds what determines the regions of each batch, as far as it is known.
-	bindings map[string]submission.Binding
+	bindings recent[submission.Binding]
 	// pendingStores holds, by batch, the channel for the result of each store operation
 	// that is under way at this instance.
 	pendingStores map[string]chan error
--- a/internal/batch/coordinator/owners.go
+++ b/internal/batch/coordinator/owners.go
@@ -65,17 +65,14 @@
 	d.recordBinding(hint.Batch, hint.Binding)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.owners == nil {
-		d.owners = make(map[string]ledger.Owner)
-	}
-	d.owners[hint.Batch] = hint.Owner
+	d.owners.set(hint.Batch, hint.Owner, d.Timer.Now())
 }
 
 func (d *Coordinator) forgetOwner(id string, owner ledger.Owner) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.owners[id] == owner {
-		delete(d.owners, id)
+	if known, _ := d.owners.get(id, d.Timer.Now()); known == owner {
+		d.owners.remove(id)
 	}
 }
 
@@ -83,7 +80,7 @@
 // another instance and alive.
 func (d *Coordinator) hintedOwner(id string) (ledger.Owner, bool) {
 	d.mu.Lock()
-	owner, ok := d.owners[id]
+	owner, ok := d.owners.get(id, d.Timer.Now())
 	d.mu.Unlock()
 	return owner, ok && owner != d.Ledger.Self && d.Registry.Alive(owner.Instance, owner.Incarnation)
 }
--- a/internal/batch/coordinator/residency.go
+++ b/internal/batch/coordinator/residency.go
@@ -170,17 +170,14 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.bindings == nil {
-		d.bindings = make(map[string]submission.Binding)
-	}
-	d.bindings[id] = b
+	d.bindings.set(id, b, d.Timer.Now())
 }
 
 // bindingOf returns what determines the regions of a batch, from memory or from its claim in
 // the ledger, and whether it is known.
 func (d *Coordinator) bindingOf(ctx context.Context, id string) (submission.Binding, bool) {
 	d.mu.Lock()
-	b, ok := d.bindings[id]
+	b, ok := d.bindings.get(id, d.Timer.Now())
 	d.mu.Unlock()
 	if ok {
 		return b, true
