batch/ledger: chunks are cut by the size that they are stored with

TestChunksFitIntoOneValueWhateverTheirTexts failed before after 15 draws: a chunk of 1,117,667 bytes. A single result whose text alone exceeds a megabyte when it is stored is still refused.

--- a/internal/batch/ledger/append.go
+++ b/internal/batch/ledger/append.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"unicode/utf8"
 
 	"github.com/egretbend/egretbend/internal/batch/submission"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
@@ -73,7 +74,7 @@
 func ChunkLen(results []submission.Result) int {
 	size := 0
 	for i, r := range results {
-		size += len(r.Text) + resultOverheadBytes
+		size += storedLen(r.Text) + resultOverheadBytes
 		if size > maxValueBytes && i > 0 {
 			return i
 		}
@@ -81,6 +82,24 @@
 	return len(results)
 }
 
+// storedLen returns the length of a text in a stored value, without its quotes: JSON escapes some
+// characters, one of which may take six bytes.
+func storedLen(text string) int {
+	const hexEscape = len(`\u003c`)
+	n := 0
+	for _, c := range text {
+		switch {
+		case c == '"', c == '\\', c == '\n', c == '\r', c == '\t', c == '\b', c == '\f':
+			n += len(`\n`)
+		case c < ' ', c == '<', c == '>', c == '&', c == '\u2028', c == '\u2029', c == utf8.RuneError:
+			n += hexEscape
+		default:
+			n += utf8.RuneLen(c)
+		}
+	}
+	return n
+}
+
 // eventOverheadBytes is the size of a stored event without its text.
 const eventOverheadBytes = 4
 
@@ -91,7 +110,7 @@
 	size := 0
 	for i, p := range progress {
 		for _, e := range p.Events {
-			size += len(e) + eventOverheadBytes
+			size += storedLen(e) + eventOverheadBytes
 		}
 		if size > maxValueBytes {
 			return progress[:i]
--- a/internal/batch/ledger/append_test.go
+++ b/internal/batch/ledger/append_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/egretbend/egretbend/internal/batch/submission"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/standin/memorystore"
+	"github.com/egretbend/egretbend/internal/standin/property"
 )
 
 // Guards against results that are too large for one value. While the key-value service
@@ -71,3 +75,41 @@
 	is.Equal(len(rec.Progress[0].Events), 100)
 	is.Equal(len(rec.Results), 1)
 }
+
+// Guards against a chunk that the service refuses for ever, as its texts take more room when they are
+// stored than they have bytes.
+func TestChunksFitIntoOneValueWhateverTheirTexts(t *testing.T) {
+	const limit = 1 << 20 // the service's
+	worst := []string{"<", "&", "\x01", "\"", "\xff", "\u2028", "\n", "é", "漢", "\ufffd", "\x7f"}
+	property.CheckN(t, 100, func(t *rapid.T) {
+		character := rapid.SampledFrom(worst)
+		text := func() string {
+			return strings.Repeat(character.Draw(t, "character")+character.Draw(t, "another"), rapid.IntRange(0, 60_000).Draw(t, "length"))
+		}
+		var results []submission.Result
+		for i := range rapid.IntRange(1, 6).Draw(t, "results") {
+			results = append(results, submission.Result{
+				Item:     fmt.Sprint("item", i),
+				State:    submission.Completed,
+				Text:     text(),
+				Versions: []uint64{1, 2},
+				Score:    "proof",
+			})
+		}
+		n := ChunkLen(results)
+		data, err := json.Marshal(results[:n])
+		if err != nil || n > 1 && len(data) > limit {
+			t.Fatalf("%d results take %d bytes: %v", n, len(data), err)
+		}
+		for _, r := range results {
+			quoted, _ := json.Marshal(r.Text)
+			if got := storedLen(r.Text); got < len(quoted)-2 {
+				t.Fatalf("%.10q: stored length %d, counted %d", r.Text, len(quoted)-2, got)
+			}
+		}
+		progress := fittingProgress([]submission.Progress{{Item: "x", Events: []string{text(), text()}}, {Item: "y", Events: []string{text()}}})
+		if data, err = json.Marshal(progress); err != nil || len(data) > limit {
+			t.Fatalf("progress takes %d bytes: %v", len(data), err)
+		}
+	})
+}
