fleet/watchrelay: a watch of the service that hears nothing is found within the bound of its prefix

Followers of such an instance ask it within their own bound as before. Weight versions stay as they are: no bound applies to them but the trainers' patience, and their watch is that of one instance.

TestChangeIsKnownThoughWatchHearsNothing failed before (the first watch is never answered).

--- a/internal/fleet/watchrelay/copy.go
+++ b/internal/fleet/watchrelay/copy.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
@@ -26,6 +27,9 @@
 	// Wanted reports whether this instance may have to answer queries; while it is false, nothing
 	// is kept. Nil means always.
 	Wanted func() bool
+	// Bound is the time within which this instance must know a change although its watch of the
+	// service hears nothing. Zero means that such a watch ends by its own timeout.
+	Bound time.Duration
 
 	mu sync.Mutex
 	// dropped is set while nothing is kept, and reloading while the next call of Apply holds the
--- a/internal/fleet/watchrelay/relay.go
+++ b/internal/fleet/watchrelay/relay.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/egretbend/egretbend/internal/fleet/registry"
 	"github.com/egretbend/egretbend/internal/fleet/timeofday"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
@@ -169,8 +171,39 @@
 	return polled.Changes, polled.Revision, err
 }
 
-// watchService watches the service itself.
+// The shares of the bound of a prefix that a watch of the service takes: how long it waits, and how
+// much longer its answer may take.
+const (
+	watchWaitShare  = 0.6
+	watchSlackShare = 0.15
+)
+
+// watchService watches the service itself. A watch of a prefix with a bound that is not answered in
+// time is made again over another connection, which returns at once what the first one did not hear.
 func (r *Relay) watchService(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
+	bound := r.copies[prefix].Bound
+	if bound <= 0 {
+		return r.watchOnce(ctx, prefix, after, wait)
+	}
+	wait = min(wait, time.Duration(watchWaitShare*float64(bound)))
+	slack := time.Duration(watchSlackShare * float64(bound))
+	call, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
+	changes, revision, err := r.watchOnce(call, prefix, after, wait)
+	if err == nil || call.Err() == nil || ctx.Err() != nil {
+		return changes, revision, err
+	}
+	r.Journal.Info("watch of the service hears nothing", log.Fields{
+		"prefix":    prefix,
+		"waited_ms": (wait + slack).Milliseconds(),
+	})
+	again, cancelAgain := context.WithTimeout(ctx, slack)
+	defer cancelAgain()
+	return r.watchOnce(again, prefix, after, 0)
+}
+
+// watchOnce makes one watch of the service.
+func (r *Relay) watchOnce(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
 	changes, revision, err := r.TransactionalStore.Watch(ctx, prefix, after, wait)
 	if err == nil {
 		r.NoteService(prefix)
