--- a/internal/load/faultplan/plan.go
+++ b/internal/load/faultplan/plan.go
@@ -34,16 +34,19 @@
 	// KeyValueLinkRefuses, KeyValueLinkSilent and KeyValueLinkReset affect the link
 	// of one instance to the key-value service: it resets all connections while the
 	// fault lasts, forwards nothing without closing connections, or resets the open
-	// connections once.
+	// connections once. After KeyValueLinkSevered the open ones are silent for good.
 	KeyValueLinkRefuses
 	KeyValueLinkSilent
 	KeyValueLinkReset
+	KeyValueLinkSevered
 	// EngineLinkSilent, EngineLinkSlow and EngineLinkReset affect the link to one
 	// engine: its answers don't arrive, all bytes are delayed, or the open
-	// connections are reset once.
+	// connections are reset once. After EngineLinkSevered the open ones are silent for
+	// good.
 	EngineLinkSilent
 	EngineLinkSlow
 	EngineLinkReset
+	EngineLinkSevered
 	// ClientsReset resets the open connections of clients to an instance.
 	ClientsReset
 	// Configure changes the configuration.
@@ -57,7 +60,7 @@
 
 var kindNames = [kindCount]string{
 	"kill", "stop", "freeze", "service_down", "service_slow", "service_loses", "service_late", "service_forgets", "lease_ends",
-	"service_shuts", "service_silent", "service_reset", "engine_silent", "engine_slow", "engine_reset", "clients_reset",
+	"service_shuts", "service_silent", "service_reset", "service_severed", "engine_silent", "engine_slow", "engine_reset", "engine_severed", "clients_reset",
 	"configure", "reload", "freeze_most",
 }
 
@@ -79,7 +82,7 @@
 }
 
 // targetsEngine reports whether Fault.Target is the number of an engine.
-func (k Kind) targetsEngine() bool { return k >= EngineLinkSilent && k <= EngineLinkReset }
+func (k Kind) targetsEngine() bool { return k >= EngineLinkSilent && k <= EngineLinkSevered }
 
 // Fault is one fault of a plan.
 type Fault struct {
--- a/internal/load/faultproxy/proxy.go
+++ b/internal/load/faultproxy/proxy.go
@@ -59,6 +59,8 @@
 	// conns holds the open connections to callers and to the target.
 	conns  map[net.Conn]bool
 	closed bool
+	// silent holds the connections of which nothing is forwarded any more.
+	silent map[net.Conn]bool
 }
 
 // Listen listens on a free loopback port and forwards connections to target. The
@@ -103,6 +105,26 @@
 	}
 }
 
+// SilenceConnections makes all open connections silent for good: they stay open, and nothing is
+// forwarded on them any more. New ones work.
+func (p *Proxy) SilenceConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if p.silent == nil {
+			p.silent = make(map[net.Conn]bool)
+		}
+		p.silent[c] = true
+	}
+}
+
+// isSilent reports whether nothing of a connection is forwarded any more.
+func (p *Proxy) isSilent(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[c]
+}
+
 // Close stops listening and resets all open connections.
 func (p *Proxy) Close() error {
 	p.mu.Lock()
@@ -155,6 +177,7 @@
 func (p *Proxy) untrackAndClose(c net.Conn) {
 	p.mu.Lock()
 	delete(p.conns, c)
+	delete(p.silent, c)
 	p.mu.Unlock()
 	_ = c.Close()
 }
@@ -191,6 +214,9 @@
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buf)
+		if err == nil && p.isSilent(from) {
+			continue
+		}
 		if !p.waitToForward(blockingState) {
 			abort(to)
 			return
--- a/internal/load/faultproxy/proxy_test.go
+++ b/internal/load/faultproxy/proxy_test.go
@@ -79,3 +79,27 @@
 	is.Equal(Refusing.String(), "shut")
 	is.Equal(State(99).String(), "unknown")
 }
+
+// Guards against silent connections that are closed, that come back, or that silence new ones.
+func TestSilencedConnectionsStaySilent(t *testing.T) {
+	is := is.New(t)
+	p, err := Listen(startEchoServer(t))
+	is.NoErr(err)
+	defer p.Close()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", p.Address())
+		is.NoErr(err)
+		_, err = c.Write([]byte("x"))
+		is.NoErr(err)
+		is.True(receivesByte(c, 5*time.Second))
+		return c
+	}
+	silent := dial()
+	p.SilenceConnections()
+	_, err = silent.Write([]byte("x"))
+	is.NoErr(err)
+	is.True(!receivesByte(silent, 50*time.Millisecond))
+	_ = dial()
+	p.SetState(Healthy)
+	is.True(!receivesByte(silent, 50*time.Millisecond))
+}
