batch/runner: a route that is restricted to a single version applies to running batches

The owner of a batch kept to the route as it was when the batch began there: a text of two versions that was completed after the operator had restricted the route to one was scored and listed.

What the configuration in force says of a batch is looked up when it changes, as its regions are, and a complete text of several versions is made again. TestRestrictedRouteAppliesToRunningBatches failed before: [4 5] for [5].

--- a/internal/batch/runner/batch.go
+++ b/internal/batch/runner/batch.go
@@ -20,11 +20,13 @@
 	sub     *submission.Submission
 	route   catalog.Route
 	service string
-	// cfg is the configuration by which regions, the allowed regions, was looked up.
-	cfg     *catalog.Configuration
-	regions residency.Regions
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// cfg is the configuration by which regions, the allowed regions, and singleVersion were looked
+	// up. singleVersion says that each text must have a single version.
+	cfg           *catalog.Configuration
+	regions       residency.Regions
+	singleVersion bool
+	ctx           context.Context
+	cancel        context.CancelFunc
 	// startedAt is when this process started to work on the batch.
 	startedAt timer.Instant
 	// submittedAt is when the batch was submitted.
--- a/internal/batch/runner/move.go
+++ b/internal/batch/runner/move.go
@@ -167,7 +167,7 @@
 			continue
 		}
 		to := slices.IndexFunc(candidates, func(c candidate) bool {
-			sameText := !b.route.SingleVersion || t.lastEvent == 0 || c.u.ModelVersion(b.sub.Model) == t.versions[0]
+			sameText := !r.needsSingleVersion(b) || t.lastEvent == 0 || c.u.ModelVersion(b.sub.Model) == t.versions[0]
 			return c.FreeSlots >= 1 && c.Pace <= maxRescuePace && sameText
 		})
 		if to < 0 {
--- a/internal/batch/runner/residency.go
+++ b/internal/batch/runner/residency.go
@@ -9,16 +9,36 @@
 	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
+// applyConfiguration looks up what of the configuration in force applies to a batch that runs. The
+// caller holds b.mu.
+func (r *Runner) applyConfiguration(b *Batch) {
+	cfg := r.Configuration.Current()
+	if cfg == b.cfg && cfg != nil {
+		return
+	}
+	b.cfg = cfg
+	b.regions = b.sub.Binding().Allowed(cfg)
+	b.singleVersion = b.route.SingleVersion
+	if cfg != nil {
+		route, _ := cfg.Find(b.sub.Host, b.sub.Path)
+		b.singleVersion = b.singleVersion || route.SingleVersion
+	}
+}
+
 // allowedRegions returns the regions in which the items of a batch may run now. The caller
 // holds b.mu.
 func (r *Runner) allowedRegions(b *Batch) residency.Regions {
-	if cfg := r.Configuration.Current(); cfg != b.cfg || cfg == nil {
-		b.cfg = cfg
-		b.regions = b.sub.Binding().Allowed(cfg)
-	}
+	r.applyConfiguration(b)
 	return b.regions
 }
 
+// needsSingleVersion reports whether a text of a batch must have a single version: its route
+// required that when the batch began here, or does so now. The caller holds b.mu.
+func (r *Runner) needsSingleVersion(b *Batch) bool {
+	r.applyConfiguration(b)
+	return b.singleVersion
+}
+
 // engineGroup returns the engines that may run the items of a batch. The caller holds b.mu.
 func (r *Runner) engineGroup(b *Batch) *catalog.Group {
 	return r.Upstreams.Group(b.service).In(r.allowedRegions(b))
--- a/internal/batch/runner/versions_test.go
+++ b/internal/batch/runner/versions_test.go
@@ -87,3 +87,30 @@
 		is.Equal(r.Text, "e1\ne2\ne3\ne4")
 	}
 }
+
+// Guards against a text of two versions that is completed after its route was restricted to a single
+// version.
+func TestRestrictedRouteAppliesToRunningBatches(t *testing.T) {
+	is := is.New(t)
+	var b *testBench
+	runs := 0
+	b = newTestBench(t, func(_ context.Context, _ *catalog.Upstream, attempt Attempt, emit func(Event) error) error {
+		if runs++; runs > 1 {
+			return emitEvents(attempt.After, 4, 5, emit)
+		}
+		_ = emitEvents(0, 2, 4, emit)
+		_ = emitEvents(2, 4, 5, emit)
+		restricted := b.route
+		restricted.SingleVersion = true
+		b.runner.Configuration.Update(catalog.Configuration{
+			Version: 2,
+			Routes:  []catalog.Route{restricted},
+		}.WithIndex())
+		return nil
+	})
+	is.NoErr(b.submit("x"))
+	got := b.waitForResults(1)
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Versions, []uint64{5})
+	is.Equal(got[0].Text, "e1\ne2\ne3\ne4")
+}
