--- a/internal/kernel/descriptor/budget.go
+++ b/internal/kernel/descriptor/budget.go
@@ -59,6 +59,9 @@
 // New returns a Budget for limit connections.
 func New(limit int) *Budget { return &Budget{limit: limit} }
 
+// Limit returns the greatest number of connections.
+func (b *Budget) Limit() int { return b.limit }
+
 // Take counts a connection, or reports false if there is no descriptor for it.
 func (b *Budget) Take(u Use) bool {
 	if b == nil {
