--- a/internal/load/faultplan/plan.go
+++ b/internal/load/faultplan/plan.go
@@ -55,13 +55,15 @@
 	Reload
 	// FreezeMost pauses the processes of three quarters of the instances, but not of the target.
 	FreezeMost
+	// KillOwner ends the process of the instance that runs a trainer's batch; it has no target.
+	KillOwner
 	kindCount
 )
 
 var kindNames = [kindCount]string{
 	"kill", "stop", "freeze", "service_down", "service_slow", "service_loses", "service_late", "service_forgets", "lease_ends",
 	"service_shuts", "service_silent", "service_reset", "service_severed", "engine_silent", "engine_slow", "engine_reset", "engine_severed", "clients_reset",
-	"configure", "reload", "freeze_most",
+	"configure", "reload", "freeze_most", "kill_owner",
 }
 
 // String returns the name of the kind in snake case.
