route/departure: a refused request has one line in the log

The decision to refuse a request because its instance leaves was logged beside the forward line of the request, and for a hedge that was not sent although the request went on. The error of the forward line has what the other line had. A connection of another instance that is refused for want of descriptors shows in the log, once a second at most.

--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -35,6 +35,8 @@
 	rpc   rpc.Server
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	// refusalLoggedAt is when a refused connection was last logged.
+	refusalLoggedAt time.Time
 }
 
 // Register makes the methods of receiver callable under name.Method.
@@ -67,6 +69,7 @@
 		pause = minAcceptPause
 		if !s.Descriptors.Take(descriptor.Peers) {
 			_ = nc.Close()
+			s.logRefusal()
 			continue
 		}
 		s.track(nc)
@@ -79,6 +82,19 @@
 	}
 }
 
+// logRefusal logs that connections are refused, once a second at most.
+func (s *Server) logRefusal() {
+	if now := time.Now(); now.Sub(s.refusalLoggedAt) > maxAcceptPause {
+		s.refusalLoggedAt = now
+		s.Journal.Warn("connection of another instance refused", errNoDescriptor, log.Fields{
+			"open":    s.Descriptors.Held(descriptor.Peers),
+			"refused": s.Descriptors.Refused(descriptor.Peers),
+		})
+	}
+}
+
+var errNoDescriptor = errors.New("too few descriptors")
+
 func (s *Server) track(nc net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/route/departure/departure.go
+++ b/internal/route/departure/departure.go
@@ -6,9 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
-
-	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 )
@@ -21,7 +18,6 @@
 type Departure struct {
 	timetable Timetable
 	timer     timer.Service
-	journal   *journal.Journal
 	durations durations
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
@@ -31,11 +27,10 @@
 }
 
 // New returns the departure of an instance that was not told to stop yet.
-func New(t Timetable, svc timer.Service, j *journal.Journal) *Departure {
+func New(t Timetable, svc timer.Service) *Departure {
 	d := &Departure{
 		timetable: t,
 		timer:     svc,
-		journal:   j,
 	}
 	d.ctx, d.cancel = context.WithCancelCause(context.Background())
 	return d
@@ -87,23 +82,15 @@
 	}
 	at := d.timer.Now().Sub(began)
 	left := d.timetable.Answer - at
-	c := Certainty{
+	f := Forecast{
 		Limit:       r.Limit,
 		LongerShare: d.durations.longerShare(r.Route, left),
 	}
-	if d.timetable.Takes(r.ReadAt.Sub(began), at, c) {
+	if d.timetable.Takes(r.ReadAt.Sub(began), at, f) {
 		return nil
 	}
-	d.journal.Decision("refuse", log.Fields{
-		"request_id":   r.ID,
-		"route":        r.Route,
-		"reason":       "leaving",
-		"leaving_ms":   at.Milliseconds(),
-		"left_ms":      left.Milliseconds(),
-		"limit_ms":     r.Limit.Milliseconds(),
-		"longer_share": c.LongerShare,
-	})
-	return problem.Leaving.Withf("the request may take %s and %s are left", r.Limit, left).WithRetryAfter(RetryAfter)
+	return problem.Leaving.Withf("the request may take %s, and the instance answers for %s; %.0f%% of the latest ones of its route took longer",
+		r.Limit.Round(time.Millisecond), left.Round(time.Millisecond), 100*f.LongerShare).WithRetryAfter(RetryAfter)
 }
 
 // Finished records that a request of a route has ended now, which was sent to an upstream at an
--- a/internal/route/departure/departure_test.go
+++ b/internal/route/departure/departure_test.go
@@ -38,7 +38,7 @@
 	property.Check(t, func(t *rapid.T) {
 		tt, _ := drawTimetable(t)
 		at := time.Duration(rapid.Int64Range(0, int64(tt.Exit)).Draw(t, "at"))
-		c := Certainty{
+		c := Forecast{
 			Limit:       time.Duration(rapid.Int64Range(1, int64(20*time.Second)).Draw(t, "limit")),
 			LongerShare: rapid.Float64Range(0, 1).Draw(t, "longer"),
 		}
@@ -54,7 +54,7 @@
 func newDeparture() (*Departure, *timer.Manual) {
 	clock := &timer.Manual{}
 	clock.Advance(time.Hour)
-	return New(NewTimetable(8*time.Second, 8*time.Second, 2500*time.Millisecond), clock, nil), clock
+	return New(NewTimetable(8*time.Second, 8*time.Second, 2500*time.Millisecond), clock), clock
 }
 
 // Guards against streams that a leaving instance takes although those before took longer than it still
--- a/internal/route/departure/doc.go
+++ b/internal/route/departure/doc.go
@@ -1,7 +1,7 @@
 // Package departure decides which requests an instance still takes after it was told to stop, and
 // until when it answers those that it has.
 //
-//	d := departure.New(departure.NewTimetable(gracePeriod, addressLifetime), clock, journal)
+//	d := departure.New(departure.NewTimetable(gracePeriod, addressLifetime), clock)
 //	server := &httpserver.Server{BaseContext: d.Context(), ...}
 //	if err := d.Admit(departure.Request{...}); err != nil { ... } // before each attempt at a request
 //	d.Finished(route, limit, took)                                // for each answered request
--- a/internal/route/departure/timetable.go
+++ b/internal/route/departure/timetable.go
@@ -6,8 +6,7 @@
 type Timetable struct {
 	// Listen is until when connections are accepted.
 	Listen time.Duration
-	// Uncertain is until when requests are taken that may last too long but probably don't. Whoever
-	// sent one knows by then that the instance is leaving.
+	// Uncertain is until when requests are taken that may outlast the instance but probably don't.
 	Uncertain time.Duration
 	// Answer is when all requests in progress get their final answer, and streams end.
 	Answer time.Duration
@@ -49,8 +48,8 @@
 	}
 }
 
-// Certainty is what is known of how long a request takes.
-type Certainty struct {
+// Forecast is what is known of how long a request will take.
+type Forecast struct {
 	// Limit is the longest time that it may take from now on.
 	Limit time.Duration
 	// LongerShare is the share of the latest requests of its route that took longer than is left, 0
@@ -65,9 +64,9 @@
 // Takes reports whether a request that was read at a time is sent to an upstream now. Both times are
 // counted as in Timetable; a request that was read before the instance was told to stop has a time
 // below 0.
-func (t Timetable) Takes(read, now time.Duration, c Certainty) bool {
-	if c.Limit <= t.Answer-now {
+func (t Timetable) Takes(read, now time.Duration, f Forecast) bool {
+	if f.Limit <= t.Answer-now {
 		return true
 	}
-	return read < t.Uncertain && c.LongerShare <= maxLongerShare
+	return read < t.Uncertain && f.LongerShare <= maxLongerShare
 }
