kernel/part: the end of a part ends an instance of the documented interface

Each part runs in a tomb of its own, and nothing looked at it before the instance was stopped: a part that had ended with an error, such as the listener for other instances, was missing from then on, and the instance served and was ready.

TestInstanceStopsIfAPartEnds waits for ever without it.

--- a/internal/kernel/part/host.go
+++ b/internal/kernel/part/host.go
@@ -7,6 +7,7 @@
 	"sort"
 	"sync"
 
+	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"gopkg.in/tomb.v2"
 
@@ -137,6 +138,13 @@
 	// for it forever.
 	t.Go(func() error {
 		<-t.Dying()
+		if err := t.Err(); err != nil {
+			// The instance can't serve without the part.
+			h.Journal.Warn("a part of the process ended", err, log.Fields{
+				"part": f.Name,
+			})
+			h.RequestShutdown()
+		}
 		return nil
 	})
 	if err := p.Start(t); err != nil {
