--- a/internal/batch/coordinator/caller_test.go
+++ b/internal/batch/coordinator/caller_test.go
@@ -23,20 +23,20 @@
 		noOrganisations   bool
 		want              *problem.Kind
 	}{
-		{name: "own batch", submitter: "saddlers", caller: "saddlers"},
-		{name: "another organisation", submitter: "saddlers", caller: "bookbinders", want: &problem.NotFound},
-		{name: "a key is missing", submitter: "saddlers", want: &problem.Unauthorized},
+		{name: "own batch", submitter: "org-a", caller: "org-a"},
+		{name: "another organisation", submitter: "org-a", caller: "org-b", want: &problem.NotFound},
+		{name: "a key is missing", submitter: "org-a", want: &problem.Unauthorized},
 		{name: "without a key"},
-		{name: "submitted without a key", caller: "saddlers"},
+		{name: "submitted without a key", caller: "org-a"},
 		{name: "without organisations", noOrganisations: true},
-		{name: "the organisations are gone", submitter: "saddlers", noOrganisations: true},
+		{name: "the organisations are gone", submitter: "org-a", noOrganisations: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			d, _ := newCoordinator(t, nil)
 			var orgs []organisation.Organisation
 			if !c.noOrganisations {
-				orgs = []organisation.Organisation{{Name: "saddlers"}, {Name: "bookbinders"}}
+				orgs = []organisation.Organisation{{Name: "org-a"}, {Name: "org-b"}}
 			}
 			d.Config.Update(catalog.Configuration{
 				Version:       1,
@@ -75,7 +75,7 @@
 	is := is.New(t)
 	ctx := context.Background()
 	d, _ := newCoordinator(t, nil)
-	for _, org := range []string{"", "saddlers"} {
+	for _, org := range []string{"", "org-a"} {
 		_, err := d.Ledger.Accept(ctx, &submission.Submission{
 			ID:           submission.ScopedID("b", org),
 			Organisation: org,
@@ -83,9 +83,9 @@
 		})
 		is.NoErr(err)
 	}
-	body, err := d.For("saddlers").Body(ctx, "b", "x")
+	body, err := d.For("org-a").Body(ctx, "b", "x")
 	is.NoErr(err)
-	is.Equal(string(body), "of saddlers")
+	is.Equal(string(body), "of org-a")
 	body, err = d.For("").Body(ctx, "b", "x")
 	is.NoErr(err)
 	is.Equal(string(body), "of ")
@@ -97,7 +97,7 @@
 	is := is.New(t)
 	ctx := context.Background()
 	d, _ := newCoordinator(t, nil)
-	for _, org := range []string{"bookbinders", "saddlers"} {
+	for _, org := range []string{"org-b", "org-a"} {
 		_, err := d.Ledger.Accept(ctx, &submission.Submission{
 			ID:           submission.ScopedID("b", org),
 			Organisation: org,
