fleet/watchrelay: a slow service is not watched again and again

Since a watch of the service that was not answered within its bound was repeated, and an error returned if the second one was late as well; the caller then lists the whole prefix and begins anew. While the service takes longer for an answer than the slack, 0.3 s with a bound of 2 s, that is a listing and two watches every two seconds for each prefix of each instance that watches, at the very moment at which the service is slow.

The third watch waits as long as before did, and is no error. TestSlowServiceIsWatchedWithFewCalls failed before.

--- a/internal/fleet/watchrelay/deaf_test.go
+++ b/internal/fleet/watchrelay/deaf_test.go
@@ -65,3 +65,46 @@
 		})
 	}
 }
+
+// slowStore is a service that answers each call late.
+type slowStore struct {
+	*memorystore.Store
+	delay   time.Duration
+	watches int
+}
+
+// Watch implements keyvalue.TransactionalStore.
+func (s *slowStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
+	s.watches++
+	if !timer.Wait(timer.Real{}, s.delay, ctx.Done()) {
+		return nil, 0, ctx.Err()
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against watches that fail and are made again all the time while the service is slow, each
+// followed by a listing.
+func TestSlowServiceIsWatchedWithFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := timer.Real{}
+		store := &slowStore{
+			Store: &memorystore.Store{Timer: clock},
+			delay: time.Second,
+		}
+		self := registry.Member{Name: "i", PeerAddress: "i"}
+		r := &Relay{
+			TransactionalStore: store,
+			Registry: &view{
+				members: []registry.Member{self},
+				self:    self,
+			},
+			Timer:     clock,
+			Connected: func() bool { return true },
+		}
+		r.AddCopy("p/").Bound = 2 * time.Second
+		_, _, err := r.Watch(context.Background(), "p/", 0, 28*time.Second)
+		is.NoErr(err)
+		is.Equal(store.watches, 3)
+	})
+}
--- a/internal/fleet/watchrelay/relay.go
+++ b/internal/fleet/watchrelay/relay.go
@@ -179,27 +179,29 @@
 )
 
 // watchService watches the service itself. A watch of a prefix with a bound that is not answered in
-// time is made again over another connection, which returns at once what the first one did not hear.
+// time is made again over another connection, which returns at once what the first one did not hear. If
+// that is not answered either, the service is slow, and more calls would make it slower: the third one
+// waits as long as one of a prefix without a bound.
 func (r *Relay) watchService(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
 	bound := r.copies[prefix].Bound
 	if bound <= 0 {
 		return r.watchOnce(ctx, prefix, after, wait)
 	}
-	wait = min(wait, time.Duration(watchWaitShare*float64(bound)))
 	slack := time.Duration(watchSlackShare * float64(bound))
-	call, cancel := context.WithTimeout(ctx, wait+slack)
-	defer cancel()
-	changes, revision, err := r.watchOnce(call, prefix, after, wait)
-	if err == nil || call.Err() == nil || ctx.Err() != nil {
-		return changes, revision, err
+	for _, wait := range []time.Duration{min(wait, time.Duration(watchWaitShare*float64(bound))), 0} {
+		call, cancel := context.WithTimeout(ctx, wait+slack)
+		changes, revision, err := r.watchOnce(call, prefix, after, wait)
+		late := call.Err() != nil && ctx.Err() == nil
+		cancel()
+		if err == nil || !late {
+			return changes, revision, err
+		}
+		r.Journal.Info("watch of the service hears nothing", log.Fields{
+			"prefix":    prefix,
+			"waited_ms": (wait + slack).Milliseconds(),
+		})
 	}
-	r.Journal.Info("watch of the service hears nothing", log.Fields{
-		"prefix":    prefix,
-		"waited_ms": (wait + slack).Milliseconds(),
-	})
-	again, cancelAgain := context.WithTimeout(ctx, slack)
-	defer cancelAgain()
-	return r.watchOnce(again, prefix, after, 0)
+	return r.watchOnce(ctx, prefix, after, wait)
 }
 
 // watchOnce makes one watch of the service.
