route/admission: a stream that can't end before its deadline is refused, not sent

The gate only asked whether the beginning of the answer would come in time.

For a stream it asks for the whole answer now, by the time for which streams occupied their upstream lately. One that would wait too long is refused at once, not run, with Retry-After, and its client turns to another instance. Plain requests are as before.

TestStreamThatCannotEndInTimeIsRefused failed before.

--- a/internal/route/admission/gate.go
+++ b/internal/route/admission/gate.go
@@ -120,6 +120,9 @@
 	w.index = -1
 	if r.Deadline != 0 {
 		run := max(time.Duration(g.answerTime[r.Class]), minAnswerTime)
+		if r.Stream {
+			run = max(run, time.Duration(g.serviceTime[r.Class]))
+		}
 		w.Expires = r.Deadline.Add(-run)
 		if now.Add(wait) > w.Expires {
 			w.Refusal = g.refuse(r, ReasonDeadline, wait, now)
--- a/internal/route/admission/gate_test.go
+++ b/internal/route/admission/gate_test.go
@@ -86,6 +86,25 @@
 	is.Equal(w.Refusal.RetryAfter, 800*time.Millisecond) // with a jitter factor of 1
 }
 
+// Guards against a stream that waits until it can begin, but not end, before its deadline, and is broken off
+// then.
+func TestStreamThatCannotEndInTimeIsRefused(t *testing.T) {
+	is := is.New(t)
+	now := at(0)
+	g := newGate(1)
+	is.True(g.Admit(Interactive, now))
+	g.Finish(Interactive, Answered, Timing{10 * time.Millisecond, 4 * time.Second}, Report{}, now)
+	g.interactive.size = 1
+	fill(g, Interactive, now)
+	w := enqueue(g, Request{Stream: true, Deadline: at(10 * time.Second)}, now) // begins after 4 s
+	is.Equal(w.Refusal.Reason, "")
+	is.Equal(w.Expires, at(6*time.Second))
+	w = enqueue(g, Request{Stream: true, Deadline: at(10 * time.Second)}, now) // after 8 s
+	is.Equal(w.Refusal.Reason, ReasonDeadline)
+	w = enqueue(g, Request{Deadline: at(10 * time.Second)}, now)
+	is.Equal(w.Refusal.Reason, "")
+}
+
 // Guards against a client that is refused, returns at once with less time left and therefore
 // overtakes requests that have waited.
 func TestRetryOfRefusedRequestDoesNotOvertake(t *testing.T) {
--- a/internal/route/admission/request.go
+++ b/internal/route/admission/request.go
@@ -38,6 +38,8 @@
 	// Deadline is when the answer is needed. The request is refused once it can't be met;
 	// zero means that it waits until it is withdrawn.
 	Deadline timer.Instant
+	// Stream means that the whole answer must have come by the Deadline, not only its beginning.
+	Stream bool
 	// Due orders requests without a Deadline.
 	Due timer.Instant
 	// Revalidator is asked while the request waits whether it still belongs to this gate; it
--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -16,6 +16,7 @@
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/admission"
+	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/residency"
 	"github.com/egretbend/egretbend/internal/route/upstream"
 )
@@ -113,6 +114,7 @@
 		OrganisationPriority: d.req.OrganisationPriority,
 		RoutePriority:        d.req.Route.Priority,
 		Deadline:             d.deadline,
+		Stream:               d.req.Route.Kind == catalog.Streaming,
 		Revalidator:          d,
 	}
 	if r.Class == admission.Reward {
