wire: fill a budget without connections in the test of the bound

The test filled it while a connection of the same client was on its way to the idle ones, so closing idle connections returned a slot: a race of the test, about 2 of 300 runs under -race, 2 of 3,000 when the test waited for idle connections.

The refusal is now asserted with a client that never had a connection, and that the refusal neither takes nor frees a slot is asserted too. 0 of 6,000 runs fail under -race; without the refusal, and without closing idle connections, the test fails.

--- a/internal/route/wire/descriptor_test.go
+++ b/internal/route/wire/descriptor_test.go
@@ -1,9 +1,11 @@
 package wire
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"testing"
 
 	"github.com/matryer/is"
@@ -23,25 +25,35 @@
 		Descriptors: descriptor.New(64),
 	}
 	defer c.CloseIdle()
-	do := func(url string) error {
-		req, err := http.NewRequest(http.MethodGet, url, nil)
+	// do returns once the connection is idle.
+	do := func(c *Client, url string) error {
+		idle := make(chan struct{})
+		ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+			PutIdleConn: func(error) { close(idle) },
+		})
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 		is.NoErr(err)
 		res, _, err := c.Do(req, Pooled)
 		if err == nil {
 			_ = res.Body.Close()
+			<-idle
 		}
 		return err
 	}
-	is.NoErr(do(s.URL))
+	is.NoErr(do(c, s.URL))
 	is.Equal(c.Descriptors.Held(descriptor.Upstreams), 1)
 	for c.Descriptors.Take(descriptor.Upstreams) {
 	}
-	is.NoErr(do(other.URL)) // the idle connection is closed
-	for c.Descriptors.Take(descriptor.Upstreams) {
+	is.NoErr(do(c, other.URL)) // the idle connection is closed
+
+	// Without a connection of its own to close, a client has nothing to send over.
+	full := &Client{
+		Descriptors: descriptor.New(64),
 	}
-	c.CloseIdle()
-	for c.Descriptors.Take(descriptor.Upstreams) {
+	for full.Descriptors.Take(descriptor.Upstreams) {
 	}
-	err := do(s.URL)
+	held := full.Descriptors.Held(descriptor.Upstreams)
+	err := do(full, s.URL)
 	is.True(errors.Is(err, ErrNoDescriptor))
+	is.Equal(full.Descriptors.Held(descriptor.Upstreams), held) // a refusal takes no slot and frees none
 }
