--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(log *record, trouble bool) ([]string, error){
 	"expect-version": expectVersion,
 	"route-moved":    routeMoved,
+	"late-refusal":   lateRefusal,
 }
 
 func main() {
