--- a/review/_standin2/expect_version.go
+++ b/review/_standin2/expect_version.go
@@ -52,6 +52,9 @@
 	got := map[string]result{}
 	after, end := 0, time.Now().Add(limit)
 	for i := 0; time.Now().Before(end) && len(got) < total; i++ {
+		if s.betweenReads != nil {
+			s.betweenReads()
+		}
 		_, results, next := s.read(s.nodes[i%len(s.nodes)], host, id, after, 0)
 		for _, r := range results {
 			got[r.ID] = r
@@ -78,7 +81,7 @@
 	zones := []string{"mechelen-a", "mechelen-b", "antwerpen-a"}
 	for i := range 4 {
 		sm := &sampler{
-			id: fmt.Sprintf("i-7f3a91c%d", i), service: "huvo11a", zone: zones[i%3], slots: 12, models: true,
+			id: fmt.Sprintf("i-7f3a91%02d", i), service: "huvo11a", zone: zones[i%3], slots: 12, models: true,
 			interval: 100 * time.Millisecond, events: 12, versions: map[string]uint64{model: 1},
 		}
 		if err := s.addSampler(sm); err != nil {
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -23,6 +23,8 @@
 	"expect-version": expectVersion,
 	"route-moved":    routeMoved,
 	"late-refusal":   lateRefusal,
+	"same-name":      sameName,
+	"nested-name":    nestedName,
 }
 
 func main() {
--- a/review/_standin2/route_moved.go
+++ b/review/_standin2/route_moved.go
@@ -25,9 +25,9 @@
 	defer s.close(false)
 	s.store.put(names["config"], []byte(movedConfiguration(7, "huvo11a")))
 	zones := []string{"mechelen-a", "mechelen-b", "antwerpen-a"}
-	for i := range 6 {
+	for i := range 14 {
 		sm := &sampler{
-			id: fmt.Sprintf("i-7f3a91c%d", i), service: "huvo11a", zone: zones[i%3], slots: 12, models: true,
+			id: fmt.Sprintf("i-7f3a91%02d", i), service: "huvo11a", zone: zones[i%3], slots: 12, models: true,
 			interval: 100 * time.Millisecond, events: 12, versions: map[string]uint64{model: 1},
 		}
 		if i >= 2 {
--- a/review/_standin2/system.go
+++ b/review/_standin2/system.go
@@ -49,7 +49,9 @@
 	samplers []*sampler
 	nodes    []*node
 	nextPort int
-	stop     chan struct{}
+	// betweenReads is called between two reads of a batch; it may be nil.
+	betweenReads func()
+	stop         chan struct{}
 }
 
 func newSystem(log *record) (*system, error) {
@@ -186,6 +188,8 @@
 finish-s = 10
 status-ttl-s = 120
 cancel-ms = 3000
+revoke-strict = true
+revoke-ms = 5000
 settle-ms = 1000
 quota-overage = 0.1
 fencing-required = false
