kernel/dial: a reset that a write learns of is not an orderly end

Callers got a part of a response as a complete 200: the upstream sent a head without a length and 500 bytes, and reset the connection while the request was still being written to it.

Cause: the kernel reports a reset to one call only. If the write of the request gets it, later reads return what was received and then 0 bytes, as after FIN, and a response that ends with its connection ends in io.EOF.

A connection now keeps the error with which a write learned of the loss, and a read that would end with io.EOF returns it. A write in progress is ended first, as it may learn of the reset in that moment; nothing that it sends can be answered any more. A reset that follows FIN is reported as EPIPE, so a response that was ended in order stays complete (TestResetAfterAnOrderlyEndIsIgnored, TestSoundResponsesAreReturned).

The connections of all clients that use dial get this: to upstreams (plain, streaming, items, reward calls, health, reports, orders, the cloud interface, the documented interface's services and engines), to the store and between instances, also below TLS.

--- a/internal/kernel/dial/dial.go
+++ b/internal/kernel/dial/dial.go
@@ -19,7 +19,8 @@
 	KeepAlive net.KeepAliveConfig
 }
 
-// DialContext opens a TCP connection that is reset when it is closed.
+// DialContext opens a TCP connection that is reset when it is closed. Its reads end with io.EOF only
+// if the peer has closed it in order, also if a write learned of a reset first.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	nd := net.Dialer{
 		Timeout:         d.Timeout,
@@ -38,7 +39,9 @@
 			return nil, err
 		}
 	}
-	return nc, nil
+	return &conn{
+		Conn: nc,
+	}, nil
 }
 
 // SetUserTimeout sets the UserTimeout of an open TCP connection.
--- a/internal/kernel/dial/dial_test.go
+++ b/internal/kernel/dial/dial_test.go
@@ -26,7 +26,7 @@
 	is.NoErr(err)
 	defer peer.Close()
 	is.NoErr(peer.(*net.TCPConn).SetReadBuffer(16 << 10))
-	is.NoErr(nc.(*net.TCPConn).SetWriteBuffer(1 << 20))
+	is.NoErr(nc.(*conn).Conn.(*net.TCPConn).SetWriteBuffer(1 << 20))
 	is.NoErr(nc.SetWriteDeadline(time.Now().Add(200 * time.Millisecond)))
 	written, err := nc.Write(make([]byte, 64<<20))
 	is.True(err != nil) // the buffers are full
--- a/internal/route/wire/conn.go
+++ b/internal/route/wire/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -121,11 +122,11 @@
 		return true // a write is waiting
 	}
 	c.mu.Unlock()
-	tcp, ok := c.Conn.(*net.TCPConn)
+	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := sc.SyscallConn()
 	if err != nil {
 		return false
 	}
