kernel/answer: a response with a status that HTTP does not have is invalid

Callers whose upstream answered with status 000 or 099 got no response: their connection was closed, with whatever else it was for. Statuses from 600 and an unasked 101 were passed on.

Cause: the standard client accepts any three characters that are a number, and the server panics when such a status is written. Nothing between them checked it.

All clients now take a response only if answer.Check accepts its head: the client of upstreams, of the store and of the documented interface's platform. It is rejected before a load report, Not-Run or a cold time is read from it, its connection is closed, also below TLS, and the request fails as at any upstream that may have run it: 502 at once, or the next attempt.

--- a/internal/outside/keyvalue/http.go
+++ b/internal/outside/keyvalue/http.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/egretbend/egretbend/internal/kernel/answer"
 )
 
 // The paths of the HTTP protocol. Every call is a POST with a Request as JSON request
@@ -61,6 +63,9 @@
 	Adapters.Add("http", func(address string) Store {
 		return &HTTP{
 			Address: address,
+			Client: http.Client{
+				Transport: answer.Transport{},
+			},
 		}
 	})
 }
--- a/internal/outside/roster/source.go
+++ b/internal/outside/roster/source.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 
+	"github.com/egretbend/egretbend/internal/kernel/answer"
 	"github.com/egretbend/egretbend/internal/kernel/part"
 )
 
@@ -36,6 +37,9 @@
 	Adapters.Add("http", func(address string) Source {
 		return &HTTP{
 			Address: address,
+			Client: http.Client{
+				Transport: answer.Transport{},
+			},
 		}
 	})
 }
--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/egretbend/egretbend/internal/kernel/answer"
 	"github.com/egretbend/egretbend/internal/kernel/descriptor"
 	"github.com/egretbend/egretbend/internal/kernel/dial"
 )
@@ -136,7 +137,7 @@
 }
 
 // Do sends req and reports whether any byte of it may have been sent. A response is
-// returned only with a nil error.
+// returned only with a nil error, and only if its head is valid.
 func (c *Client) Do(req *http.Request, reuse Reuse) (res *http.Response, sent bool, err error) {
 	c.once.Do(c.configureTransports)
 	tracker := &connTracker{
@@ -166,6 +167,11 @@
 		}
 		return nil, sent, err
 	}
+	if err := answer.Check(res); err != nil {
+		tracker.sealAll()
+		_ = res.Body.Close()
+		return nil, true, err
+	}
 	return res, true, nil
 }
 
@@ -302,36 +308,26 @@
 
 // gotConn is called by httptrace with each connection that the request is given.
 func (t *connTracker) gotConn(info httptrace.GotConnInfo) {
-	c, ok := info.Conn.(*conn)
+	c, secure := connOf(info.Conn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	setDeliveryTimeout(info.Conn, t.deliveryTimeout)
+	c.setDeliveryTimeout(t.deliveryTimeout)
 	if len(t.uses) > 0 {
 		// The other side closed the connection before it received the request.
 		t.idleLost(0)
 	}
-	if ok {
-		t.last = c
-		c.idle.use(t)
-	}
+	t.last = c
+	c.idle.use(t)
 	if t.beforeWrite != nil {
 		t.withheld = t.beforeWrite()
 	}
 	if t.withheld != nil {
 		// The transport writes the request next. The write fails on a closed connection.
-		if ok {
-			c.seal()
-		} else {
-			_ = info.Conn.Close()
-		}
-		return
-	}
-	if !ok {
-		// A TLS connection hides the counted one below it, so bytes of the
-		// request may have been sent without being counted.
-		t.uncounted = true
+		c.seal()
 		return
 	}
+	// A TLS connection writes to the counted one below it at other times, too.
+	t.uncounted = t.uncounted || secure
 	t.uses = append(t.uses, connUse{
 		conn:          c,
 		writtenBefore: c.bytesWritten(),
--- a/internal/route/wire/conn.go
+++ b/internal/route/wire/conn.go
@@ -90,12 +90,18 @@
 	return c.Conn.Write(p)
 }
 
-// setDeliveryTimeout sets the TCP_USER_TIMEOUT of a connection of a Client.
-func setDeliveryTimeout(nc net.Conn, d time.Duration) {
-	if secure, ok := nc.(*tls.Conn); ok {
-		nc = secure.NetConn()
+// connOf returns the connection that a Client opened for nc, and whether nc encrypts what is written
+// to it.
+func connOf(nc net.Conn) (c *conn, secure bool) {
+	if s, ok := nc.(*tls.Conn); ok {
+		return s.NetConn().(*conn), true
 	}
-	if c, ok := nc.(*conn); ok && c.deliveryTimeout != d && dial.SetUserTimeout(c.Conn, d) == nil {
+	return nc.(*conn), false
+}
+
+// setDeliveryTimeout sets the TCP_USER_TIMEOUT of the connection.
+func (c *conn) setDeliveryTimeout(d time.Duration) {
+	if c.deliveryTimeout != d && dial.SetUserTimeout(c.Conn, d) == nil {
 		c.deliveryTimeout = d
 	}
 }
