kernel/answer: a field name with a blank makes a response invalid

Callers got a whole 200 whose head had such a line, or whose body was the chunks' framing as well ("Transfer-Encoding : chunked" beside a length); with "Content-Length : 9" they waited until their deadline, and on streaming routes got a 200 that ended early.

Cause: the standard client keeps a field whose name has a blank under that name, for lack of a canonical one, so that a length or a coding is not seen. It rejects control bytes by itself.

answer.Check rejects these names, before anything is read from the response. TestInvalidFraming, for heads that are ill-formed in other ways, passed before: the standard client rejects them, and the test is kept.

--- a/internal/kernel/answer/check.go
+++ b/internal/kernel/answer/check.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // ErrInvalid means that the upstream sent something that is not a valid final response.
@@ -19,5 +20,12 @@
 	if res.StatusCode < http.StatusOK || res.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %03d", ErrInvalid, res.StatusCode)
 	}
+	for name := range res.Header {
+		// The standard library rejects all other bytes that a name must not have. A field that it
+		// keeps under such a name may be the length or the coding of the body.
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("%w: a blank in the field name %.80q", ErrInvalid, name)
+		}
+	}
 	return nil
 }
--- a/internal/kernel/answer/check_test.go
+++ b/internal/kernel/answer/check_test.go
@@ -25,6 +25,7 @@
 	is := is.New(t)
 	for _, head := range []string{
 		"HTTP/1.1 000 X\r\n", "HTTP/1.1 099 X\r\n", "HTTP/1.1 +20 X\r\n", "HTTP/1.1 101 X\r\n", "HTTP/1.1 600 X\r\n",
+		"HTTP/1.1 200 OK\r\nX Y: 1\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 9\r\n", "HTTP/1.1 200 OK\r\nA: 1\r\nTransfer-Encoding : chunked\r\n",
 	} {
 		t.Logf("%q", head)
 		is.True(errors.Is(Check(parse(t, head)), ErrInvalid))
