kernel/answer: a 204 that announces content is invalid

Callers got a 204 without the body that its head announces. The standard client drops such a body, as the status allows none, and nothing said that the response is not what the upstream meant.

answer.Check rejects a 204 with a coding or a length other than 0. A 304 may state the length of what it stands for and stays valid.

--- a/internal/kernel/answer/check.go
+++ b/internal/kernel/answer/check.go
@@ -20,6 +20,9 @@
 	if res.StatusCode < http.StatusOK || res.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %03d", ErrInvalid, res.StatusCode)
 	}
+	if res.StatusCode == http.StatusNoContent && hasContent(res) {
+		return fmt.Errorf("%w: status %d with content", ErrInvalid, res.StatusCode)
+	}
 	for name := range res.Header {
 		// The standard library rejects all other bytes that a name must not have. A field that it
 		// keeps under such a name may be the length or the coding of the body.
@@ -29,3 +32,9 @@
 	}
 	return nil
 }
+
+// hasContent reports whether the head announces a body.
+func hasContent(res *http.Response) bool {
+	length := res.Header.Get("Content-Length")
+	return len(res.TransferEncoding) > 0 || length != "" && length != "0"
+}
--- a/internal/kernel/answer/check_test.go
+++ b/internal/kernel/answer/check_test.go
@@ -26,6 +26,7 @@
 	for _, head := range []string{
 		"HTTP/1.1 000 X\r\n", "HTTP/1.1 099 X\r\n", "HTTP/1.1 +20 X\r\n", "HTTP/1.1 101 X\r\n", "HTTP/1.1 600 X\r\n",
 		"HTTP/1.1 200 OK\r\nX Y: 1\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 9\r\n", "HTTP/1.1 200 OK\r\nA: 1\r\nTransfer-Encoding : chunked\r\n",
+		"HTTP/1.1 204 X\r\nContent-Length: 1\r\n", "HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n",
 	} {
 		t.Logf("%q", head)
 		is.True(errors.Is(Check(parse(t, head)), ErrInvalid))
@@ -36,7 +37,7 @@
 func TestValidHeads(t *testing.T) {
 	is := is.New(t)
 	for _, head := range []string{
-		"HTTP/1.1 200\r\n", "HTTP/1.1 200 \r\nserver-stamp: x\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 204 No Content\r\n",
+		"HTTP/1.1 200\r\n", "HTTP/1.1 200 \r\nserver-stamp: x\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 204 No Content\r\n", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n",
 		"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n", "HTTP/1.1 599 X\r\nTransfer-Encoding: chunked\r\n",
 		"HTTP/1.1 200 OK\r\nX_!#$%&'*+-.^`|~9: \t value with blanks\r\n",
 	} {
