entry/budget: responses without end don't wait for each other

Requests whose upstream sends bytes without end got 504 at their deadline, some of them or all, and no other response had room meanwhile.

Cause: while memory for buffers is scarce, one response of unknown length grows at a time. It can grow until the bound is held, and if the others can't end either, all wait for room that none gives back.

Sound responses that fit end as before (TestResponsesOfUnknownLengthEnd).

--- a/internal/entry/budget/budget.go
+++ b/internal/entry/budget/budget.go
@@ -47,6 +47,9 @@
 	// ErrNeverFits is returned for a response that exceeds the whole bound by itself or
 	// together with its request.
 	ErrNeverFits = errors.New("the request and its response are larger than the memory for buffers")
+	// ErrNoRoom is returned for a response of unknown length that holds much of the bound, while
+	// others hold the rest.
+	ErrNoRoom = errors.New("the response has no known end, and there is no room for more of it")
 )
 
 // Bytes returns the bound for an instance with the given memory. Zero means no bound.
@@ -70,6 +73,8 @@
 	// scarce, and grownAt when it grew last.
 	grower  *Lease
 	grownAt timer.Instant
+	// waiting is the part of held whose responses wait for room.
+	waiting int64
 	// holders is the ring of open leases. Its head is no lease.
 	holders Lease
 }
@@ -252,7 +257,7 @@
 // Await reserves n bytes for a response, whose request has run and can't be refused any
 // more. It waits for room until ctx is done, and cuts idle holders meanwhile.
 func (l *Lease) Await(ctx context.Context, n int64) error {
-	return l.await(ctx, n, func() bool { return true })
+	return l.await(ctx, n, false)
 }
 
 // Release returns n bytes before the lease is closed.
--- a/internal/entry/budget/room.go
+++ b/internal/entry/budget/room.go
@@ -12,35 +12,43 @@
 // awaitGrowth is Await for the next part of a response of unknown length. While memory is
 // scarce, one response grows at a time: if several held a part and waited for room for
 // the rest, they would wait for each other.
-func (l *Lease) awaitGrowth(ctx context.Context, n int64) error {
-	return l.await(ctx, n, func() bool { return l.mayGrow(n) })
-}
+func (l *Lease) awaitGrowth(ctx context.Context, n int64) error { return l.await(ctx, n, true) }
 
-// await waits until there is room for n bytes and may, which is called with budget.mu
-// held, reports true.
-func (l *Lease) await(ctx context.Context, n int64, may func() bool) error {
+// await waits until there is room for n bytes of a response. growing is set for the next part of one
+// of unknown length.
+func (l *Lease) await(ctx context.Context, n int64, growing bool) error {
 	if l == nil || n <= 0 {
 		return nil
 	}
 	b := l.budget
+	since := b.timer.Now()
 	for {
 		b.mu.Lock()
 		switch {
 		case l.closed || l.cut:
 			b.mu.Unlock()
 			return ErrClosed
-		case b.limit <= 0 || b.held+n <= b.limit && may():
+		case b.limit <= 0 || b.held+n <= b.limit && (!growing || l.mayGrow(n)):
 			l.add(n)
 			b.mu.Unlock()
 			return nil
 		case l.bytes+n > b.limit:
 			b.mu.Unlock()
 			return ErrNeverFits
+		case growing && l.mustYield(n, since):
+			b.mu.Unlock()
+			return ErrNoRoom
 		}
+		bytes := l.bytes
+		b.waiting += bytes
 		victims := b.makeRoom(b.limit, n)
 		b.mu.Unlock()
 		b.logCuts(victims)
-		if !timer.Wait(b.timer, roomPollInterval, ctx.Done()) {
+		ok := timer.Wait(b.timer, roomPollInterval, ctx.Done())
+		b.mu.Lock()
+		b.waiting -= bytes
+		b.mu.Unlock()
+		if !ok {
 			return ctx.Err()
 		}
 	}
@@ -62,6 +70,18 @@
 	return true
 }
 
+// mustYield reports whether a response of unknown length, which has waited since an instant for room
+// for n bytes, must end: it may have no end itself, and what it holds is room for others. That is so if
+// there is no room even after all have ended that don't wait, or if it has waited for minIdle.
+// budget.mu must be held.
+func (l *Lease) mustYield(n int64, since timer.Instant) bool {
+	b := l.budget
+	if b.held+n <= b.limit || b.grower != nil && b.grower != l {
+		return false
+	}
+	return b.waiting+l.bytes+n > b.limit || b.timer.Now().Sub(since) >= minIdle
+}
+
 // endGrowth lets another response grow. mu must be held.
 func (b *Budget) endGrowth(l *Lease) {
 	if b.grower == l {
