outside: responses of the key-value service and of the instance list are bounded

An instance whose key-value service or instance list sent a body without end held what it read until the call ran out of time.

A response of the key-value service has at most 8 MiB, as that of the platform's store, and the list 16 MiB. A longer one is cut there and is no JSON any more, so that the call fails.

--- a/internal/outside/keyvalue/http.go
+++ b/internal/outside/keyvalue/http.go
@@ -25,6 +25,9 @@
 	PathRevoke    = "/kv/revoke"
 )
 
+// maxResponseBytes bounds a response. A value has at most a megabyte, and a third more as base64.
+const maxResponseBytes = 8 << 20
+
 // Request is the request body of all paths; each path uses some of its fields.
 type Request struct {
 	Key    string `json:"key,omitempty"`
@@ -140,7 +143,7 @@
 		return Item{}, fmt.Errorf("%w: %w", classifyError(err), err)
 	}
 	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
 	if err != nil {
 		return Item{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
--- a/internal/outside/roster/source.go
+++ b/internal/outside/roster/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 
 	"github.com/egretbend/egretbend/internal/kernel/answer"
@@ -33,6 +34,9 @@
 // PathList is the path at which the HTTP protocol serves the list as JSON.
 const PathList = "/instances"
 
+// maxListBytes bounds the list, which has some 200 bytes for each of 10,000 instances.
+const maxListBytes = 16 << 20
+
 func init() {
 	Adapters.Add("http", func(address string) Source {
 		return &HTTP{
@@ -65,7 +69,7 @@
 		return nil, fmt.Errorf("instance list: status %d", res.StatusCode)
 	}
 	var list []Instance
-	if err := json.NewDecoder(res.Body).Decode(&list); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxListBytes)).Decode(&list); err != nil {
 		return nil, fmt.Errorf("instance list: %w", err)
 	}
 	return list, nil
