platform: an item whose stream goes on without events is read no further

An engine that sent lines without end for an item took the memory of the instance, where they are data of one event, or was read until the batch was over, where they are none.

Cause: a line was bounded, but not the lines between two events.

--- a/internal/outside/engine/completions.go
+++ b/internal/outside/engine/completions.go
@@ -29,6 +29,9 @@
 	dataPrefix   = "data: "
 	// maxEventSize is the largest event and the largest load report, in bytes.
 	maxEventSize = 1 << 20
+	// maxSilentBytes is how much of a stream is read without a token. It leaves room for
+	// other lines beside the largest event.
+	maxSilentBytes = 2 * maxEventSize
 )
 
 // CompletionRequest is the JSON body of a completion request.
@@ -102,7 +105,11 @@
 	lines.Buffer(make([]byte, 0, 4096), maxEventSize)
 	var finish Finish
 	next := len(req.Resume)
+	read := 0 // bytes since the last token
 	for lines.Scan() {
+		if read += len(lines.Bytes()) + 1; read > maxSilentBytes {
+			return finish, fmt.Errorf("%w: over %d bytes without a token", ErrIncompleteResponse, maxSilentBytes)
+		}
 		data, ok := bytes.CutPrefix(lines.Bytes(), []byte(dataPrefix))
 		if !ok {
 			continue
@@ -132,6 +139,7 @@
 				return finish, fmt.Errorf("%w: got token %d, expected token %d", ErrIncompleteResponse, choice.Index, next)
 			}
 			next++
+			read = 0
 			if err := emit(Token{
 				Index:   choice.Index,
 				Text:    choice.Text,
