route/forward: a reward call is never quarantined

An item of a batch was finished but for its reward, and its reward call was not sent for ten minutes after four upstreams had crashed while they ran it; the item was listed by nobody. Its upstreams were calm and had room all the time.

Cause: reward calls go through the detection of requests that crash upstreams. Four crashes in a row quarantine such a request for a minute and longer, and each further one multiplies that; a claim and the sparing of the last upstreams delay it, too. That is right for requests of clients. A reward call was handed in with its batch and is owed.

Reward calls are neither judged, claimed nor reported as a possible cause of a crash. Plain requests keep all of it.

TestWaitingRequestIsJudgedAgain used a reward call for a rule of plain requests. It uses a plain request now, and checks that it waits at the gate.

Ruled out: items themselves are not judged, and wait for 4 s at most after an engine was lost; the ejection of an engine ends with its incarnation.

--- a/internal/batch/runner/reward_test.go
+++ b/internal/batch/runner/reward_test.go
@@ -12,12 +12,15 @@
 	"github.com/matryer/is"
 
 	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/fleet/crashnotice"
 	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/kernel/timer"
 	"github.com/egretbend/egretbend/internal/outside/engine"
 	"github.com/egretbend/egretbend/internal/route/admission"
 	"github.com/egretbend/egretbend/internal/route/catalog"
+	"github.com/egretbend/egretbend/internal/route/crash"
 	"github.com/egretbend/egretbend/internal/route/forward"
+	"github.com/egretbend/egretbend/internal/route/poison"
 	"github.com/egretbend/egretbend/internal/route/slowstart"
 )
 
@@ -118,3 +121,91 @@
 	is.True(clock.Now().Sub(timer.Instant(time.Hour)) < 33*time.Second)
 	is.True(strings.Count(lines.String(), "\n") <= 2*31+2)
 }
+
+// crashingSender is a Sender whose upstreams crash during this many sends and answer the others.
+type crashingSender struct {
+	crashes int32
+	sent    atomic.Int32
+}
+
+// Send implements forward.Sender.
+func (s *crashingSender) Send(context.Context, *catalog.Upstream, forward.Request, time.Duration) (*forward.Answer, error) {
+	if s.sent.Add(1) <= s.crashes {
+		return nil, engine.ErrConnectionLost
+	}
+	return &forward.Answer{Status: http.StatusOK, Signature: "proof"}, nil
+}
+
+// fixedSecret is a crashnotice.Secret.
+type fixedSecret string
+
+// Value implements crashnotice.Secret.
+func (s fixedSecret) Value() []byte { return []byte(s) }
+
+// crashRecorder is a forward.CrashReporter that takes each cut for the crash of another upstream.
+type crashRecorder struct {
+	board  *crashnotice.Board
+	secret fixedSecret
+	cuts   atomic.Int32
+}
+
+// ReportCutOff implements forward.CrashReporter.
+func (r *crashRecorder) ReportCutOff(c crash.Cut) {
+	r.board.RecordCrash(poison.Crash{
+		Incarnation: crash.IncarnationOf(c.RequestID, uint64(r.cuts.Add(1))),
+		Fingerprint: c.Digest.Keyed(r.secret.Value()),
+		At:          c.At,
+		Consecutive: c.Consecutive,
+	})
+}
+
+// Guards against a reward call that is refused for a minute and longer, and its item with it, because
+// several upstreams crashed while they ran it.
+func TestRewardCallIsAnsweredAfterCrashes(t *testing.T) {
+	is := is.New(t)
+	clock := &timer.Manual{}
+	clock.Advance(time.Hour)
+	upstreams := &catalog.Upstreams{Timer: clock}
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		upstreams.Update([]catalog.Entry{{ID: id, Service: "s", Slots: 2}}, nil)
+	}
+	holder := &catalog.Holder{}
+	holder.Update(catalog.Configuration{
+		Version: 1,
+		Routes: []catalog.Route{{
+			Host:     "h",
+			Prefix:   "/",
+			Kind:     catalog.Idempotent,
+			Split:    []catalog.WeightedService{{Service: "s", Weight: 1}},
+			Timeout:  time.Second,
+			Attempts: 2,
+		}},
+	}.WithIndex())
+	for _, crashes := range []int32{3, 4, 5, 9, 15} {
+		secret := fixedSecret("secret")
+		board := &crashnotice.Board{Secret: secret, Timer: clock}
+		sender := &crashingSender{crashes: crashes}
+		scorer := &RewardScorer{
+			Config: holder,
+			Forwarder: &forward.Forwarder{
+				Upstreams:      upstreams,
+				Sender:         sender,
+				Timer:          clock,
+				CrashReporter:  &crashRecorder{board: board, secret: secret},
+				PoisonDetector: board,
+			},
+			Timer: clock,
+		}
+		began := clock.Now()
+		stop := clock.Run(10*time.Millisecond, 100*time.Microsecond)
+		signature, err := scorer.Score(context.Background(), &submission.Reward{ID: "r", Host: "h", Path: "/score"}, "", 0)
+		stop()
+		is.NoErr(err)
+		is.Equal(signature, "proof")
+		t.Logf("%d crashes: answered after %s", crashes, clock.Now().Sub(began))
+		is.True(clock.Now().Sub(began) < owedWithin)
+	}
+}
+
+// owedWithin is the longest time without an attempt at an item that the platform allows while it is calm.
+const owedWithin = 5 * time.Second
--- a/internal/route/forward/claim.go
+++ b/internal/route/forward/claim.go
@@ -46,7 +46,7 @@
 // upstreams or may be sent now. It waits for the result of the check of a cut attempt, and
 // for a claim that another instance holds.
 func (d *dispatch) startClaimedAttempt(ctx context.Context) error {
-	if d.f.CrashClaims == nil || d.f.PoisonDetector == nil || d.sent == 0 && !d.verdict.Suspected() {
+	if d.f.CrashClaims == nil || !d.mayBePoison() || d.sent == 0 && !d.verdict.Suspected() {
 		return d.startAttempt(ctx)
 	}
 	limit := min(maxProbeWait, d.timeLeft()/probeWaitShare)
@@ -117,7 +117,7 @@
 // serialOnly reports whether the request must not be hedged, as it is suspected of crashing
 // upstreams.
 func (d *dispatch) serialOnly() bool {
-	if d.f.CrashClaims == nil || d.f.PoisonDetector == nil {
+	if d.f.CrashClaims == nil || !d.mayBePoison() {
 		return false
 	}
 	return d.claims.held != nil || d.claims.once || d.f.PoisonDetector.Judge(d.req.digest).Suspected()
--- a/internal/route/forward/gate.go
+++ b/internal/route/forward/gate.go
@@ -38,7 +38,7 @@
 // judgeAgain renews the verdict on a request that may have waited at the gate, and returns an
 // error if the request is quarantined by now.
 func (d *dispatch) judgeAgain() error {
-	if d.gate == nil || d.f.PoisonDetector == nil || d.verdict.Trial {
+	if d.gate == nil || !d.mayBePoison() || d.verdict.Trial {
 		return nil
 	}
 	d.verdict = d.f.PoisonDetector.Judge(d.req.digest)
--- a/internal/route/forward/gate_test.go
+++ b/internal/route/forward/gate_test.go
@@ -227,14 +227,14 @@
 // RecordAnswer implements PoisonDetector.
 func (d *changingDetector) RecordAnswer(func() fingerprint.Digest) {}
 
-// waitAtGate starts a reward call that waits at the gate, calls change, lets it pass and returns
-// its answer.
-func waitAtGate(t *testing.T, f *Forwarder, change func()) (*Answer, error) {
+// waitAtGate starts a request that waits at the gate, calls change, lets it pass and returns its answer.
+func waitAtGate(t *testing.T, f *Forwarder, class admission.Class, change func()) (*Answer, error) {
 	t.Helper()
 	is := is.New(t)
 	g := f.testGate()
-	for range 12 { // the starting window
-		is.NoErr(g.Acquire(context.Background(), admission.Request{Class: admission.Reward}))
+	const window = 200 // above any starting window
+	for range window {
+		g.Enter(class)
 	}
 	type result struct {
 		answer *Answer
@@ -242,13 +242,14 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		answer, err := f.Do(context.Background(), Request{ID: "x", Route: patient(catalog.Idempotent), Class: admission.Reward})
+		answer, err := f.Do(context.Background(), Request{ID: "x", Route: patient(catalog.Idempotent), Class: class})
 		done <- result{answer, err}
 	}()
 	timer.Wait(f.Timer, 10*time.Second, nil) // it waits
+	is.Equal(g.Waiting(class), 1)
 	change()
-	for range 12 {
-		g.Release(admission.Reward, admission.Answered, admission.Timing{}, nil)
+	for range window {
+		g.Release(class, admission.Answered, admission.Timing{}, nil)
 	}
 	r := <-done
 	return r.answer, r.err
@@ -263,7 +264,7 @@
 	addGates(f)
 	d := &changingDetector{}
 	f.PoisonDetector = d
-	_, err := waitAtGate(t, f, func() { d.verdict.Store(&poison.Verdict{Crashes: 4, RetryAfter: time.Minute}) })
+	_, err := waitAtGate(t, f, admission.Interactive, func() { d.verdict.Store(&poison.Verdict{Crashes: 4, RetryAfter: time.Minute}) })
 	is.True(problem.Is(err, problem.Quarantined))
 	is.Equal(problem.From(err).Kind.Outcome, problem.NotRun)
 	is.Equal(problem.From(err).RetryAfter, time.Minute)
@@ -271,13 +272,26 @@
 	is.True(leavesGate(f))
 }
 
+// Guards against a reward call that is never answered, since upstreams crashed while they ran it.
+func TestWaitingRewardCallIsNotQuarantined(t *testing.T) {
+	is := is.New(t)
+	f, stop := newForwarder(&sender{behaviours: []behaviour{cuts, answers}}, 6)
+	defer stop()
+	addGates(f)
+	d := &changingDetector{}
+	f.PoisonDetector = d
+	_, err := waitAtGate(t, f, admission.Reward, func() { d.verdict.Store(&poison.Verdict{Crashes: 4, RetryAfter: time.Minute}) })
+	is.NoErr(err)
+	is.True(leavesGate(f))
+}
+
 // Guards against a request that is sent to the upstreams of before its wait, which have left.
 func TestWaitingRequestUsesCurrentUpstreams(t *testing.T) {
 	is := is.New(t)
 	f, stop := newForwarder(&sender{behaviours: []behaviour{answers}}, 6)
 	defer stop()
 	addGates(f)
-	answer, err := waitAtGate(t, f, func() {
+	answer, err := waitAtGate(t, f, admission.Reward, func() {
 		f.Upstreams.Update([]catalog.Entry{{ID: "new", Service: "s", Address: "new", Slots: 24}}, []string{"u0", "u1", "u2", "u3", "u4", "u5"})
 	})
 	is.NoErr(err)
--- a/internal/route/forward/poison.go
+++ b/internal/route/forward/poison.go
@@ -6,15 +6,24 @@
 	"io"
 
 	"github.com/egretbend/egretbend/internal/kernel/problem"
+	"github.com/egretbend/egretbend/internal/route/admission"
 	"github.com/egretbend/egretbend/internal/route/catalog"
 	"github.com/egretbend/egretbend/internal/route/crash"
 )
 
+// owed reports whether the request must be served in the end. A reward call belongs to a batch that was
+// accepted: it is sent again until it is answered, whatever happened to the upstreams that ran it, and
+// is never taken for the cause.
+func (d *dispatch) owed() bool { return d.req.Class == admission.Reward }
+
+// mayBePoison reports whether the request may be found to crash the upstreams that run it.
+func (d *dispatch) mayBePoison() bool { return d.f.PoisonDetector != nil && !d.owed() }
+
 // runUnlessQuarantined sends the request unless it is quarantined. It reports a request
 // that was answered, which clears it of suspicion; a streaming answer is reported when
 // its stream ends.
 func (d *dispatch) runUnlessQuarantined(ctx context.Context) (*Answer, error) {
-	if d.f.PoisonDetector == nil {
+	if !d.mayBePoison() {
 		return d.runAttempts(ctx)
 	}
 	digest := d.req.digest
@@ -41,6 +50,9 @@
 // reportCut counts and reports an upstream whose connection was lost before the answer
 // was complete, as it may have crashed.
 func (d *dispatch) reportCut(u *catalog.Upstream) {
+	if d.owed() {
+		return
+	}
 	d.cutAttempts++
 	if d.f.CrashReporter == nil {
 		return
