batch/runner: an item is placed soon after its engines crashed

Adds the test of a case that was handled before: an item under which engines crashed, or could not be reached, for up to 18 s is placed within 1.6 s once they are back. An item waits for 4 s at most, an ejected engine returns under another incarnation, and an instance readmits engines if more than a third of them are ejected.

--- a/internal/batch/runner/backoff_test.go
+++ b/internal/batch/runner/backoff_test.go
@@ -74,3 +74,35 @@
 	s.engineLost(now)
 	is.True(s.ready(now))
 }
+
+// Guards against an item that is placed long after the engines that crashed under it are back, or never.
+func TestItemIsPlacedAfterCrashes(t *testing.T) {
+	is := is.New(t)
+	for _, lost := range []error{engine.ErrConnectionLost, engine.ErrNotSent} {
+		for _, until := range []time.Duration{time.Second, 6 * time.Second, 18 * time.Second} {
+			var b *testBench
+			ready := make(chan struct{})
+			b = newTestBench(t, func(_ context.Context, _ *catalog.Upstream, _ Attempt, emit func(Event) error) error {
+				<-ready
+				if b.clock.Now() < timer.Instant(until) {
+					return lost
+				}
+				return emitEvents(0, 1, 5, emit)
+			})
+			close(ready)
+			// As an instance does, which readmits engines if too many are ejected.
+			stop := make(chan struct{})
+			go func() {
+				for timer.Wait(b.clock, time.Second, stop) {
+					b.runner.Upstreams.DetectOutliers(b.clock.Now())
+				}
+			}()
+			is.NoErr(b.submit("x"))
+			is.Equal(len(b.waitForResults(1)), 1)
+			close(stop)
+			took := b.clock.Now().Sub(timer.Instant(until))
+			t.Logf("%v until %s: listed %s later", lost, until, took)
+			is.True(took < owedWithin)
+		}
+	}
+}
