--- a/internal/kernel/journal/journal.go
+++ b/internal/kernel/journal/journal.go
@@ -32,6 +32,7 @@
 	instance        string
 	history         history
 	historyDisabled bool
+	problems        problems
 }
 
 // DisableHistory disables the in-memory history of decisions, which takes some megabytes,
@@ -189,3 +190,39 @@
 	}
 	j.log.WithFields(fields).WithError(err).Warn(message)
 }
+
+// WarnOnce is Warn for a problem with what is called name, unless its last problem was the same, so that
+// one that is met again and again takes one line. A nil err means that there is none any more.
+func (j *Journal) WarnOnce(message, name string, err error, fields log.Fields) {
+	if j == nil || !j.problems.isNew(name, err) {
+		return
+	}
+	j.Warn(message, err, fields)
+}
+
+// maxProblems bounds the names in problems. All are forgotten when there are more.
+const maxProblems = 1024
+
+// problems holds the last problem by what it is with. Its zero value is empty.
+type problems struct {
+	mu     sync.Mutex
+	byName map[string]string
+}
+
+// isNew records the problem with what is called name, and reports whether it differs from the last one.
+func (p *problems) isNew(name string, err error) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil {
+		delete(p.byName, name)
+		return false
+	}
+	if last, ok := p.byName[name]; ok && last == err.Error() {
+		return false
+	}
+	if p.byName == nil || len(p.byName) >= maxProblems {
+		p.byName = make(map[string]string)
+	}
+	p.byName[name] = err.Error()
+	return true
+}
