fleet/registry: an odd entry is no instance

An entry of another writer among the instances was taken for one if it is JSON: clients were sent to its address, be it empty, and an entry with more cores than any machine has left no instance eligible for batches.

An entry must name the instance of its key, an incarnation, at most 4096 cores, and an address that can be connected to, if any. Its problem is logged once.

--- a/internal/fleet/registry/member.go
+++ b/internal/fleet/registry/member.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"encoding/json"
+	"fmt"
 	"slices"
 
 	"github.com/egretbend/egretbend/internal/fleet/member"
+	"github.com/egretbend/egretbend/internal/kernel/dial"
 	"github.com/egretbend/egretbend/internal/route/residency"
 )
 
@@ -23,6 +26,32 @@
 	Leaving bool    `json:"leaving,omitempty"`
 }
 
+// maxCores is the largest number of cores that an instance can report. The largest one decides which
+// instances are eligible for batches.
+const maxCores = 1 << 12
+
+// decodeMember decodes the entry of the instance that is called name. It returns an error for an entry
+// that no instance has written.
+func decodeMember(name string, value []byte) (Member, error) {
+	var m Member
+	if err := json.Unmarshal(value, &m); err != nil {
+		return Member{}, err
+	}
+	if m.Name != name || m.Incarnation == "" {
+		return Member{}, fmt.Errorf("the entry of %.80q names the instance %.80q, incarnation %.80q", name, m.Name, m.Incarnation)
+	}
+	if m.Cores < 0 || m.Cores > maxCores {
+		return Member{}, fmt.Errorf("the entry of %.80q has %g cores", name, m.Cores)
+	}
+	if m.EntryAddress == "" {
+		return m, nil
+	}
+	if err := dial.CheckAddress(m.EntryAddress); err != nil {
+		return Member{}, fmt.Errorf("the entry of %.80q: %w", name, err)
+	}
+	return m, nil
+}
+
 // eligibleShare is the fraction of the largest instance's Cores that an instance
 // must have to be eligible for batches.
 const eligibleShare = 0.6
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sort"
 	"strings"
@@ -302,14 +301,13 @@
 			gone = append(gone, name)
 			continue
 		}
-		var m Member
-		if err := json.Unmarshal(c.Value, &m); err != nil {
-			r.Journal.Warn("invalid instance entry", err, log.Fields{
-				"key": c.Key,
-			})
-			continue
+		m, err := decodeMember(name, c.Value)
+		r.Journal.WarnOnce("invalid instance entry", c.Key, err, log.Fields{
+			"key": c.Key,
+		})
+		if err == nil {
+			r.members[name] = m
 		}
-		r.members[name] = m
 	}
 	r.mu.Unlock()
 	if len(broadcasts) > 0 && r.OnBroadcast != nil {
