batch/ledger: an odd entry is left out of the lists of batches

With one entry among the open batches that can't be read, no instance took over the batches of a lost one any more, and with one among the ended batches none of them was removed. For an entry that is JSON but no batch, an instance tried a take-over and logged it three times a second.

Lists leave such entries out and log each once. When a batch is read, a key that no part of it has is left out, and texts that can't be read are generated again; results that can't be read still fail it, as the others would move.

--- a/internal/batch/coordinator/takeover.go
+++ b/internal/batch/coordinator/takeover.go
@@ -278,6 +278,13 @@
 	if errors.Is(err, ledger.ErrFenced) {
 		return
 	}
+	if errors.Is(err, ledger.ErrUnknown) || errors.Is(err, ledger.ErrUnreadable) {
+		// There is nothing to resume. The regular sweep looks again.
+		d.Journal.WarnOnce("a batch can't be resumed", seen.Batch, err, log.Fields{
+			"request_id": seen.Batch,
+		})
+		return
+	}
 	if err != nil {
 		d.Journal.Warn("take-over failed", err, log.Fields{
 			"request_id": seen.Batch,
--- a/internal/batch/ledger/claim.go
+++ b/internal/batch/ledger/claim.go
@@ -91,7 +91,7 @@
 	}
 	var stored storedClaim
 	if err := json.Unmarshal(item.Value, &stored); err != nil {
-		return c, fmt.Errorf("claim on batch %s: %w; it was written by another release", c.Batch, err)
+		return c, fmt.Errorf("%w: claim on batch %.80q: %w", ErrUnreadable, c.Batch, err)
 	}
 	c.Owner, c.Binding = stored.Owner, stored.Binding
 	if c.Binding.Host == "" {
@@ -100,7 +100,7 @@
 	return c, nil
 }
 
-// OpenBatches lists the open batches.
+// OpenBatches lists the open batches. It leaves out entries that can't be read.
 func (l *Ledger) OpenBatches(ctx context.Context, consistency keyvalue.Consistency) ([]Claim, error) {
 	listing, err := l.Store.Range(ctx, openPrefix, consistency)
 	if err != nil {
@@ -109,10 +109,10 @@
 	var claims []Claim
 	for _, item := range listing.Items {
 		c, err := decodeClaim(item)
-		if err != nil {
-			return nil, err
+		l.logUnreadable(item.Key, err)
+		if err == nil {
+			claims = append(claims, c)
 		}
-		claims = append(claims, c)
 	}
 	return claims, nil
 }
--- a/internal/batch/ledger/ledger.go
+++ b/internal/batch/ledger/ledger.go
@@ -9,7 +9,10 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/egretbend/egretbend/internal/batch/submission"
+	"github.com/egretbend/egretbend/internal/kernel/journal"
 	"github.com/egretbend/egretbend/internal/outside/keyvalue"
 )
 
@@ -46,6 +49,8 @@
 	ErrExists = errors.New("the batch was accepted before")
 	// ErrUnknown means that there is no such batch.
 	ErrUnknown = errors.New("no such batch")
+	// ErrUnreadable means that what is stored was not written by an instance of this release.
+	ErrUnreadable = errors.New("the stored value can't be read; it was written by another release or another writer")
 	// ErrOutcomeUnknown means that the outcome of a write is unknown: it may have been done,
 	// or may still be done later.
 	ErrOutcomeUnknown = errors.New("it is not known whether the write was done")
@@ -72,6 +77,15 @@
 	Self  Owner
 	// Pause waits between two lookups of a write without an answer.
 	Pause func(time.Duration)
+	// Journal logs entries that can't be read; it may be nil.
+	Journal *journal.Journal
+}
+
+// logUnreadable logs once that the entry of a key can't be read; with a nil err it can.
+func (l *Ledger) logUnreadable(key string, err error) {
+	l.Journal.WarnOnce("stored entry left out", key, err, log.Fields{
+		"key": key,
+	})
 }
 
 // HoldsBatch reports whether the value of a key has bodies, results or texts of a batch.
@@ -223,6 +237,9 @@
 	return err
 }
 
+// errUnknownKey means that a key is none of those under which a batch is stored.
+var errUnknownKey = errors.New("no part of a batch has such a key")
+
 // checkEnded returns nil if the batch is ended, and ErrUnknown if there is no such
 // batch.
 func (l *Ledger) checkEnded(ctx context.Context, id string) error {
@@ -255,32 +272,40 @@
 	var encoded []byte
 	rec := &Record{}
 	for _, item := range items {
-		if strings.HasPrefix(item.Key, batchPrefix+id+"/part/") {
+		switch {
+		case strings.HasPrefix(item.Key, batchPrefix+id+"/part/"):
 			encoded = append(encoded, item.Value...)
-			continue
-		}
-		if item.Key == endKey(id) {
+		case item.Key == endKey(id):
 			rec.Ended = true
-			continue
-		}
-		if item.Key == progressKey(id) {
-			if err := json.Unmarshal(item.Value, &rec.Progress); err != nil {
-				return nil, fmt.Errorf("progress of batch %s: %w", id, err)
+		case item.Key == progressKey(id):
+			// Without it the items are generated again.
+			var progress []submission.Progress
+			err := json.Unmarshal(item.Value, &progress)
+			if l.logUnreadable(item.Key, err); err == nil {
+				rec.Progress = progress
 			}
-			continue
-		}
-		var results []submission.Result
-		if err := json.Unmarshal(item.Value, &results); err != nil {
-			return nil, fmt.Errorf("results of batch %s: %w", id, err)
+		case strings.HasPrefix(item.Key, batchPrefix+id+"/result/"):
+			// Without it the results that follow would have other positions.
+			var results []submission.Result
+			if err := json.Unmarshal(item.Value, &results); err != nil {
+				return nil, fmt.Errorf("%w: results of batch %s: %w", ErrUnreadable, id, err)
+			}
+			rec.Results = append(rec.Results, results...)
+			rec.Chunks++
+		default:
+			l.logUnreadable(item.Key, errUnknownKey)
 		}
-		rec.Results = append(rec.Results, results...)
-		rec.Chunks++
 	}
 	if encoded == nil {
 		return nil, ErrUnknown
 	}
-	rec.Submission, err = submission.Decode(encoded)
-	return rec, err
+	if rec.Submission, err = submission.Decode(encoded); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreadable, err)
+	}
+	if rec.Submission.ID != id {
+		return nil, fmt.Errorf("%w: batch %.80q is stored as %.80q", ErrUnreadable, rec.Submission.ID, id)
+	}
+	return rec, nil
 }
 
 // FindScoped returns the name of the batch that an organisation calls id, or ErrUnknown if there is
@@ -329,7 +354,8 @@
 	return nil
 }
 
-// EndedBatches returns the ended batches with the times at which they ended.
+// EndedBatches returns the ended batches with the times at which they ended. It leaves out entries that
+// can't be read.
 func (l *Ledger) EndedBatches(ctx context.Context) (map[string]time.Time, error) {
 	listing, err := l.Store.Range(ctx, endedPrefix, keyvalue.Stale)
 	if err != nil {
@@ -338,8 +364,12 @@
 	ended := make(map[string]time.Time)
 	for _, item := range listing.Items {
 		var at int64
-		if err := json.Unmarshal(item.Value, &at); err != nil {
-			return nil, fmt.Errorf("end of batch %s: %w", item.Key, err)
+		err := json.Unmarshal(item.Value, &at)
+		if err != nil {
+			err = fmt.Errorf("%w: %w", ErrUnreadable, err)
+		}
+		if l.logUnreadable(item.Key, err); err != nil {
+			continue
 		}
 		ended[strings.TrimPrefix(item.Key, endedPrefix)] = time.UnixMilli(at)
 	}
