fleet/usage: a stored report that can't be read is replaced

With something else where the last usage report is stored, the holder of the duty reported no usage any more and logged that every second.

Evidence: TestOddStoredReportIsReplaced failed before with the error of the first value.

The entry is logged and counts as none; the next report replaces it.

--- a/internal/fleet/usage/reporter.go
+++ b/internal/fleet/usage/reporter.go
@@ -140,11 +140,15 @@
 	}
 	r.last, r.pending = nil, false
 	if item.Revision != 0 {
-		r.last = &Report{}
-		if err := json.Unmarshal(item.Value, r.last); err != nil {
-			return err
+		last := &Report{}
+		if err := json.Unmarshal(item.Value, last); err != nil {
+			// The next report replaces it.
+			r.Journal.Warn("the last usage report can't be read", err, log.Fields{
+				"key": r.Key,
+			})
+		} else {
+			r.last, r.pending = last, true
 		}
-		r.pending = true
 	}
 	r.fence, r.revision = fence, item.Revision
 	return nil
--- a/internal/fleet/usage/usage_test.go
+++ b/internal/fleet/usage/usage_test.go
@@ -9,6 +9,8 @@
 	"github.com/matryer/is"
 
 	"github.com/egretbend/egretbend/internal/kernel/timer"
+	"github.com/egretbend/egretbend/internal/outside/keyvalue"
+	"github.com/egretbend/egretbend/internal/standin/memorystore"
 )
 
 const length = 5 * time.Second
@@ -136,3 +138,27 @@
 	is.True(s.Send(context.Background()))
 	is.Equal(Sum(2, peers.collectors["x"].Find(2)), Counts{"saddlers": 1})
 }
+
+// Guards against usage that is never reported again because another writer has left something else
+// where the last report is stored.
+func TestOddStoredReportIsReplaced(t *testing.T) {
+	is := is.New(t)
+	for _, value := range []string{"", "[", "[]", `{"window":1e999}`, "\x00"} {
+		store := &memorystore.Store{
+			Timer: timer.Real{},
+		}
+		revision, err := store.Commit(context.Background(), keyvalue.Transaction{
+			Writes: []keyvalue.Write{
+				{Key: "usage", Value: []byte(value)},
+			},
+		})
+		is.NoErr(err)
+		r := &Reporter{
+			Key:   "usage",
+			Store: store,
+		}
+		is.NoErr(r.loadLast(context.Background(), 1))
+		is.Equal(r.revision, revision)
+		is.True(r.last == nil && !r.pending)
+	}
+}
