entry/client: only valid responses are taken

The command line and other clients of the documented interface take a response only if its head is valid, as the clients of upstreams do. A status that HTTP does not have was an error of an unknown kind before.

--- a/internal/entry/client/client.go
+++ b/internal/entry/client/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/egretbend/egretbend/internal/kernel/answer"
 	"github.com/egretbend/egretbend/internal/kernel/problem"
 )
 
@@ -23,7 +24,7 @@
 	Key string
 	// Header is sent with every call.
 	Header http.Header
-	// HTTP is the client to use. Nil means http.DefaultClient.
+	// HTTP is the client to use. Nil means one that takes only valid responses.
 	HTTP *http.Client
 }
 
@@ -97,7 +98,12 @@
 	if c.HTTP != nil {
 		return c.HTTP
 	}
-	return http.DefaultClient
+	return defaultClient
+}
+
+// defaultClient uses http.DefaultTransport.
+var defaultClient = &http.Client{
+	Transport: answer.Transport{},
 }
 
 // decodeError returns the error of a response whose status is not 200.
