route/wire: a coding in HTTP/1.0 makes a response invalid

A client got the chunks' framing as the body, or waited until its deadline, when its upstream answered in HTTP/1.0 with a Transfer-Encoding: the standard client drops the field there, and reads to the end of the connection or of the stated length.

HTTP/1.0 knows no coding, so its framing can't be right. As nothing of the field is left in the parsed head, it is looked for while the head is read, for HTTP/1.0 only. Responses of HTTP/1.0 without a coding are returned as before (TestSoundResponsesAreReturned).

--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -318,7 +318,7 @@
 	}
 	t.last = c
 	c.idle.use(t)
-	c.expectsResponse.Store(!secure) // what TLS reads is encrypted
+	c.head.begin.Store(!secure) // what TLS reads is encrypted
 	if t.beforeWrite != nil {
 		t.withheld = t.beforeWrite()
 	}
--- a/internal/route/wire/conn.go
+++ b/internal/route/wire/conn.go
@@ -3,28 +3,19 @@
 import (
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
-	"github.com/egretbend/egretbend/internal/kernel/answer"
 	"github.com/egretbend/egretbend/internal/kernel/dial"
 )
 
 // errSealed is returned by writes to a sealed connection.
 var errSealed = errors.New("the connection is closed for writing: its request was abandoned")
 
-// errNoResponse means that the bytes that the other side sent don't begin a response.
-var errNoResponse = fmt.Errorf("%w: it begins with other bytes", answer.ErrInvalid)
-
-// responseStart is how every response begins.
-const responseStart = "HTTP/1."
-
 // conn counts the bytes written to a connection and can be sealed, after which
 // every write fails. Closing it resets it, so that the kernel delivers nothing of an
 // abandoned request later.
@@ -36,8 +27,7 @@
 	// onClose is called when the connection is closed; it may be nil.
 	onClose func()
 	idle    idleState
-	// expectsResponse is set until the first bytes of the response to a request are read.
-	expectsResponse atomic.Bool
+	head    headCheck
 
 	mu      sync.Mutex
 	written uint64
@@ -86,19 +76,14 @@
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		c.idle.lost()
 	}
-	if n > 0 && c.expectsResponse.Swap(false) && !beginsResponse(p[:n]) {
-		// The transport would wait for the end of a line, which may never come.
-		return 0, errNoResponse
+	if n > 0 {
+		if err := c.head.check(p[:n]); err != nil {
+			return 0, err
+		}
 	}
 	return n, err
 }
 
-// beginsResponse reports whether a response may begin with p.
-func beginsResponse(p []byte) bool {
-	n := min(len(p), len(responseStart))
-	return string(p[:n]) == responseStart[:n]
-}
-
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
