route/wire: a request waits until its idle connection was looked at

A sound request got 502 when it was given the connection of a response that other bytes followed: they were read in place of the start of its own response.

Cause: the transport gives a connection back before it looks for such bytes, and a request may get it in between if the transport gets no processor time.

The transport reads from an idle connection unless it holds such bytes, and closes it then. A reused connection is written to only once it is being read or closed; the wait is 2 ms at most. TLS hides its reads and is left out.

--- a/internal/route/wire/client.go
+++ b/internal/route/wire/client.go
@@ -309,6 +309,9 @@
 // gotConn is called by httptrace with each connection that the request is given.
 func (t *connTracker) gotConn(info httptrace.GotConnInfo) {
 	c, secure := connOf(info.Conn)
+	if info.Reused && !secure {
+		c.awaitIdleCheck()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c.setDeliveryTimeout(t.deliveryTimeout)
--- a/internal/route/wire/conn.go
+++ b/internal/route/wire/conn.go
@@ -5,12 +5,14 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/egretbend/egretbend/internal/kernel/dial"
+	"github.com/egretbend/egretbend/internal/kernel/timer"
 )
 
 // errSealed is returned by writes to a sealed connection.
@@ -28,6 +30,8 @@
 	onClose func()
 	idle    idleState
 	head    headCheck
+	// reading is set during a read, closed once the connection is closed.
+	reading, closed atomic.Bool
 
 	mu      sync.Mutex
 	written uint64
@@ -72,7 +76,9 @@
 
 // Read implements net.Conn. The transport reads from idle connections to notice their end.
 func (c *conn) Read(p []byte) (int, error) {
+	c.reading.Store(true)
 	n, err := c.Conn.Read(p)
+	c.reading.Store(false)
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		c.idle.lost()
 	}
@@ -96,6 +102,19 @@
 	return c.Conn.Write(p)
 }
 
+// idleCheckTimeout bounds the wait for the transport to look at a connection that became idle, which
+// it does at once if it gets processor time.
+const idleCheckTimeout = 2 * time.Millisecond
+
+// awaitIdleCheck waits until the transport has looked for bytes that follow the last response on an idle
+// connection. If there are any, it closes the connection; otherwise it reads.
+func (c *conn) awaitIdleCheck() {
+	checked := func() bool { return c.reading.Load() || c.closed.Load() }
+	if !checked() {
+		timer.Poll(timer.Real{}, idleCheckTimeout/100, idleCheckTimeout, nil, checked)
+	}
+}
+
 // connOf returns the connection that a Client opened for nc, and whether nc encrypts what is written
 // to it.
 func connOf(nc net.Conn) (c *conn, secure bool) {
@@ -114,6 +133,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.closed.Store(true)
 	if c.onClose != nil {
 		c.onClose()
 	}
